--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Commands for newcomers and CI. VENV may point at an existing environment.
+VENV ?= .venv
+DEPLOYMENT ?= tintero
+PY := $(VENV)/bin/python
+PACKAGES := core node cli testing
+empty :=
+space := $(empty) $(empty)
+# The checkout's own sources go first, so that one environment can serve
+# several work trees.
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+
+.PHONY: setup demo test lint format bench fuzz generate clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.txt
+	$(PY) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: setup
+	$(PY) -m vanillamast_testing.demo --deployment=$(DEPLOYMENT)
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m mypy packages/core/src packages/node/src packages/cli/src packages/testing/src
+
+format: setup
+	$(PY) -m ruff format .
+	$(PY) -m ruff check --fix .
+
+bench: setup
+	$(PY) -m vanillamast_testing.bench
+
+fuzz: setup
+	VANILLAMAST_FUZZ=1 $(PY) -m pytest tests -k fuzz
+
+# Needs grpcio-tools, which is not among the pinned requirements because the
+# generated code is committed.
+generate:
+	PATH="$(abspath $(VENV))/bin:$$PATH" $(PY) -m grpc_tools.protoc -I packages/node/src --python_out=packages/node/src \
+	  --grpclib_python_out=packages/node/src \
+	  packages/node/src/vanillamast_node/peers.proto
+
+clean:
+	rm -rf out build .pytest_cache .ruff_cache .mypy_cache
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of vanillamast."""
--- /dev/null
+++ b/packages/core/src/vanillamast_core/announcement.py
@@ -0,0 +1,45 @@
+"""What an instance tells the others about its node and backend server."""
+
+import msgspec
+
+from vanillamast_core.server_state import ServerState
+
+
+class Announcement(msgspec.Struct, array_like=True, frozen=True):
+    """One instance: its node and the backend server beside it.
+
+    Only the instance itself makes new announcements. Of two announcements of
+    one instance, the one with the higher incarnation is the newer.
+
+    Attributes:
+      instance: Name of the instance, unique in the mesh.
+      incarnation: Raised by the instance at every change; starts from the
+        wall clock in milliseconds, so that it grows across restarts.
+      region: Region of the instance.
+      failure_domain: Failure domain of the instance.
+      peer_address: "ip:port" of the node's listener for peers.
+      operator_address: "ip:port" of the node's listener for operators.
+      service: Service of the backend server, "" if there is none.
+      version: Version of the backend server.
+      server_address: "ip:port" of the backend server.
+      state: State of the backend server.
+      slots: Requests that the backend server runs at once.
+      connections: Connections that the backend server accepts.
+      serving_since_ms: Wall time when the state became serving, 0 before.
+      leaving: Whether the node itself is in a planned stop.
+    """
+
+    instance: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    peer_address: str
+    operator_address: str = ""
+    service: str = ""
+    version: str = ""
+    server_address: str = ""
+    state: ServerState = ServerState.ABSENT
+    slots: int = 9
+    connections: int = 120
+    serving_since_ms: int = 0
+    leaving: bool = False
--- /dev/null
+++ b/packages/core/src/vanillamast_core/configuration/configuration.py
@@ -0,0 +1,25 @@
+"""The configuration of the mesh."""
+
+import msgspec
+
+from vanillamast_core.configuration.caller_class import CallerClass
+from vanillamast_core.configuration.move_spec import MoveSpec
+from vanillamast_core.configuration.route import Route
+from vanillamast_core.configuration.service import Service
+
+
+class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that operators publish, by name.
+
+    Attributes:
+      services: Services by name.
+      routes: Routes by name.
+      classes: Caller classes by name; "interactive" exists by default.
+      moves: Moves of traffic by name. A move starts when a published version
+        names it for the first time; its progress is kept apart.
+    """
+
+    services: dict[str, Service] = {}
+    routes: dict[str, Route] = {}
+    classes: dict[str, CallerClass] = {}
+    moves: dict[str, MoveSpec] = {}
--- /dev/null
+++ b/packages/core/src/vanillamast_core/journal/records.py
@@ -0,0 +1,130 @@
+"""The kinds of records in the platform's log."""
+
+from vanillamast_core.configuration import Change
+from vanillamast_core.journal.record import Record, record_kinds
+
+
+@record_kinds.register("publish")
+class Publish(Record, array_like=True, frozen=True, kw_only=True, tag=1):
+    """Publishes a configuration version as a delta.
+
+    Accepted if no object that it touches changed after `based_on` and the
+    whole result is valid.
+    """
+
+    changes: tuple[Change, ...]
+    label: str = ""
+
+
+@record_kinds.register("advance_move")
+class AdvanceMove(Record, array_like=True, frozen=True, kw_only=True, tag=2):
+    """Takes a move to its next step; reaching the last step makes it done.
+
+    Attributes:
+      move: Name of the move.
+      from_step: Step that the move must be at (-1 before the first step).
+      token: Fencing token of the driver's lease.
+      baseline_failure_ratio: Failures of the old version when decided.
+      baseline_slow_ms: Old version's 90th percentile latency when decided.
+    """
+
+    move: str
+    from_step: int
+    token: int
+    baseline_failure_ratio: float = 0.0
+    baseline_slow_ms: float = 0.0
+
+
+@record_kinds.register("settle_move")
+class SettleMove(Record, array_like=True, frozen=True, kw_only=True, tag=3):
+    """Ends the watch of a move that is done."""
+
+    move: str
+    token: int
+
+
+@record_kinds.register("hold_move")
+class HoldMove(Record, array_like=True, frozen=True, kw_only=True, tag=4):
+    """Keeps a move at its step until it is resumed (operators)."""
+
+    move: str
+
+
+@record_kinds.register("resume_move")
+class ResumeMove(Record, array_like=True, frozen=True, kw_only=True, tag=5):
+    """Lets a held move go on (operators)."""
+
+    move: str
+
+
+@record_kinds.register("stop_move")
+class StopMove(Record, array_like=True, frozen=True, kw_only=True, tag=6):
+    """Ends a move and sends all traffic to the old version (operators)."""
+
+    move: str
+
+
+@record_kinds.register("take_back")
+class TakeBack(Record, array_like=True, frozen=True, kw_only=True, tag=7):
+    """Ends a move because the new version is bad.
+
+    Accepted in any state that is not final; needs no lease.
+
+    Attributes:
+      started_at: Offset at which the move started, its unique identity.
+      reason: What the verdict was.
+    """
+
+    started_at: int
+    reason: str
+
+
+@record_kinds.register("claim_lease")
+class ClaimLease(Record, array_like=True, frozen=True, kw_only=True, tag=8):
+    """Claims or renews a lease by compare-and-set.
+
+    Attributes:
+      name: Name of the lease, such as "driver/0" or "snapshot".
+      holder: Instance and start of its process.
+      previous: Offset of the last accepted claim of this lease, 0 if none.
+    """
+
+    name: str
+    holder: str
+    previous: int
+
+
+@record_kinds.register("beacon")
+class Beacon(Record, array_like=True, frozen=True, kw_only=True, tag=9):
+    """Address of a node of a failure domain, for nodes that start."""
+
+    failure_domain: str
+    instance: str
+    address: str
+
+
+@record_kinds.register("drain_instance")
+class DrainInstance(Record, array_like=True, frozen=True, kw_only=True, tag=10):
+    """Drains the backend server of an instance, or ends the drain."""
+
+    instance: str
+    drained: bool = True
+
+
+@record_kinds.register("snapshot_chunk")
+class SnapshotChunk(Record, array_like=True, frozen=True, kw_only=True, tag=11):
+    """One part of a snapshot of the state at an offset.
+
+    Attributes:
+      offset: Offset of the state.
+      index: Position of the part, from 0.
+      count: Number of parts.
+      data: The part; empty when the entry is relayed between nodes.
+      digest: Digest of the whole snapshot.
+    """
+
+    offset: int
+    index: int
+    count: int
+    data: bytes
+    digest: bytes
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, limits, retries and refusals of requests."""
--- /dev/null
+++ b/packages/core/src/vanillamast_core/server_state.py
@@ -0,0 +1,13 @@
+"""The states that a backend server announces."""
+
+import enum
+
+
+class ServerState(enum.IntEnum):
+    """State of a backend server, as announced to the node beside it."""
+
+    ABSENT = 0  # No backend server holds a lease with this node.
+    STARTING = 1
+    SERVING = 2
+    DRAINING = 3
+    STOPPED = 4
--- /dev/null
+++ b/packages/node/src/vanillamast_node/__init__.py
@@ -0,0 +1,1 @@
+"""The vanillamast node, one process beside each backend server."""
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, scenarios, demo and bench of vanillamast. Not shipped."""
