Add the configuration boundary and the fold of the log

The core held models only.

The codec of unions also turns RecursionError into CodecError, since peers' messages can hold such arrays too.

--- a/packages/core/src/vanillamast_core/configuration/caller_class.py
+++ b/packages/core/src/vanillamast_core/configuration/caller_class.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+DEFAULT_CLASS = "interactive"  # Exists unless a configuration replaces it.
+
 
 class CallerClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How requests of a class compete with the others for slots.
--- /dev/null
+++ b/packages/core/src/vanillamast_core/configuration/load.py
@@ -0,0 +1,131 @@
+"""The YAML boundary of the configuration."""
+
+import datetime
+import re
+from typing import Any
+
+import msgspec
+import yaml
+
+from vanillamast_core.configuration.caller_class import CallerClass
+from vanillamast_core.configuration.configuration import Configuration
+from vanillamast_core.configuration.configuration_error import (
+    ConfigurationError,
+)
+from vanillamast_core.configuration.move_spec import MoveSpec
+from vanillamast_core.configuration.route import Route
+from vanillamast_core.configuration.service import Service
+from vanillamast_core.configuration.yaml_loader import parse_yaml
+
+TYPES: dict[str, Any] = {
+    "services": Service,
+    "routes": Route,
+    "classes": CallerClass,
+    "moves": MoveSpec,
+}
+DEADLINE_FORM = (
+    "a UTC time such as 2026-12-04T06:00:00Z, or seconds since the epoch"
+)
+# How msgspec ends and words its messages.
+_AT_PATTERN = re.compile(r" - at `\$\.?(.*)`\Z")
+_UNKNOWN_PATTERN = re.compile(r"unknown field `(.*)`")
+_MISSING_PATTERN = re.compile(r"missing required field `(.*)`")
+
+
+def load_configuration(text: str) -> Configuration:
+    """Returns the configuration that a YAML text holds.
+
+    The types are checked here, the meaning by `validate`.
+
+    Args:
+      text: YAML with the keys services, routes, classes and moves; each may
+        be left out. A move's deadline is an ISO 8601 time in UTC or a number
+        of seconds since the epoch.
+
+    Raises:
+      ConfigurationError: Names the place, what stands there and what may.
+    """
+    data = parse_yaml(text)
+    if data is None:
+        return Configuration()
+    _require_mapping("configuration", data)
+    tables = {}
+    for kind, objects in data.items():
+        if kind not in TYPES:
+            raise ConfigurationError(str(kind), objects, ", ".join(TYPES))
+        tables[kind] = _load_kind(kind, {} if objects is None else objects)
+    return Configuration(**tables)
+
+
+def dump_configuration(configuration: Configuration) -> str:
+    """Returns the YAML text that `load_configuration` reads back."""
+    data = msgspec.to_builtins(configuration)
+    for move in data["moves"].values():
+        move["deadline"] = _dump_deadline(move["deadline"])
+    return yaml.safe_dump(data, sort_keys=True, allow_unicode=True)
+
+
+def _require_mapping(path: str, data: object) -> None:
+    if not isinstance(data, dict):
+        raise ConfigurationError(path, data, "a mapping")
+
+
+def _load_kind(kind: str, objects: Any) -> dict[str, Any]:
+    _require_mapping(kind, objects)
+    result = {}
+    for name, value in objects.items():
+        if not isinstance(name, str):
+            raise ConfigurationError(kind, name, "names in quotes")
+        path = f"{kind}.{name}"
+        _require_mapping(path, value)
+        if kind == "moves" and isinstance(value.get("deadline"), str):
+            value = {**value, "deadline": _load_deadline(path, value)}
+        result[name] = _load_object(path, TYPES[kind], value)
+    return result
+
+
+def _load_deadline(path: str, value: dict[str, Any]) -> float:
+    text = value["deadline"]
+    try:
+        time = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        time = None
+    if time is None or time.utcoffset() != datetime.timedelta(0):
+        raise ConfigurationError(f"{path}.deadline", text, DEADLINE_FORM)
+    return time.timestamp()
+
+
+def _dump_deadline(deadline: float) -> str | float:
+    if not deadline.is_integer() or not 0 <= deadline < 2**35:
+        return deadline
+    time = datetime.datetime.fromtimestamp(deadline, datetime.UTC)
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _load_object(path: str, kind: Any, value: dict[str, Any]) -> Any:
+    try:
+        return msgspec.convert(value, kind, strict=True)
+    except msgspec.ValidationError as error:
+        raise _configuration_error(path, kind, value, str(error)) from error
+
+
+def _configuration_error(
+    path: str, kind: Any, value: dict[str, Any], message: str
+) -> ConfigurationError:
+    """Translates a message of msgspec, which does not hold the value."""
+    if unknown := _UNKNOWN_PATTERN.search(message):
+        field = unknown[1]
+        allowed = ", ".join(kind.__struct_fields__)
+        return ConfigurationError(
+            f"{path}.{field}", value.get(field), f"the keys {allowed}"
+        )
+    if missing := _MISSING_PATTERN.search(message):
+        return ConfigurationError(f"{path}.{missing[1]}", None, "a value")
+    where = _AT_PATTERN.search(message)
+    allowed = _AT_PATTERN.sub("", message)
+    if where is None or "`key`" in message:
+        return ConfigurationError(path, value, allowed)
+    found: Any = value
+    for field, index in re.findall(r"(\w+)|\[(\d+)\]", where[1]):
+        found = found[field] if field else found[int(index)]
+    return ConfigurationError(f"{path}.{where[1]}", found, allowed)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/configuration/routing_table.py
@@ -0,0 +1,186 @@
+"""The configuration that a node has applied."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from vanillamast_core.configuration.caller_class import (
+    DEFAULT_CLASS,
+    CallerClass,
+)
+from vanillamast_core.configuration.configuration import Configuration
+from vanillamast_core.configuration.route import EDGE, Route
+from vanillamast_core.configuration.route_index import RouteIndex
+from vanillamast_core.configuration.route_match import RouteMatch
+from vanillamast_core.configuration.service import Service
+from vanillamast_core.configuration.table_step import (
+    AddServices,
+    RemoveServices,
+    SwitchRoutes,
+    TableStep,
+)
+
+ENDPOINT_WAIT_S = 2.0
+# Versions that keep replacing each other must not defer the switch for ever:
+# an accepted configuration is in effect within 12 s.
+LONGEST_WAIT_S = 6.0
+
+HasUsable = Callable[[str], bool]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PendingVersion:
+    """A version whose resources are added and whose routes are not in use.
+
+    Attributes:
+      version: Number of the version.
+      routes: This node's routes of the version.
+      services: The services that these routes name.
+      classes: The caller classes of the version.
+    """
+
+    version: int
+    routes: dict[str, Route]
+    services: dict[str, Service]
+    classes: dict[str, CallerClass]
+
+
+class RoutingTable:
+    """Applies versions on a node, make before break.
+
+    Attributes:
+      service: Service of the backend server beside the node, "" if none.
+      edge: Whether callers outside the mesh connect to the node.
+      applied_version: Version whose routes are in use, 0 before the first.
+      routes: The routes in use by name.
+      classes: Caller classes of the applied version by name.
+      services: Services whose endpoints the node holds; those that a route
+        in use names have the values of the applied version.
+      pending: The version that waits for endpoints, if any.
+      waits: Time until which the node waits for each newly named service.
+      switch_by: Time at which the pending version switches in any case.
+    """
+
+    def __init__(self, service: str, edge: bool):
+        self.service = service
+        self.edge = edge
+        self.applied_version = 0
+        self.routes: dict[str, Route] = {}
+        self.classes: dict[str, CallerClass] = {DEFAULT_CLASS: CallerClass()}
+        self.services: dict[str, Service] = {}
+        self.pending: PendingVersion | None = None
+        self.waits: dict[str, float] = {}
+        self.switch_by: float | None = None
+        self.index = RouteIndex({})
+
+    def update(
+        self,
+        version: int,
+        configuration: Configuration,
+        now: float,
+        has_usable: HasUsable,
+    ) -> list[TableStep]:
+        """Goes on towards a version, as far as it can at this time.
+
+        To be called when the fold has a new version, when endpoints change
+        and at `wake_at`. The table is changed before it returns; the steps
+        tell the caller which endpoints to get and to let go, in this order.
+
+        Args:
+          version: Offset that the configuration has; one that is not above
+            the applied and the pending one changes nothing.
+          configuration: The whole valid configuration of that version.
+          now: Monotonic time in seconds.
+          has_usable: Whether the node knows a usable endpoint of a service.
+            It is asked again after the services were added.
+        """
+        steps: list[TableStep] = []
+        newest = self.pending.version if self.pending else self.applied_version
+        if version > newest:
+            steps += self._prepare(version, configuration, now)
+        steps += self.advance(now, has_usable)
+        return steps
+
+    def advance(self, now: float, has_usable: HasUsable) -> list[TableStep]:
+        """Switches to the pending version if its services are ready."""
+        if self.pending is None or self._must_wait(now, has_usable):
+            return []
+        unready = tuple(s for s in self.waits if not has_usable(s))
+        return [self._switch(self.pending, unready), *self._remove()]
+
+    def match(self, method: str, path: str) -> RouteMatch:
+        """Returns the route of a request, or why there is none."""
+        return self.index.match(method, path)
+
+    @property
+    def wake_at(self) -> float | None:
+        """Time at which `advance` switches if no endpoint comes before."""
+        if self.pending is None or self.switch_by is None:
+            return None
+        return min(max(self.waits.values()), self.switch_by)
+
+    def routes_of(self, configuration: Configuration) -> dict[str, Route]:
+        """Returns the routes of a configuration that this node takes."""
+        own = {EDGE} if self.edge else set()
+        if self.service:
+            own.add(self.service)
+        return {
+            name: route
+            for name, route in configuration.routes.items()
+            if not own.isdisjoint(route.callers)
+        }
+
+    def _prepare(
+        self, version: int, configuration: Configuration, now: float
+    ) -> list[TableStep]:
+        routes = self.routes_of(configuration)
+        named = {route.service for route in routes.values()}
+        services = {s: configuration.services[s] for s in sorted(named)}
+        classes = {DEFAULT_CLASS: CallerClass(), **configuration.classes}
+        self.pending = PendingVersion(version, routes, services, classes)
+        in_use = {route.service for route in self.routes.values()}
+        self.waits = {
+            name: self.waits.get(name, now + ENDPOINT_WAIT_S)
+            for name in services
+            if name not in in_use
+        }
+        if self.switch_by is None:
+            self.switch_by = now + LONGEST_WAIT_S
+        return self._add(version, services) + self._remove()
+
+    def _add(
+        self, version: int, services: Mapping[str, Service]
+    ) -> list[TableStep]:
+        added = {n: s for n, s in services.items() if n not in self.services}
+        self.services.update(added)
+        return [AddServices(version, added)] if added else []
+
+    def _must_wait(self, now: float, has_usable: HasUsable) -> bool:
+        if self.switch_by is not None and now >= self.switch_by:
+            return False
+        return any(
+            now < until and not has_usable(name)
+            for name, until in self.waits.items()
+        )
+
+    def _switch(
+        self, pending: PendingVersion, unready: tuple[str, ...]
+    ) -> SwitchRoutes:
+        self.routes = pending.routes
+        self.index = RouteIndex(pending.routes)
+        self.classes = pending.classes
+        self.services.update(pending.services)
+        self.applied_version = pending.version
+        self.pending = None
+        self.waits = {}
+        self.switch_by = None
+        return SwitchRoutes(pending.version, pending.routes, unready)
+
+    def _remove(self) -> list[TableStep]:
+        """Lets go of services that neither routes nor the pending need."""
+        needed = {route.service for route in self.routes.values()}
+        if self.pending:
+            needed.update(self.pending.services)
+        removed = tuple(sorted(self.services.keys() - needed))
+        for name in removed:
+            del self.services[name]
+        return [RemoveServices(removed)] if removed else []
--- /dev/null
+++ b/packages/core/src/vanillamast_core/configuration/service_rules.py
@@ -0,0 +1,25 @@
+"""Validation rules on services."""
+
+from collections.abc import Iterator, Set
+
+from vanillamast_core.configuration.configuration import Configuration
+from vanillamast_core.configuration.validation import validation_rules
+from vanillamast_core.configuration.validation_problem import (
+    ProblemKind,
+    ValidationProblem,
+)
+
+
+@validation_rules.register("service_version")
+def check_service_versions(
+    configuration: Configuration, ended_moves: Set[str]
+) -> Iterator[ValidationProblem]:
+    """A service names the version that gets its traffic."""
+    for name, service in sorted(configuration.services.items()):
+        if not service.version:
+            yield ValidationProblem(
+                ProblemKind.EMPTY,
+                f"services.{name}.version",
+                repr(service.version),
+                "a version of its backend servers",
+            )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/configuration/yaml_loader.py
@@ -0,0 +1,72 @@
+"""YAML as operators write it."""
+
+from typing import Any
+
+import yaml
+
+from vanillamast_core.configuration.configuration_error import (
+    ConfigurationError,
+)
+
+# The parser of libyaml is about ten times faster, but is not always built.
+_SafeLoader: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
+MERGE_TAG = "tag:yaml.org,2002:merge"
+
+
+class StrictLoader(_SafeLoader):
+    """A safe loader that refuses repeated keys and keeps times as text.
+
+    PyYAML lets the last of two equal keys win without a word, which would
+    drop a route, and turns a version such as 2026-12-04 into a date.
+    """
+
+    yaml_implicit_resolvers = {
+        first: [pair for pair in pairs if pair[0] != TIMESTAMP_TAG]
+        for first, pairs in _SafeLoader.yaml_implicit_resolvers.items()
+    }
+
+    def construct_mapping(self, node: Any, deep: bool = False) -> Any:
+        """Returns a mapping whose keys are all different."""
+        if isinstance(node, yaml.MappingNode):
+            self._check_keys(node)
+        return super().construct_mapping(node, deep=deep)
+
+    def _check_keys(self, node: Any) -> None:
+        seen = set()
+        for key_node, _ in node.value:
+            if not isinstance(key_node, yaml.ScalarNode):
+                continue
+            if key_node.tag != MERGE_TAG and key_node.value in seen:
+                raise ConfigurationError(
+                    place(key_node.start_mark),
+                    key_node.value,
+                    "each key once in a mapping",
+                )
+            seen.add(key_node.value)
+
+
+def place(mark: Any) -> str:
+    """Returns where a mark of the parser points, for error messages."""
+    if mark is None:
+        return "text"
+    return f"line {mark.line + 1}, column {mark.column + 1}"
+
+
+def parse_yaml(text: str) -> Any:
+    """Returns the plain data that a YAML text holds.
+
+    Raises:
+      ConfigurationError: The text is not YAML, or repeats a key.
+    """
+    try:
+        return yaml.load(text, Loader=StrictLoader)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        raise ConfigurationError(
+            place(mark), error.problem or "", "well-formed YAML"
+        ) from error
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        raise ConfigurationError(
+            "text", str(error), "well-formed YAML"
+        ) from error
--- a/packages/core/src/vanillamast_core/journal/__init__.py
+++ b/packages/core/src/vanillamast_core/journal/__init__.py
@@ -1,9 +1,23 @@
 """The deterministic fold of the platform's log."""
 
+# Loaded first: the state holds moves, and modules of that package name
+# records of this one.
+import vanillamast_core.moves  # noqa: F401
+from vanillamast_core.journal import (
+    fold_moves,  # noqa: F401
+    fold_platform,  # noqa: F401
+    fold_publish,  # noqa: F401
+)
+from vanillamast_core.journal.journal import Journal
+from vanillamast_core.journal.journal_errors import GapError, RestoreError
 from vanillamast_core.journal.lease import Lease
+from vanillamast_core.journal.lease_keeper import LeaseKeeper
+from vanillamast_core.journal.lease_settings import LeaseSettings
 from vanillamast_core.journal.log_entry import LogEntry
+from vanillamast_core.journal.mesh_state import MeshState
 from vanillamast_core.journal.outcome import Outcome, OutcomeReason
 from vanillamast_core.journal.record import Record, record_codec, record_kinds
+from vanillamast_core.journal.record_handlers import record_handlers
 from vanillamast_core.journal.records import (
     AdvanceMove,
     Beacon,
@@ -17,24 +31,43 @@
     StopMove,
     TakeBack,
 )
+from vanillamast_core.journal.restore import restore_from_log
+from vanillamast_core.journal.shard import SHARDS, driver_lease, shard_of
+from vanillamast_core.journal.snapshot import strip_chunk
+from vanillamast_core.journal.snapshot_settings import SnapshotSettings
+from vanillamast_core.journal.snapshot_writer import SnapshotWriter
 
 __all__ = [
+    "SHARDS",
     "AdvanceMove",
     "Beacon",
     "ClaimLease",
     "DrainInstance",
+    "GapError",
     "HoldMove",
+    "Journal",
     "Lease",
+    "LeaseKeeper",
+    "LeaseSettings",
     "LogEntry",
+    "MeshState",
     "Outcome",
     "OutcomeReason",
     "Publish",
     "Record",
+    "RestoreError",
     "ResumeMove",
     "SettleMove",
     "SnapshotChunk",
+    "SnapshotSettings",
+    "SnapshotWriter",
     "StopMove",
     "TakeBack",
+    "driver_lease",
     "record_codec",
+    "record_handlers",
     "record_kinds",
+    "restore_from_log",
+    "shard_of",
+    "strip_chunk",
 ]
--- /dev/null
+++ b/packages/core/src/vanillamast_core/journal/fold_platform.py
@@ -0,0 +1,63 @@
+"""Folds leases, beacons, drains and snapshots."""
+
+from vanillamast_core.journal.lease import Lease
+from vanillamast_core.journal.mesh_state import MeshState
+from vanillamast_core.journal.outcome import Outcome, OutcomeReason
+from vanillamast_core.journal.record_handlers import (
+    accepted,
+    conflict,
+    record_handlers,
+    refused,
+)
+from vanillamast_core.journal.records import (
+    Beacon,
+    ClaimLease,
+    DrainInstance,
+    SnapshotChunk,
+)
+
+
+@record_handlers.register("claim_lease")
+def fold_claim(state: MeshState, record: ClaimLease, offset: int) -> Outcome:
+    """Grants a lease to the first claim that names the last one."""
+    lease = state.leases.get(record.name)
+    renewed_at = lease.renewed_at if lease else 0
+    if record.previous != renewed_at:
+        detail = f"lease {record.name} was claimed at {renewed_at}"
+        return refused(
+            record, offset, OutcomeReason.CONFLICT, detail, renewed_at
+        )
+    renewal = lease is not None and lease.holder == record.holder
+    token = lease.token if lease and renewal else offset
+    state.leases[record.name] = Lease(record.name, record.holder, token, offset)
+    return accepted(record, offset)
+
+
+@record_handlers.register("beacon")
+def fold_beacon(state: MeshState, record: Beacon, offset: int) -> Outcome:
+    """Keeps the last beacon of a failure domain."""
+    state.beacons[record.failure_domain] = record
+    return accepted(record, offset)
+
+
+@record_handlers.register("drain_instance")
+def fold_drain(state: MeshState, record: DrainInstance, offset: int) -> Outcome:
+    """Begins or ends the drain of an instance."""
+    key = f"drains/{record.instance}"
+    if refusal := conflict(record, offset, key, state.last_change(key)):
+        return refusal
+    if record.drained:
+        state.drains.setdefault(record.instance, offset)
+        state.touch(key, offset)
+    else:
+        state.drains.pop(record.instance, None)
+        state.touch_removed(key, offset)
+    return accepted(record, offset)
+
+
+@record_handlers.register("snapshot_chunk")
+def fold_snapshot(
+    state: MeshState, record: SnapshotChunk, offset: int
+) -> Outcome:
+    """Changes nothing: snapshots serve recovery from the log alone."""
+    return accepted(record, offset)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/journal/lease_keeper.py
@@ -0,0 +1,151 @@
+"""The claimant's side of a lease."""
+
+import dataclasses
+
+from vanillamast_core.journal.lease import Lease
+from vanillamast_core.journal.lease_settings import LeaseSettings
+from vanillamast_core.journal.records import ClaimLease
+
+
+@dataclasses.dataclass(slots=True)
+class PendingClaim:
+    """A claim whose outcome is not known yet.
+
+    Attributes:
+      record: The claim.
+      first_sent_at: When it was sent first, None before.
+      last_sent_at: When it was sent or handed out last.
+    """
+
+    record: ClaimLease
+    first_sent_at: float | None
+    last_sent_at: float
+
+
+class LeaseKeeper:
+    """Claims, renews and stops using one lease, on its own clock.
+
+    Safety does not rest on it: the fold refuses the tokens of former holders.
+    It keeps claimants from taking leases that are in use, and holders from
+    work that would be refused.
+
+    Attributes:
+      name: Name of the lease.
+      holder: Instance and start of this process; unique for the process.
+      settings: Times of the lease.
+      lease: The lease as last observed.
+      changed_at: When `lease` was observed to change.
+      wanted_at: Since when this process asks for the lease without a pause.
+      asked_at: When it asked last.
+      accepted_at: When the last accepted claim was sent; None if the lease
+        is not this process's.
+      pending: The claim that is under way.
+    """
+
+    def __init__(self, name: str, holder: str, settings: LeaseSettings):
+        self.name = name
+        self.holder = holder
+        self.settings = settings
+        self.lease: Lease | None = None
+        self.changed_at: float | None = None
+        self.wanted_at: float | None = None
+        self.asked_at: float | None = None
+        self.accepted_at: float | None = None
+        self.pending: PendingClaim | None = None
+
+    def observe(self, lease: Lease | None, now: float) -> None:
+        """Takes note of the lease in the folded state.
+
+        Args:
+          lease: The lease of this name, None if it was never claimed.
+          now: Monotonic time in seconds.
+        """
+        if lease is None or lease.renewed_at <= self._renewed_at:
+            return
+        self.accepted_at = None
+        if lease.holder == self.holder and self.pending:
+            # Exactly one claim on top of the observed one was accepted. It
+            # may have been any of its sendings, so the first one counts.
+            self.accepted_at = self.pending.first_sent_at
+        self.lease = lease
+        self.changed_at = now
+        self.pending = None
+
+    def decide(self, now: float, rank: int) -> ClaimLease | None:
+        """Returns a claim to append now, if one is due.
+
+        To be called while this process has work under the lease, more often
+        than the lease is renewed.
+
+        Args:
+          now: Monotonic time in seconds.
+          rank: Number of live instances that should claim before this one.
+        """
+        self._note_demand(now)
+        if self.pending:
+            if now - self.pending.last_sent_at < self.settings.resend_s:
+                return None
+        elif self._due(now, rank):
+            self.pending = PendingClaim(self._claim(), None, now)
+        else:
+            return None
+        self.pending.last_sent_at = now
+        return self.pending.record
+
+    def sent(self, now: float) -> None:
+        """Notes that the claim is sent; to be called before its first byte.
+
+        Args:
+          now: Monotonic time in seconds.
+        """
+        if self.pending is None:
+            return
+        if self.pending.first_sent_at is None:
+            self.pending.first_sent_at = now
+        self.pending.last_sent_at = now
+
+    def held(self, now: float) -> int | None:
+        """Returns the fencing token while it is safe to act, else None.
+
+        Args:
+          now: Monotonic time in seconds.
+        """
+        if self.lease is None or self.accepted_at is None:
+            return None
+        if now - self.accepted_at > self.settings.act_s:
+            return None
+        return self.lease.token
+
+    @property
+    def _renewed_at(self) -> int:
+        return self.lease.renewed_at if self.lease else 0
+
+    def _note_demand(self, now: float) -> None:
+        """Starts the rank's delay anew after a time without demand.
+
+        An idle lease has expired for everybody; without a delay that starts
+        with the demand, all instances would claim it at once.
+        """
+        if self.asked_at is None or (
+            now - self.asked_at > self.settings.renew_s
+        ):
+            self.wanted_at = now
+        self.asked_at = now
+
+    def _due(self, now: float, rank: int) -> bool:
+        if self.lease and self.lease.holder == self.holder:
+            sent_at = self.accepted_at
+            return sent_at is None or now - sent_at >= self.settings.renew_s
+        free_at = self.wanted_at if self.wanted_at is not None else now
+        if self.changed_at is not None:
+            free_at = max(free_at, self.changed_at + self.settings.expire_s)
+        return now >= free_at + rank * self.settings.rank_delay_s
+
+    def _claim(self) -> ClaimLease:
+        return ClaimLease(
+            id=f"{self.name}/{self.holder}/{self._renewed_at}",
+            based_on=self._renewed_at,
+            name=self.name,
+            holder=self.holder,
+            previous=self._renewed_at,
+        )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/journal/mesh_state.py
@@ -0,0 +1,107 @@
+"""The state that the fold of the log results in."""
+
+import msgspec
+
+from vanillamast_core.configuration import Configuration
+from vanillamast_core.journal.lease import Lease
+from vanillamast_core.journal.outcome import Outcome
+from vanillamast_core.journal.records import Beacon
+from vanillamast_core.moves.move import Move
+
+MAX_FINAL_MOVES = 64
+# Repeated appends follow within minutes; at 830 changes a day and 4 steps a
+# move this covers hours.
+MAX_OUTCOMES = 1_024
+MAX_REMOVED = 1_024
+
+
+class MeshState(msgspec.Struct, array_like=True, kw_only=True):
+    """What all nodes agree on, as of one offset.
+
+    Only the handlers of records change it.
+
+    Attributes:
+      configuration: The current configuration.
+      version: Offset of the last record that changed the configuration: an
+        accepted `Publish`, or a `SettleMove` that gave a service its new
+        version.
+      label: Label of the last accepted `Publish`.
+      changed_at: Offset of the last change by object ("routes/chapter"), of
+        the objects that exist.
+      removed_at: The same for objects that were removed, the last 1,024.
+      forgotten_at: Highest offset that was dropped from `removed_at`.
+      moves: Moves by name; of those in a final state the last 64.
+      leases: Leases by name.
+      beacons: Last beacon by failure domain.
+      drains: Offset at which the drain began by instance.
+      outcomes: Outcomes by id of record, in order of their offsets, the last
+        1,024. Leases, beacons and snapshots are idempotent without it.
+    """
+
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
+    version: int = 0
+    label: str = ""
+    changed_at: dict[str, int] = {}
+    removed_at: dict[str, int] = {}
+    forgotten_at: int = 0
+    moves: dict[str, Move] = {}
+    leases: dict[str, Lease] = {}
+    beacons: dict[str, Beacon] = {}
+    drains: dict[str, int] = {}
+    outcomes: dict[str, Outcome] = {}
+
+    def touch(self, key: str, offset: int) -> None:
+        """Notes that an object was set."""
+        self.changed_at[key] = offset
+        self.removed_at.pop(key, None)
+
+    def touch_removed(self, key: str, offset: int) -> None:
+        """Notes that an object was removed."""
+        self.changed_at.pop(key, None)
+        self.removed_at[key] = offset
+        if len(self.removed_at) > MAX_REMOVED:
+            oldest = min(self.removed_at, key=self._removal_order)
+            self.forgotten_at = self.removed_at.pop(oldest)
+
+    def last_change(self, key: str) -> int:
+        """Returns the offset after which an object has not changed.
+
+        It may be later than the last change if that has been forgotten,
+        which refuses too much rather than too little.
+        """
+        if key in self.changed_at:
+            return self.changed_at[key]
+        return self.removed_at.get(key, self.forgotten_at)
+
+    def ended_moves(self) -> frozenset[str]:
+        """Returns the names of known moves that no record can change."""
+        names = self.configuration.moves.keys() | self.moves.keys()
+        return frozenset(
+            name
+            for name in names
+            if name not in self.moves or self.moves[name].state.final
+        )
+
+    def move_started_at(self, offset: int) -> Move | None:
+        """Returns the move with an identity, if it is remembered."""
+        for move in self.moves.values():
+            if move.started_at == offset:
+                return move
+        return None
+
+    def set_move(self, move: Move) -> None:
+        """Replaces a move and forgets the oldest of too many final ones."""
+        self.moves[move.name] = move
+        final = [m for m in self.moves.values() if m.state.final]
+        if len(final) > MAX_FINAL_MOVES:
+            oldest = min(final, key=lambda m: (m.changed_at, m.name))
+            del self.moves[oldest.name]
+
+    def remember(self, outcome: Outcome) -> None:
+        """Keeps an outcome and forgets the oldest of too many."""
+        self.outcomes[outcome.id] = outcome
+        if len(self.outcomes) > MAX_OUTCOMES:
+            del self.outcomes[next(iter(self.outcomes))]
+
+    def _removal_order(self, key: str) -> tuple[int, str]:
+        return self.removed_at[key], key
--- /dev/null
+++ b/packages/core/src/vanillamast_core/journal/snapshot_writer.py
@@ -0,0 +1,85 @@
+"""Decides when the state is written to the log."""
+
+from vanillamast_core.journal.journal import Journal
+from vanillamast_core.journal.records import SnapshotChunk
+from vanillamast_core.journal.snapshot import split_snapshot
+from vanillamast_core.journal.snapshot_settings import SnapshotSettings
+
+
+class SnapshotWriter:
+    """Watches the snapshots in the log, and writes one when it is due.
+
+    Every node watches; only the holder of the lease `snapshot` asks
+    `decide`. Two writers at once only cost space in the log.
+
+    Attributes:
+      settings: When and how snapshots are written.
+      complete_offset: Offset of the state of the newest complete snapshot,
+        None if this process saw none.
+      complete_at: When it became complete.
+      tried_at: When this process last wrote one that is not complete.
+      parts: Positions seen by (offset, count, digest).
+    """
+
+    def __init__(self, settings: SnapshotSettings):
+        self.settings = settings
+        self.complete_offset: int | None = None
+        self.complete_at = 0.0
+        self.tried_at: float | None = None
+        self.parts: dict[tuple[int, int, bytes], set[int]] = {}
+
+    def observe(self, chunk: SnapshotChunk, now: float) -> None:
+        """Takes note of a part in the log, with or without its data.
+
+        Args:
+          chunk: A folded record.
+          now: Monotonic time in seconds.
+        """
+        if chunk.offset <= (self.complete_offset or 0):
+            return
+        key = (chunk.offset, chunk.count, chunk.digest)
+        seen = self.parts.setdefault(key, set())
+        seen.add(chunk.index)
+        if seen == set(range(chunk.count)):
+            self._complete(chunk.offset, now)
+
+    def decide(self, journal: Journal, now: float) -> list[SnapshotChunk]:
+        """Returns the records to append if a snapshot is due.
+
+        A process that has seen no complete snapshot writes one: it cannot
+        know how old the last one is.
+
+        Args:
+          journal: The fold whose state is written.
+          now: Monotonic time in seconds.
+        """
+        if not self._due(journal, now):
+            return []
+        self.tried_at = now
+        return split_snapshot(
+            journal.offset, journal.snapshot(), self.settings.chunk_bytes
+        )
+
+    def _due(self, journal: Journal, now: float) -> bool:
+        if journal.offset == 0:
+            return False
+        if self.tried_at is not None and (
+            now - self.tried_at < self.settings.retry_s
+        ):
+            return False
+        if self.complete_offset is None:
+            return True
+        entries = journal.offset - self.complete_offset
+        age = now - self.complete_at
+        return (
+            entries >= self.settings.entries
+            or age >= self.settings.retention_s / 4
+        )
+
+    def _complete(self, offset: int, now: float) -> None:
+        self.complete_offset = offset
+        self.complete_at = now
+        self.tried_at = None
+        self.parts = {
+            key: s for key, s in self.parts.items() if key[0] > offset
+        }
--- a/packages/core/src/vanillamast_core/union_codec.py
+++ b/packages/core/src/vanillamast_core/union_codec.py
@@ -40,5 +40,9 @@
             self._decoder = msgspec.msgpack.Decoder(Union[types])  # noqa: UP007
         try:
             return self._decoder.decode(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+            RecursionError,  # Arrays nested deeper than the decoder's stack.
+        ) as error:
             raise CodecError(f"{self.kinds.subject}: {error}") from error
