Add the public interfaces of the moves package

Change: first working version of the split, the evidence window, the verdict (conditional likelihood-ratio mixture with parts left out) and the driver.

--- a/packages/core/src/vanillamast_core/moves/__init__.py
+++ b/packages/core/src/vanillamast_core/moves/__init__.py
@@ -1,6 +1,58 @@
-"""Moves of traffic: their schedule and the verdict on new versions."""
+"""Moves of traffic: their schedule and the verdict on new versions.
+
+`Move` and `EvidenceCell` come first: the journal and the peers import them
+while the driver imports the journal's records.
+"""
 
 from vanillamast_core.moves.evidence import EvidenceCell, Side
 from vanillamast_core.moves.move import FINAL_STATES, Move, MoveState
 
-__all__ = ["FINAL_STATES", "EvidenceCell", "Move", "MoveState", "Side"]
+# isort: split
+from vanillamast_core.moves.baseline import Baseline
+from vanillamast_core.moves.cell_merge import OTHERS, merge_cells
+from vanillamast_core.moves.cell_selection import CellSelection
+from vanillamast_core.moves.deadline_unreachable import DeadlineUnreachable
+from vanillamast_core.moves.driver import Driver
+from vanillamast_core.moves.driver_settings import DriverSettings
+from vanillamast_core.moves.evidence_settings import EvidenceSettings
+from vanillamast_core.moves.evidence_window import EvidenceWindow
+from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.judge_settings import JudgeSettings
+from vanillamast_core.moves.local_alarms import local_alarms
+from vanillamast_core.moves.observation import Observation
+from vanillamast_core.moves.verdict import Bad, Good, Undecided, Verdict
+from vanillamast_core.moves.verdict_tests import (
+    BadCount,
+    VerdictTest,
+    verdict_tests,
+)
+from vanillamast_core.moves.version_split import VersionSplit
+
+__all__ = [
+    "FINAL_STATES",
+    "OTHERS",
+    "Bad",
+    "BadCount",
+    "Baseline",
+    "CellSelection",
+    "DeadlineUnreachable",
+    "Driver",
+    "DriverSettings",
+    "EvidenceCell",
+    "EvidenceSettings",
+    "EvidenceWindow",
+    "Good",
+    "Judge",
+    "JudgeSettings",
+    "Move",
+    "MoveState",
+    "Observation",
+    "Side",
+    "Undecided",
+    "Verdict",
+    "VerdictTest",
+    "VersionSplit",
+    "local_alarms",
+    "merge_cells",
+    "verdict_tests",
+]
--- /dev/null
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -0,0 +1,200 @@
+"""All evidence against the new version of one move."""
+
+import dataclasses
+import math
+from collections.abc import Callable, Collection
+
+from vanillamast_core.moves.contrast import (
+    Contrast,
+    Counts,
+    LogRatios,
+    PartCount,
+)
+from vanillamast_core.moves.judge_settings import JudgeSettings
+from vanillamast_core.moves.move import Move
+from vanillamast_core.moves.stratum import Stratum
+from vanillamast_core.moves.verdict_tests import VerdictTest, verdict_tests
+
+ALL_ROUTES = ""  # Name of the test that pools the routes.
+DONE_SHARE = 0.25  # Part of alpha for the time after share 1.
+POOLED_SHARE = 0.5  # Part of the rest for the tests over all routes.
+MAX_RATIO = 0.95  # Alternatives to a tolerated ratio stay below 1.
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Suspicion:
+    """The evidence against a new version.
+
+    Attributes:
+      e_value: Weighted sum of the e-values of all tests.
+      reason: Kind of the test that adds most.
+      route: Its route.
+    """
+
+    e_value: float
+    reason: str = ""
+    route: str = ALL_ROUTES
+
+
+class Accusation:
+    """The tests of one move: every kind, pooled and on each route.
+
+    The weights of the tests sum to 1, so their weighted sum is an e-process
+    and divides alpha over kinds and routes.
+
+    Attributes:
+      settings: The settings of the judge.
+      tests: Contrast by kind and route, while the old version has traffic.
+      done_tests: Contrast by kind, against the baseline.
+      routes: Routes in order of appearance, which gives their weights.
+    """
+
+    def __init__(self, settings: JudgeSettings):
+        self.settings = settings
+        self.tests: dict[tuple[str, str], Contrast] = {}
+        self.done_tests: dict[str, Contrast] = {}
+        self.routes: list[str] = []
+
+    def copy(self) -> "Accusation":
+        """Returns an independent copy."""
+        copied = Accusation(self.settings)
+        copied.tests = {key: c.copy() for key, c in self.tests.items()}
+        copied.done_tests = {k: c.copy() for k, c in self.done_tests.items()}
+        copied.routes = list(self.routes)
+        return copied
+
+    def apply(
+        self, stratum: Stratum, move: Move, dead: Collection[str]
+    ) -> None:
+        """Adds the evidence of a closed stratum."""
+        if stratum.route not in self.routes:
+            self.routes.append(stratum.route)
+        for kind, test in verdict_tests.entries.items():
+            counts = count_stratum(stratum, test, dead)
+            if stratum.after_done:
+                self.apply_done(kind, counts, move)
+            else:
+                self.apply_split(kind, stratum.route, counts)
+
+    def apply_split(self, kind: str, route: str, counts: Counts) -> None:
+        """Adds a comparison of both versions.
+
+        Without a bad outcome, or with one version alone, the likelihood
+        ratio is 1.
+        """
+        bad = counts.old_bad + sum(part.bad for part in counts.parts)
+        if not bad or not counts.old_total or not counts.parts:
+            return
+        log_ratios = split_log_ratios(counts, self.settings.ratios)
+        for name in (ALL_ROUTES, route):
+            contrast = self.tests.get((kind, name))
+            if contrast is None:
+                contrast = Contrast(len(self.settings.ratios))
+                self.tests[kind, name] = contrast
+            contrast.apply(counts, log_ratios)
+
+    def apply_done(self, kind: str, counts: Counts, move: Move) -> None:
+        """Adds a comparison with the baseline."""
+        if not any(part.total for part in counts.parts):
+            return
+        contrast = self.done_tests.get(kind)
+        if contrast is None:
+            contrast = Contrast(len(self.settings.ratios))
+            self.done_tests[kind] = contrast
+        tolerated = self.tolerated(kind, move)
+        contrast.apply(counts, baseline_log_ratios(tolerated, self.settings))
+
+    def tolerated(self, kind: str, move: Move) -> float:
+        """Returns the ratio of bad outcomes that is tolerated after share 1."""
+        if kind == "slow_answers":
+            return self.settings.done_slow_share
+        return max(
+            self.settings.done_floor,
+            self.settings.done_factor * move.baseline_failure_ratio,
+        )
+
+    def suspicion(self, sole_instance: bool) -> Suspicion:
+        """Returns the weighted sum of all tests and what adds most to it."""
+        total = 1.0
+        worst = (0.0, "", ALL_ROUTES)
+        for (kind, route), contrast in self.tests.items():
+            gain = self.weight(route) * (contrast.e_value(sole_instance) - 1.0)
+            total += gain
+            worst = max(worst, (gain, kind, route))
+        done_weight = DONE_SHARE / len(verdict_tests)
+        for kind, contrast in self.done_tests.items():
+            gain = done_weight * (contrast.e_value(sole_instance) - 1.0)
+            total += gain
+            worst = max(worst, (gain, kind, ALL_ROUTES))
+        return Suspicion(total, worst[1], worst[2])
+
+    def weight(self, route: str) -> float:
+        """Returns the weight of each kind's test on a route."""
+        kind_share = (1.0 - DONE_SHARE) / len(verdict_tests)
+        if route == ALL_ROUTES:
+            return kind_share * POOLED_SHARE
+        place = self.routes.index(route) + 1
+        return kind_share * (1.0 - POOLED_SHARE) / (place * (place + 1))
+
+
+def count_stratum(
+    stratum: Stratum, test: VerdictTest, dead: Collection[str]
+) -> Counts:
+    """Returns the counts of one kind in a stratum."""
+    old_bad, old_total = 0, 0
+    if stratum.old is not None:
+        old_bad, old_total = test(stratum.old, stratum.slow_bin, False)
+    parts = [
+        PartCount(
+            name,
+            cell.server_domain,
+            *test(cell, stratum.slow_bin, name in dead),
+        )
+        for name, cell in stratum.new.items()
+    ]
+    return Counts(stratum.bucket, old_bad, old_total, parts)
+
+
+def split_log_ratios(counts: Counts, ratios: tuple[float, ...]) -> LogRatios:
+    """Returns the likelihood ratio of the split of the bad outcomes.
+
+    Given their number, the new version's part is hypergeometric if both
+    versions are alike, and binomial in the limit of many requests. The
+    binomial ratio has an expectation of at most 1 under both (Hoeffding,
+    1963, theorem 4, because it is convex in the count).
+    """
+    old_bad, old_total = counts.old_bad, counts.old_total
+
+    def log_ratios(bad: int, total: int) -> list[float]:
+        share = total / (total + old_total)
+        return [
+            bad * math.log(ratio)
+            - (bad + old_bad) * math.log1p((ratio - 1.0) * share)
+            for ratio in ratios
+        ]
+
+    return log_ratios
+
+
+def baseline_log_ratios(
+    tolerated: float, settings: JudgeSettings
+) -> Callable[[int, int], list[float]]:
+    """Returns the likelihood ratio against a tolerated ratio.
+
+    Its expectation is at most 1 as long as each request is bad with a
+    probability of at most `tolerated`, given the earlier ones. It is capped,
+    which only lowers it, so that no single bucket decides.
+    """
+    cap = math.log(settings.limit / DONE_SHARE) / settings.done_buckets
+
+    def log_ratios(bad: int, total: int) -> list[float]:
+        values = []
+        for ratio in settings.ratios:
+            worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
+            value = bad * math.log(worse / tolerated) + (
+                (total - bad) * math.log((1.0 - worse) / (1.0 - tolerated))
+            )
+            values.append(min(value, cap))
+        return values
+
+    return log_ratios
--- /dev/null
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -0,0 +1,219 @@
+"""Moves traffic step by step while the evidence allows it."""
+
+import random
+import uuid
+from collections.abc import Iterable, Mapping
+
+from vanillamast_core.journal.record import Record
+from vanillamast_core.journal.records import (
+    AdvanceMove,
+    SettleMove,
+    TakeBack,
+)
+from vanillamast_core.moves.deadline_unreachable import DeadlineUnreachable
+from vanillamast_core.moves.driver_settings import DriverSettings
+from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.move import Move, MoveState
+from vanillamast_core.moves.move_progress import MoveProgress, planned_slot
+from vanillamast_core.moves.verdict import Bad, Good, Verdict
+
+NO_COUNTS: Mapping[int, int] = {}
+
+
+class Driver:
+    """Proposes the records that a holder of a driver lease appends.
+
+    When a move's step changed it takes from its own clock, at the moment it
+    saw the change. A driver that takes over therefore waits the minimum
+    dwell and divides what is left until the deadline anew.
+
+    Attributes:
+      settings: When a step is taken.
+      rng: Source of the records' ids.
+      progress: Progress by `Move.started_at`.
+      unreachable: Moves that cannot be done in time; the caller takes them
+        for its log by `take_unreachable`.
+      reported: Moves that were reported as unreachable.
+      token: Fencing token of the last decision.
+    """
+
+    def __init__(self, settings: DriverSettings, rng: random.Random):
+        self.settings = settings
+        self.rng = rng
+        self.progress: dict[int, MoveProgress] = {}
+        self.unreachable: list[DeadlineUnreachable] = []
+        self.reported: set[int] = set()
+        self.token = 0
+
+    def decide(
+        self,
+        moves: Iterable[Move],
+        judge: Judge,
+        token: int,
+        wall: float,
+        now: float,
+        offset: int,
+        dead: frozenset[str] = frozenset(),
+        instances: Mapping[int, int] = NO_COUNTS,
+    ) -> list[Record]:
+        """Returns the records to append.
+
+        Args:
+          moves: Moves of the lease's shard.
+          judge: Evidence about them.
+          token: Fencing token of the lease.
+          wall: Wall time in seconds.
+          now: Monotonic time in seconds.
+          offset: Offset of the state that `moves` is from.
+          dead: Instances that membership considers dead.
+          instances: Number of instances of the new version by
+            `Move.started_at`, where it is known.
+        """
+        if token != self.token:
+            self.token = token
+            self.progress.clear()
+        active = [move for move in moves if not move.state.final]
+        self.forget_others({move.started_at for move in active})
+        records = []
+        for move in active:
+            verdict = judge.verdict(
+                move, wall, dead, instances.get(move.started_at)
+            )
+            record = self.decide_move(move, judge, verdict, wall, now, offset)
+            if record is not None:
+                records.append(record)
+        return records
+
+    def forget_others(self, active: set[int]) -> None:
+        """Drops what is known about moves that are over."""
+        for started_at in self.progress.keys() - active:
+            del self.progress[started_at]
+        self.reported &= active
+
+    def take_unreachable(self) -> list[DeadlineUnreachable]:
+        """Returns and clears the events since the last call."""
+        events, self.unreachable = self.unreachable, []
+        return events
+
+    def decide_move(
+        self,
+        move: Move,
+        judge: Judge,
+        verdict: Verdict,
+        wall: float,
+        now: float,
+        offset: int,
+    ) -> Record | None:
+        """Returns the record to append for one move, if there is one."""
+        progress = self.observe(move, wall, now)
+        if isinstance(verdict, Bad):
+            wanted: type[Record] | None = TakeBack
+        elif move.state is MoveState.RUNNING:
+            ready = self.step_due(move, progress, verdict, now)
+            wanted = AdvanceMove if ready else None
+        elif move.state is MoveState.DONE:
+            ready = self.settle_due(move, progress, verdict, now)
+            wanted = SettleMove if ready else None
+        else:
+            wanted = None
+        if wanted is None:
+            return None
+        if type(progress.proposal) is wanted:
+            return self.repeat(progress, now)
+        progress.proposal = self.new_record(
+            wanted, move, judge, verdict, offset
+        )
+        progress.proposed = now
+        return progress.proposal
+
+    def observe(self, move: Move, wall: float, now: float) -> MoveProgress:
+        """Returns the move's progress, started anew at each change."""
+        progress = self.progress.get(move.started_at)
+        if progress is None or progress.changed_at != move.changed_at:
+            slot = planned_slot(move, wall)
+            margin = move.spec.deadline - wall - self.settings.finish_margin_s
+            longest = self.settings.caution_slots * slot
+            latest = now + max(min(longest, margin), move.spec.min_dwell_s)
+            progress = MoveProgress(move.changed_at, now, slot, latest)
+            self.progress[move.started_at] = progress
+            self.report_unreachable(move, wall)
+        return progress
+
+    def report_unreachable(self, move: Move, wall: float) -> None:
+        """Reports once if the minimum dwells end after the deadline."""
+        if move.state is not MoveState.RUNNING:
+            return
+        dwells = len(move.spec.steps) - 1 - max(move.step, 0)
+        earliest = wall + dwells * move.spec.min_dwell_s
+        if earliest <= move.spec.deadline or move.started_at in self.reported:
+            return
+        self.reported.add(move.started_at)
+        self.unreachable.append(
+            DeadlineUnreachable(
+                move.name, move.started_at, move.spec.deadline, earliest
+            )
+        )
+
+    def step_due(
+        self, move: Move, progress: MoveProgress, verdict: Verdict, now: float
+    ) -> bool:
+        """Returns whether the move goes to its next step."""
+        if move.step < 0:
+            return True
+        dwell = progress.dwell(now)
+        if dwell < move.spec.min_dwell_s:
+            return False
+        if verdict.e_value < self.settings.caution:
+            return isinstance(verdict, Good) or dwell >= progress.slot_s
+        last = move.step + 2 >= len(move.spec.steps)
+        if last and move.spec.on_deadline == "hold":
+            return False
+        return now >= progress.latest
+
+    def settle_due(
+        self, move: Move, progress: MoveProgress, verdict: Verdict, now: float
+    ) -> bool:
+        """Returns whether the watch after share 1 is over."""
+        watch = move.spec.watch_s
+        if verdict.e_value >= self.settings.caution:
+            watch *= self.settings.caution_slots
+        return progress.dwell(now) >= watch
+
+    def repeat(self, progress: MoveProgress, now: float) -> Record | None:
+        """Returns the proposal again if it was not folded for long."""
+        if now - progress.proposed < self.settings.repeat_s:
+            return None
+        progress.proposed = now
+        return progress.proposal
+
+    def new_record(
+        self,
+        kind: type[Record],
+        move: Move,
+        judge: Judge,
+        verdict: Verdict,
+        offset: int,
+    ) -> Record:
+        """Returns a record of the wanted kind."""
+        record_id = str(uuid.UUID(int=self.rng.getrandbits(128), version=4))
+        if kind is TakeBack:
+            return TakeBack(
+                id=record_id,
+                based_on=offset,
+                started_at=move.started_at,
+                reason=str(verdict),
+            )
+        if kind is SettleMove:
+            return SettleMove(
+                id=record_id, based_on=offset, move=move.name, token=self.token
+            )
+        baseline = judge.baseline(move.started_at)
+        return AdvanceMove(
+            id=record_id,
+            based_on=offset,
+            move=move.name,
+            from_step=move.step,
+            token=self.token,
+            baseline_failure_ratio=baseline.failure_ratio,
+            baseline_slow_ms=baseline.slow_ms,
+        )
