Add the peer overlay: dissemination, membership, repair

Change: vanillamast_core.peers holds Mesh, Directory, PeerSettings, the messages and the effects as synchronous code; vanillamast_testing gains an in-memory network of meshes on a simulated clock.

Invariants are not yet tested.

--- a/packages/core/src/vanillamast_core/peers/__init__.py
+++ b/packages/core/src/vanillamast_core/peers/__init__.py
@@ -1,26 +1,109 @@
 """Overlay, dissemination and membership among nodes."""
 
+from vanillamast_core.peers.alarm_set import AlarmSet
+from vanillamast_core.peers.directory import (
+    Directory,
+    pack_announcement,
+    unpack_announcement,
+)
+from vanillamast_core.peers.directory_messages import (
+    Announcements,
+    AnnouncementsRequest,
+    DigestReply,
+    DigestRequest,
+    Liveness,
+    LivenessClaim,
+)
+from vanillamast_core.peers.directory_record import DirectoryRecord
+from vanillamast_core.peers.effects import (
+    AlarmRaised,
+    CloseLink,
+    Dial,
+    DirectoryChanged,
+    EntriesApplied,
+    EvidenceReceived,
+    PeerEffect,
+    ReadLog,
+    Send,
+    StateLoaded,
+)
+from vanillamast_core.peers.entry_spreader import EntrySpreader, strip
+from vanillamast_core.peers.entry_store import EntryStore
 from vanillamast_core.peers.key_messages import (
     ClaimKey,
     KeyAnswer,
     KeyState,
     SettleKey,
 )
+from vanillamast_core.peers.link_messages import (
+    Busy,
+    Entries,
+    Graft,
+    Heartbeat,
+    Hello,
+    Prune,
+    StateChunk,
+    StateRequest,
+)
+from vanillamast_core.peers.liveness import LivenessState
+from vanillamast_core.peers.mesh import Mesh
 from vanillamast_core.peers.message import (
     Message,
     message_codec,
     message_kinds,
 )
 from vanillamast_core.peers.move_messages import Alarms, Evidence
+from vanillamast_core.peers.overlay import Overlay
+from vanillamast_core.peers.reader_choice import ReaderChoice
+from vanillamast_core.peers.rendezvous import rendezvous_score
+from vanillamast_core.peers.settings import PeerSettings
 
 __all__ = [
+    "AlarmRaised",
+    "AlarmSet",
     "Alarms",
+    "Announcements",
+    "AnnouncementsRequest",
+    "Busy",
     "ClaimKey",
+    "CloseLink",
+    "Dial",
+    "DigestReply",
+    "DigestRequest",
+    "Directory",
+    "DirectoryChanged",
+    "DirectoryRecord",
+    "Entries",
+    "EntriesApplied",
+    "EntrySpreader",
+    "EntryStore",
     "Evidence",
+    "EvidenceReceived",
+    "Graft",
+    "Heartbeat",
+    "Hello",
     "KeyAnswer",
     "KeyState",
+    "Liveness",
+    "LivenessClaim",
+    "LivenessState",
+    "Mesh",
     "Message",
+    "Overlay",
+    "PeerEffect",
+    "PeerSettings",
+    "Prune",
+    "ReadLog",
+    "ReaderChoice",
+    "Send",
     "SettleKey",
+    "StateChunk",
+    "StateLoaded",
+    "StateRequest",
     "message_codec",
     "message_kinds",
+    "pack_announcement",
+    "rendezvous_score",
+    "strip",
+    "unpack_announcement",
 ]
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/dial_attempt.py
@@ -0,0 +1,24 @@
+"""Attempts to reach one address."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class DialAttempt:
+    """How dialing one address goes.
+
+    Attributes:
+      next_at: No dial before this time.
+      failures: Consecutive failures.
+      failing_since: When the first of them was.
+      dialing_since: When the dial that is under way began.
+      instance: Who is expected there, "" if unknown.
+      used_at: When the address was last wanted.
+    """
+
+    next_at: float
+    failures: int = 0
+    failing_since: float | None = None
+    dialing_since: float | None = None
+    instance: str = ""
+    used_at: float = 0.0
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/directory_repair.py
@@ -0,0 +1,168 @@
+"""Anti-entropy of the directory and of the alarms."""
+
+from vanillamast_core.errors import CodecError
+from vanillamast_core.peers.alarm_set import AlarmSet
+from vanillamast_core.peers.directory import (
+    BUCKET_BYTES,
+    BUCKETS,
+    Directory,
+    unpack_announcement,
+)
+from vanillamast_core.peers.directory_messages import (
+    Announcements,
+    AnnouncementsRequest,
+    DigestReply,
+    DigestRequest,
+    Liveness,
+    LivenessClaim,
+)
+from vanillamast_core.peers.link import Link
+from vanillamast_core.peers.link_table import LinkTable
+from vanillamast_core.peers.liveness import LivenessState
+from vanillamast_core.peers.membership import Membership
+from vanillamast_core.peers.move_messages import Alarms
+from vanillamast_core.peers.settings import PeerSettings
+
+UNSTABLE_FACTOR = 2  # Mismatches that start a repair even under changes.
+
+
+class DirectoryRepair:
+    """Finds and closes differences that pushes did not close.
+
+    Attributes:
+      settings: Limits.
+      directory: The directory.
+      alarms: The alarms.
+      membership: Takes announcements and claims.
+      links: Links of this node.
+      next_at: No repair starts before this time.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        directory: Directory,
+        alarms: AlarmSet,
+        membership: Membership,
+        links: LinkTable,
+    ):
+        self.settings = settings
+        self.directory = directory
+        self.alarms = alarms
+        self.membership = membership
+        self.links = links
+        self.next_at = 0.0
+
+    def digest(self) -> int:
+        """Returns the digest that heartbeats carry."""
+        return self.directory.digest() ^ self.alarms.digest
+
+    def saw_hello(self, link: Link, digest: int) -> None:
+        """Compares at once on a new link; the dialing side starts."""
+        link.digest = digest
+        if link.dialed is not None and digest != self.digest():
+            self._start(link)
+
+    def saw_heartbeat(self, link: Link, digest: int, now: float) -> None:
+        """Starts a repair if a difference stays.
+
+        A difference that changes between heartbeats is a push under way;
+        after some more heartbeats a repair starts anyway.
+        """
+        if digest == self.digest():
+            link.mismatches = 0
+            link.digest = digest
+            return
+        link.mismatches += 1
+        stable = digest == link.digest
+        link.digest = digest
+        limit = self.settings.digest_mismatches
+        if self.links.own > link.instance or not stable:
+            limit *= UNSTABLE_FACTOR
+        if link.mismatches >= limit and now >= self.next_at:
+            self.next_at = now + self.settings.repair_interval_s
+            link.mismatches = 0
+            self._start(link)
+
+    def take_request(self, link: Link, message: DigestRequest) -> None:
+        """Answers with what this node knows in the buckets that differ."""
+        if len(message.buckets) != BUCKETS * BUCKET_BYTES:
+            return
+        differing = self.directory.differing_buckets(message.buckets)
+        same_alarms = message.alarms == self.alarms.digest
+        if not same_alarms and self.alarms.moves:
+            self.links.send(link, Alarms(dict(self.alarms.moves)))
+        if differing or not same_alarms:
+            self._reply(link, differing)
+
+    def take_reply(self, link: Link, message: DigestReply, now: float) -> None:
+        """Sends what the peer lacks and asks for what this node lacks."""
+        if message.alarms != self.alarms.digest and self.alarms.moves:
+            self.links.send(link, Alarms(dict(self.alarms.moves)))
+        theirs = {name: (inc, state) for name, inc, state in message.records}
+        self._send_newer(link, set(message.buckets), theirs)
+        missing = []
+        for name, (incarnation, state) in theirs.items():
+            known = self.directory.records.get(name)
+            if state is LivenessState.DEAD:
+                claim = LivenessClaim(name, incarnation, state)
+                if known is not None and incarnation >= known.incarnation:
+                    self.membership.take_claim(claim, now)
+            elif known is None or incarnation > known.incarnation:
+                missing.append(name)
+        if missing:
+            self.links.send(link, AnnouncementsRequest(tuple(missing)))
+
+    def send_announcements(self, link: Link, names: tuple[str, ...]) -> None:
+        """Sends announcements in messages of bounded size."""
+        batch: list[bytes] = []
+        size = 0
+        for name in names:
+            record = self.directory.records.get(name)
+            if record is None or record.liveness is LivenessState.DEAD:
+                continue
+            batch.append(record.packed)
+            size += len(record.packed)
+            if size >= self.settings.frame_bytes:
+                self.links.send(link, Announcements(tuple(batch)))
+                batch, size = [], 0
+        if batch:
+            self.links.send(link, Announcements(tuple(batch)))
+
+    def take_announcements(self, link: Link, items: tuple[bytes, ...]) -> None:
+        """Merges packed announcements; malformed ones are ignored."""
+        announcements = []
+        for packed in items:
+            try:
+                announcements.append(unpack_announcement(packed))
+            except CodecError:
+                continue
+        self.membership.take_announcements(tuple(announcements), link)
+
+    def _start(self, link: Link) -> None:
+        buckets = self.directory.bucket_digests()
+        self.links.send(link, DigestRequest(buckets, self.alarms.digest))
+
+    def _reply(self, link: Link, buckets: list[int]) -> None:
+        records = tuple(self.directory.records_in(set(buckets)))
+        reply = DigestReply(bytes(buckets), records, self.alarms.digest)
+        self.links.send(link, reply)
+
+    def _send_newer(
+        self,
+        link: Link,
+        buckets: set[int],
+        theirs: dict[str, tuple[int, LivenessState]],
+    ) -> None:
+        newer: list[str] = []
+        claims: list[LivenessClaim] = []
+        for name, own_inc, own_state in self.directory.records_in(buckets):
+            incarnation, state = theirs.get(name, (-1, LivenessState.DEAD))
+            if own_state is not LivenessState.DEAD:
+                if own_inc > incarnation:
+                    newer.append(name)
+            elif own_inc >= incarnation and state is not LivenessState.DEAD:
+                claims.append(LivenessClaim(name, own_inc, own_state))
+        self.send_announcements(link, tuple(newer))
+        if claims:
+            self.links.send(link, Liveness(tuple(claims)))
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/effects.py
@@ -0,0 +1,87 @@
+"""What the mesh asks its caller to do."""
+
+import dataclasses
+from typing import TypeAlias
+
+from vanillamast_core.journal import LogEntry
+from vanillamast_core.moves.evidence import EvidenceCell
+from vanillamast_core.peers.message import Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dial:
+    """Open a link; answered by `Mesh.link_up` or `Mesh.dial_failed`."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseLink:
+    """Close a link after what was sent on it; no `link_down` follows."""
+
+    link: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message on a link."""
+
+    link: int
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Start or stop reading the platform's log."""
+
+    active: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesApplied:
+    """Entries were applied; `results` holds what the store returned."""
+
+    entries: tuple[LogEntry, ...]
+    results: tuple[object, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateLoaded:
+    """The state was replaced by a peer's snapshot."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AlarmRaised:
+    """A move's new version must get no traffic."""
+
+    started_at: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvidenceReceived:
+    """Evidence for this node's judge."""
+
+    cells: tuple[EvidenceCell, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryChanged:
+    """Announcements or liveness changed for these services."""
+
+    services: frozenset[str]
+
+
+PeerEffect: TypeAlias = (
+    Dial
+    | CloseLink
+    | Send
+    | ReadLog
+    | EntriesApplied
+    | StateLoaded
+    | AlarmRaised
+    | EvidenceReceived
+    | DirectoryChanged
+)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/entry_spreader.py
@@ -0,0 +1,139 @@
+"""Applying entries in order and pushing them to peers."""
+
+from collections.abc import Sequence
+
+from vanillamast_core.errors import CodecError
+from vanillamast_core.journal import LogEntry, SnapshotChunk, record_codec
+from vanillamast_core.peers.effects import EntriesApplied
+from vanillamast_core.peers.entry_store import EntryStore
+from vanillamast_core.peers.link import Link
+from vanillamast_core.peers.link_messages import Entries
+from vanillamast_core.peers.link_table import LinkTable
+from vanillamast_core.peers.settings import PeerSettings
+
+STRIP_BYTES = 4096  # Entries up to this size are relayed without decoding.
+
+
+def strip(entry: LogEntry) -> LogEntry:
+    """Returns an entry as it is relayed: a SnapshotChunk has no payload.
+
+    Chunks fold to nothing in the state and only matter to nodes that read
+    the log itself, so relaying 48 KB per chunk would be waste.
+    """
+    if len(entry.data) <= STRIP_BYTES:
+        return entry
+    try:
+        record = record_codec.decode(entry.data)
+    except CodecError:
+        return entry
+    if not isinstance(record, SnapshotChunk):
+        return entry
+    bare = SnapshotChunk(
+        id=record.id,
+        based_on=record.based_on,
+        offset=record.offset,
+        index=record.index,
+        count=record.count,
+        data=b"",
+        digest=record.digest,
+    )
+    return LogEntry(entry.offset, record_codec.encode(bare))
+
+
+class EntrySpreader:
+    """Applies entries in offset order and pushes them on eager links.
+
+    Attributes:
+      settings: Limits.
+      store: The fold of the log.
+      links: Links of this node.
+      pending: Entries that wait for an earlier one, by offset.
+    """
+
+    def __init__(
+        self, settings: PeerSettings, store: EntryStore, links: LinkTable
+    ):
+        self.settings = settings
+        self.store = store
+        self.links = links
+        self.pending: dict[int, LogEntry] = {}
+
+    def offer(self, entries: Sequence[LogEntry], source: Link | None) -> bool:
+        """Takes entries in any order, from the log or a peer.
+
+        Returns:
+          Whether at least one of them was new.
+        """
+        fresh = False
+        for entry in entries:
+            if (
+                entry.offset > self.store.offset
+                and entry.offset not in self.pending
+            ):
+                self.pending[entry.offset] = entry
+                fresh = True
+        if fresh:
+            self.apply_pending(source)
+        return fresh
+
+    def apply_pending(self, source: Link | None) -> None:
+        """Applies and pushes what follows the store's offset."""
+        applied: list[LogEntry] = []
+        results: list[object] = []
+        while (entry := self.pending.pop(self.store.offset + 1, None)) is not (
+            None
+        ):
+            results.append(self.store.apply(entry))
+            applied.append(entry)
+            if self.store.offset < entry.offset:
+                break
+        if applied:
+            effect = EntriesApplied(tuple(applied), tuple(results))
+            self.links.out.append(effect)
+            self.push(applied, source)
+        self._trim()
+
+    def push(self, entries: list[LogEntry], source: Link | None) -> None:
+        """Sends entries on the eager links whose peers may lack them."""
+        relayed = [strip(entry) for entry in entries]
+        last = relayed[-1].offset
+        messages = self.frames(relayed)
+        for link in self.links.by_instance.values():
+            if link.eager and link is not source and link.offset < last:
+                for message in messages:
+                    if link.offset < message.entries[-1].offset:
+                        self.links.send(link, message)
+
+    def answer(self, link: Link, entries: list[LogEntry]) -> None:
+        """Sends a peer the entries that it asked for."""
+        for message in self.frames([strip(entry) for entry in entries]):
+            self.links.send(link, message)
+
+    def frames(self, entries: list[LogEntry]) -> list[Entries]:
+        """Splits entries into messages of bounded size."""
+        if len(entries) == 1:
+            return [Entries((entries[0],))]
+        messages: list[Entries] = []
+        batch: list[LogEntry] = []
+        size = 0
+        for entry in entries:
+            if batch and size + len(entry.data) > self.settings.frame_bytes:
+                messages.append(Entries(tuple(batch)))
+                batch, size = [], 0
+            batch.append(entry)
+            size += len(entry.data)
+        if batch:
+            messages.append(Entries(tuple(batch)))
+        return messages
+
+    def discard_old(self) -> None:
+        """Drops pending entries that a loaded snapshot contains."""
+        for offset in [o for o in self.pending if o <= self.store.offset]:
+            del self.pending[offset]
+
+    def _trim(self) -> None:
+        """Keeps the lowest pending offsets; the others are asked for again."""
+        excess = len(self.pending) - self.settings.pending_entries
+        if excess > 0:
+            for offset in sorted(self.pending)[-excess:]:
+                del self.pending[offset]
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/evidence_batch.py
@@ -0,0 +1,65 @@
+"""Evidence that waits to be sent."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from vanillamast_core.moves.evidence import EvidenceCell, Side
+
+CellKey = tuple[int, str, str, int, Side, str, str]
+
+
+class EvidenceBatch:
+    """Cells merged by their key, bounded in number.
+
+    Attributes:
+      limit: Cells kept; the oldest are dropped.
+      cells: Merged cells by key, in order of their arrival.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.cells: dict[CellKey, EvidenceCell] = {}
+
+    def add(self, cells: Iterable[EvidenceCell]) -> None:
+        """Merges cells by addition."""
+        for cell in cells:
+            key = _key(cell)
+            known = self.cells.get(key)
+            if known is None:
+                self.cells[key] = cell
+            else:
+                self.cells[key] = _merge(known, cell)
+        while len(self.cells) > self.limit:
+            del self.cells[next(iter(self.cells))]
+
+    def take(self) -> tuple[EvidenceCell, ...]:
+        """Returns all cells and empties the batch."""
+        cells = tuple(self.cells.values())
+        self.cells.clear()
+        return cells
+
+
+def _key(cell: EvidenceCell) -> CellKey:
+    return (
+        cell.move,
+        cell.route,
+        cell.failure_domain,
+        cell.bucket,
+        cell.side,
+        cell.instance,
+        cell.server_domain,
+    )
+
+
+def _merge(first: EvidenceCell, second: EvidenceCell) -> EvidenceCell:
+    latency = dict(first.latency)
+    for latency_bin, count in second.latency.items():
+        latency[latency_bin] = latency.get(latency_bin, 0) + count
+    return msgspec.structs.replace(
+        first,
+        requests=first.requests + second.requests,
+        failures=first.failures + second.failures,
+        connect_failures=first.connect_failures + second.connect_failures,
+        latency=latency,
+    )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/link_table.py
@@ -0,0 +1,95 @@
+"""The links of one node and the effects on them."""
+
+from vanillamast_core.peers.effects import CloseLink, PeerEffect, Send
+from vanillamast_core.peers.link import Link
+from vanillamast_core.peers.message import Message
+
+
+class LinkTable:
+    """All links, and for each linked peer the one that is used.
+
+    Attributes:
+      own: Name of this instance.
+      stale_s: A link that is silent for this long gives way to a new one.
+      by_id: All links.
+      by_instance: The link in use for each peer that sent its Hello.
+      dialed: Addresses of links that this node dialed, also before Hello.
+      out: Effects that the current call returns.
+    """
+
+    def __init__(self, own: str, stale_s: float):
+        self.own = own
+        self.stale_s = stale_s
+        self.by_id: dict[int, Link] = {}
+        self.by_instance: dict[str, Link] = {}
+        self.dialed: set[str] = set()
+        self.out: list[PeerEffect] = []
+
+    def send(self, link: Link, message: Message) -> None:
+        """Sends a message on a link."""
+        self.out.append(Send(link.id, message))
+
+    def flood(self, message: Message, source: Link | None = None) -> None:
+        """Sends a message to all peers but the one that it came from."""
+        for link in self.by_instance.values():
+            if link is not source:
+                self.out.append(Send(link.id, message))
+
+    def add(self, link: Link) -> None:
+        """Adds a link that came up."""
+        self.by_id[link.id] = link
+        if link.dialed is not None:
+            self.dialed.add(link.dialed)
+
+    def close(self, link: Link) -> None:
+        """Closes a link from this side."""
+        self.out.append(CloseLink(link.id))
+        self.forget(link)
+
+    def forget(self, link: Link) -> None:
+        """Removes a link; an older one to the same peer takes its place."""
+        self.by_id.pop(link.id, None)
+        if link.dialed is not None:
+            self.dialed.discard(link.dialed)
+        if self.by_instance.get(link.instance) is not link:
+            return
+        del self.by_instance[link.instance]
+        for other in self.by_id.values():
+            if other.instance == link.instance:
+                self.by_instance[other.instance] = other
+                return
+
+    def establish(self, link: Link, instance: str, now: float) -> bool:
+        """Names the peer of a link and resolves a second link to it.
+
+        Returns:
+          Whether the link stays.
+        """
+        link.instance = instance
+        other = self.by_instance.get(instance)
+        if other is None or other is link:
+            self.by_instance[instance] = link
+            return True
+        loser = self._choose_loser(link, other, now)
+        if loser is None:
+            self.by_instance[instance] = link
+            return True
+        if loser is other:
+            self.by_instance[instance] = link
+        self.close(loser)
+        return loser is not link
+
+    def _choose_loser(self, new: Link, old: Link, now: float) -> Link | None:
+        """Returns the link to close; both ends choose the same one.
+
+        Of two links dialed by different ends the one of the lower name
+        stays. Of two links dialed by one end its later one stays; only that
+        end knows the order and closes the other. A silent link never stays.
+        """
+        if (new.dialed is None) == (old.dialed is None):
+            return None if new.dialed is None else old
+        if now - old.heard_at > self.stale_s:
+            return old
+        mine = new if new.dialed is not None else old
+        theirs = old if mine is new else new
+        return theirs if self.own < new.instance else mine
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/membership.py
@@ -0,0 +1,209 @@
+"""Liveness of instances: suspicion, refutation, death."""
+
+import msgspec
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.peers.directory import Directory, pack_announcement
+from vanillamast_core.peers.directory_messages import (
+    Announcements,
+    Liveness,
+    LivenessClaim,
+)
+from vanillamast_core.peers.link import Link
+from vanillamast_core.peers.link_table import LinkTable
+from vanillamast_core.peers.liveness import LivenessState
+from vanillamast_core.peers.local_health import LocalHealth
+from vanillamast_core.peers.settings import PeerSettings
+from vanillamast_core.peers.suspicion import Suspicion
+
+
+class Membership:
+    """Announces this instance, and judges the liveness of others.
+
+    Attributes:
+      settings: Timeouts.
+      own: This instance's newest announcement.
+      directory: The directory that holds the liveness.
+      links: Links of this node.
+      health: This node's own health.
+      suspicions: Open suspicions by instance.
+      queued: Claims to spread at the next tick.
+      accused: Incarnation and time of this node's last accusation.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        own: Announcement,
+        directory: Directory,
+        links: LinkTable,
+        health: LocalHealth,
+    ):
+        self.settings = settings
+        self.own = own
+        self.directory = directory
+        self.links = links
+        self.health = health
+        self.suspicions: dict[str, Suspicion] = {}
+        self.queued: dict[str, LivenessClaim] = {}
+        self.accused: dict[str, tuple[int, float]] = {}
+        directory.merge(own)
+
+    def announce(self, own: Announcement) -> None:
+        """Spreads a changed own announcement with a new incarnation."""
+        incarnation = max(own.incarnation, self.own.incarnation + 1)
+        self.own = msgspec.structs.replace(own, incarnation=incarnation)
+        packed = pack_announcement(self.own)
+        self.directory.merge_packed(packed)
+        self.links.flood(Announcements((packed,)))
+
+    def outbid(self, incarnation: int) -> None:
+        """Announces this instance as alive, newer than an incarnation."""
+        own = msgspec.structs.replace(self.own, incarnation=incarnation + 1)
+        self.announce(own)
+
+    def take_announcements(
+        self, items: tuple[Announcement, ...], source: Link | None
+    ) -> None:
+        """Merges announcements and passes on those that are news."""
+        news = []
+        for announcement in items:
+            if announcement.instance == self.own.instance:
+                self._compare_own(announcement)
+            elif self.directory.merge(announcement):
+                self.suspicions.pop(announcement.instance, None)
+                news.append(pack_announcement(announcement))
+        if news:
+            self.links.flood(Announcements(tuple(news)), source)
+
+    def take_claims(
+        self, claims: tuple[LivenessClaim, ...], now: float
+    ) -> None:
+        """Merges claims of others and queues those that are news."""
+        for claim in claims:
+            self.take_claim(claim, now)
+
+    def take_claim(self, claim: LivenessClaim, now: float) -> None:
+        """Merges one claim of another watcher."""
+        if claim.instance == self.own.instance:
+            if claim.incarnation >= self.own.incarnation:
+                self.outbid(claim.incarnation)
+            return
+        link = self.links.by_instance.get(claim.instance)
+        if link is not None and self._is_fresh(link, now):
+            # It is heard here, so it is asked to refute; the claim goes no
+            # further from this node.
+            self.links.send(link, Liveness((claim,)))
+        elif claim.state is LivenessState.DEAD:
+            self.declare_dead(claim.instance, claim.incarnation, now)
+        elif claim.state is LivenessState.SUSPECT:
+            self._suspect(claim, now)
+
+    def accuse(self, instance: str, now: float) -> None:
+        """Suspects an instance by this node's own observation."""
+        record = self.directory.records.get(instance)
+        if record is None or record.liveness is LivenessState.DEAD:
+            return
+        self.accused[instance] = record.incarnation, now
+        claim = LivenessClaim(
+            instance,
+            record.incarnation,
+            LivenessState.SUSPECT,
+            (self.own.instance,),
+        )
+        self._suspect(claim, now)
+
+    def declare_dead(self, instance: str, incarnation: int, now: float) -> None:
+        """Marks an incarnation of an instance as dead."""
+        dead = LivenessState.DEAD
+        if self.directory.mark(instance, incarnation, dead, now):
+            self.suspicions.pop(instance, None)
+
+    def contradict(self, link: Link, incarnation: int) -> None:
+        """Tells a peer that it is thought suspect or dead, if it is."""
+        record = self.directory.records.get(link.instance)
+        if (
+            record is not None
+            and record.liveness is not LivenessState.ALIVE
+            and record.incarnation >= incarnation
+        ):
+            claim = LivenessClaim(
+                link.instance, record.incarnation, record.liveness
+            )
+            self.links.send(link, Liveness((claim,)))
+
+    def refuted_lately(self, instance: str, now: float) -> bool:
+        """Returns whether an accusation by this node was refuted."""
+        accused = self.accused.get(instance)
+        record = self.directory.records.get(instance)
+        return (
+            accused is not None
+            and record is not None
+            and now - accused[1] < self.settings.avoid_s
+            and record.incarnation > accused[0]
+        )
+
+    def restart_timers(self, now: float) -> None:
+        """Gives every suspect its whole time again."""
+        for suspicion in self.suspicions.values():
+            suspicion.since = now
+
+    def tick(self, now: float) -> None:
+        """Spreads queued claims and ends suspicions whose time is over."""
+        if self.suspicions:
+            self._end_suspicions(now)
+        if self.queued:
+            self.links.flood(Liveness(tuple(self.queued.values())))
+            self.queued.clear()
+        if self.accused:
+            self._drop_accusations(now)
+        self.directory.expire(now)
+
+    def _end_suspicions(self, now: float) -> None:
+        factor = self.health.factor(now)
+        settings = self.settings
+        for instance, suspicion in list(self.suspicions.items()):
+            agreed = len(suspicion.accusers) >= settings.agreeing_watchers
+            limit = (
+                settings.agreed_suspicion_s if agreed else settings.suspicion_s
+            )
+            if now - suspicion.since >= limit * factor:
+                self.declare_dead(instance, suspicion.incarnation, now)
+                self.suspicions.pop(instance, None)
+
+    def _drop_accusations(self, now: float) -> None:
+        limit = self.settings.avoid_s
+        for instance, (_, at) in list(self.accused.items()):
+            if now - at >= limit:
+                del self.accused[instance]
+
+    def _suspect(self, claim: LivenessClaim, now: float) -> None:
+        record = self.directory.records.get(claim.instance)
+        if record is None or record.incarnation != claim.incarnation:
+            return
+        if record.liveness is LivenessState.DEAD:
+            return
+        suspicion = self.suspicions.get(claim.instance)
+        if suspicion is None or suspicion.incarnation != claim.incarnation:
+            suspicion = Suspicion(claim.incarnation, now)
+            self.suspicions[claim.instance] = suspicion
+        state = LivenessState.SUSPECT
+        self.directory.mark(claim.instance, claim.incarnation, state, now)
+        known = len(suspicion.accusers)
+        if known < self.settings.agreeing_watchers:
+            suspicion.accusers.update(claim.accusers)
+        if len(suspicion.accusers) > known:
+            accusers = tuple(sorted(suspicion.accusers))
+            self.queued[claim.instance] = msgspec.structs.replace(
+                claim, accusers=accusers
+            )
+
+    def _compare_own(self, announcement: Announcement) -> None:
+        """Outbids a newer announcement, left over from before a restart."""
+        newer = announcement.incarnation > self.own.incarnation
+        same = announcement.incarnation == self.own.incarnation
+        if newer or (same and announcement != self.own):
+            self.outbid(announcement.incarnation)
+
+    def _is_fresh(self, link: Link, now: float) -> bool:
+        return now - link.heard_at < 1.5 * self.settings.heartbeat_s
--- a/packages/core/src/vanillamast_core/peers/move_messages.py
+++ b/packages/core/src/vanillamast_core/peers/move_messages.py
@@ -6,9 +6,16 @@
 
 @message_kinds.register("evidence")
 class Evidence(Message, array_like=True, frozen=True, tag=20):
-    """Merged outcomes of requests; sent at most once, to one peer."""
+    """Merged outcomes of requests; sent at most once, to one peer.
+
+    Attributes:
+      cells: The merged cells.
+      final: Whether the receiver is their driver; otherwise it merges them
+        and sends them on to its parent.
+    """
 
     cells: tuple[EvidenceCell, ...]
+    final: bool = False
 
 
 @message_kinds.register("alarms")
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/overlay.py
@@ -0,0 +1,117 @@
+"""Choice of the peers that a node dials."""
+
+import bisect
+from collections.abc import Container, Iterator
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.peers.directory_record import DirectoryRecord
+from vanillamast_core.peers.liveness import LivenessState
+from vanillamast_core.peers.rendezvous import rendezvous_score
+
+NEAR_TARGETS = 2  # Ring successor and one chord in the own failure domain.
+FAR_TARGETS = 2  # Chords to other failure domains.
+
+Ranking = list[tuple[int, str]]
+
+
+class Overlay:
+    """Dial targets by hash, stable while the membership is.
+
+    Rankings are sorted lists that are updated per change of one instance,
+    so that a join or a death does not hash the whole fleet again.
+
+    Attributes:
+      own: This node's announcement at the start.
+      ring: Own failure domain by position on the hash ring.
+      near: Own failure domain by hash of (own, candidate).
+      same_region: Other failure domains of the region, by the same hash.
+      other_region: Other regions, by the same hash.
+      ranked: Rankings that hold an instance.
+    """
+
+    def __init__(self, own: Announcement):
+        self.own = own
+        self.ring: Ranking = []
+        self.near: Ranking = []
+        self.same_region: Ranking = []
+        self.other_region: Ranking = []
+        self.ranked: dict[str, tuple[Ranking, ...]] = {}
+        self._position = rendezvous_score("ring", own.instance)
+
+    def update(self, instance: str, record: DirectoryRecord | None) -> None:
+        """Adds or removes an instance after a change in the directory."""
+        eligible = (
+            record is not None
+            and instance != self.own.instance
+            and record.liveness is not LivenessState.DEAD
+            and not record.leaving
+        )
+        if not eligible:
+            self._remove(instance)
+        elif instance not in self.ranked and record is not None:
+            self._add(instance, record)
+
+    def targets(self, avoided: Container[str] = ()) -> list[str]:
+        """Returns the instances to dial, at most four.
+
+        Args:
+          avoided: Instances that are known to be unreachable from here.
+        """
+        chosen: list[str] = []
+        self._take(self._successors(), 1, chosen, avoided)
+        self._take(_names(self.near), NEAR_TARGETS - 1, chosen, avoided)
+        self._take(_names(self.other_region), 1, chosen, avoided)
+        far = FAR_TARGETS + NEAR_TARGETS - len(chosen)
+        self._take(_names(self.same_region), far, chosen, avoided)
+        far = FAR_TARGETS + NEAR_TARGETS - len(chosen)
+        self._take(_names(self.other_region), far, chosen, avoided)
+        far = FAR_TARGETS + NEAR_TARGETS - len(chosen)
+        self._take(_names(self.near), far, chosen, avoided)
+        return chosen
+
+    def _add(self, instance: str, record: DirectoryRecord) -> None:
+        if record.failure_domain == self.own.failure_domain:
+            rankings: tuple[Ranking, ...] = (self.near, self.ring)
+        elif record.region == self.own.region:
+            rankings = (self.same_region,)
+        else:
+            rankings = (self.other_region,)
+        self.ranked[instance] = rankings
+        for ranking in rankings:
+            bisect.insort(ranking, self._entry(ranking, instance))
+
+    def _remove(self, instance: str) -> None:
+        for ranking in self.ranked.pop(instance, ()):
+            entry = self._entry(ranking, instance)
+            del ranking[bisect.bisect_left(ranking, entry)]
+
+    def _entry(self, ranking: Ranking, instance: str) -> tuple[int, str]:
+        if ranking is self.ring:
+            return rendezvous_score("ring", instance), instance
+        return rendezvous_score(self.own.instance, instance), instance
+
+    def _successors(self) -> Iterator[str]:
+        start = bisect.bisect(self.ring, (self._position, self.own.instance))
+        for index in range(len(self.ring)):
+            yield self.ring[(start + index) % len(self.ring)][1]
+
+    def _take(
+        self,
+        candidates: Iterator[str],
+        count: int,
+        chosen: list[str],
+        avoided: Container[str],
+    ) -> None:
+        if count <= 0:
+            return
+        for name in candidates:
+            if name in chosen or name in avoided:
+                continue
+            chosen.append(name)
+            count -= 1
+            if count == 0:
+                return
+
+
+def _names(ranking: Ranking) -> Iterator[str]:
+    return (name for _, name in ranking)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/reader_choice.py
@@ -0,0 +1,51 @@
+"""Choice of the instances that read the platform's log."""
+
+import bisect
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.peers.directory_record import DirectoryRecord
+from vanillamast_core.peers.liveness import LivenessState
+from vanillamast_core.peers.rendezvous import rendezvous_score
+
+
+class ReaderChoice:
+    """The live instances of the own failure domain with the highest hash.
+
+    Attributes:
+      own: This node's announcement at the start.
+      readers: Number of readers in the failure domain.
+      ranking: (negative hash, instance) of all candidates.
+    """
+
+    def __init__(self, own: Announcement, readers: int):
+        self.own = own
+        self.readers = readers
+        self.ranking: list[tuple[int, str]] = []
+
+    def update(self, instance: str, record: DirectoryRecord | None) -> None:
+        """Adds or removes an instance after a change in the directory."""
+        if (
+            record is not None
+            and record.failure_domain != self.own.failure_domain
+        ):
+            return
+        eligible = (
+            record is not None
+            and record.liveness is not LivenessState.DEAD
+            and not record.leaving
+        )
+        entry = self._entry(instance)
+        index = bisect.bisect_left(self.ranking, entry)
+        present = self.ranking[index : index + 1] == [entry]
+        if eligible and not present:
+            self.ranking.insert(index, entry)
+        elif present and not eligible:
+            del self.ranking[index]
+
+    def chosen(self) -> list[str]:
+        """Returns the instances that should read."""
+        return [name for _, name in self.ranking[: self.readers]]
+
+    def _entry(self, instance: str) -> tuple[int, str]:
+        domain = self.own.failure_domain
+        return -rendezvous_score(domain, instance), instance
--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/snapshot_transfer.py
@@ -0,0 +1,22 @@
+"""A snapshot on its way to one peer."""
+
+import dataclasses
+
+from vanillamast_core.peers.link_messages import StateChunk
+
+
+@dataclasses.dataclass(slots=True)
+class SnapshotTransfer:
+    """Chunks for one link.
+
+    Attributes:
+      offset: Offset of the state.
+      chunks: All chunks; transfers of one state share them.
+      started_at: When the transfer began.
+      sent: Number of chunks sent.
+    """
+
+    offset: int
+    chunks: tuple[StateChunk, ...]
+    started_at: float
+    sent: int = 0
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/peer_network.py
@@ -0,0 +1,432 @@
+"""An in-memory network of meshes on a test clock."""
+
+import heapq
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+from vanillamast_core import Announcement, ServerState
+from vanillamast_core.journal import LogEntry
+from vanillamast_core.peers import (
+    AlarmRaised,
+    CloseLink,
+    Dial,
+    EntriesApplied,
+    EvidenceReceived,
+    Mesh,
+    Message,
+    PeerEffect,
+    PeerSettings,
+    ReadLog,
+    Send,
+    StateLoaded,
+    message_codec,
+)
+
+from vanillamast_testing.memory_entry_store import MemoryEntryStore
+from vanillamast_testing.peer_pipe import PeerPipe
+from vanillamast_testing.simulated_node import SimulatedNode
+
+SAME_DOMAIN_S = 0.00025
+CROSS_DOMAIN_S = 0.0005  # One-way, design section 1.2.
+CROSS_REGION_S = 0.020  # Not stated in the design; a continental distance.
+LOG_READ_S = 0.005
+DIAL_TIMEOUT_S = 2.0
+HTTP2_DATA_BYTES = 9  # Frame header, RFC 9113.
+GRPC_PREFIX_BYTES = 5
+TCP_IP_BYTES = 52  # IPv4 20, TCP 20, timestamps 12.
+PROTOBUF_BYTES = 3  # Tag and length of `Frame.payload`.
+FRAME_BYTES = (
+    HTTP2_DATA_BYTES + GRPC_PREFIX_BYTES + TCP_IP_BYTES + PROTOBUF_BYTES
+)
+
+Call = Callable[[Mesh, float], list[PeerEffect]]
+
+
+class PeerNetwork:
+    """Nodes, links, a log and their failures, on one simulated clock.
+
+    Attributes:
+      settings: Settings of all meshes.
+      rng: Source of all randomness.
+      now: Simulated time in seconds.
+      nodes: Nodes by name.
+      log: The platform's log; element i has offset i + 1.
+      log_up: Whether reads of the log are answered.
+      first_retained: Lowest offset that the log still has.
+      seeds: Seed addresses of all nodes.
+      groups: Group of a node while the network is cut, 0 by default.
+      measure: Whether processor time and bytes are recorded.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        settings: PeerSettings | None = None,
+        measure: bool = False,
+    ):
+        self.settings = settings or PeerSettings()
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.log: list[LogEntry] = []
+        self.log_up = True
+        self.first_retained = 1
+        self.seeds: list[str] = []
+        self.groups: dict[str, int] = {}
+        self.measure = measure
+        self.padding = 0
+        self.tail_entries = 1024
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._links = 0
+        self._by_address: dict[str, str] = {}
+        self._last_size: tuple[Message | None, int] = (None, 0)
+
+    def add(
+        self,
+        name: str,
+        region: str,
+        failure_domain: str,
+        service: str = "browse",
+    ) -> SimulatedNode:
+        """Adds a node that is not started yet."""
+        address = f"{name}:1"
+        announcement = Announcement(
+            instance=name,
+            incarnation=1,
+            region=region,
+            failure_domain=failure_domain,
+            peer_address=address,
+            service=service,
+            version="1",
+            server_address=f"{name}:2",
+            state=ServerState.SERVING,
+        )
+        node = SimulatedNode(announcement, None, MemoryEntryStore())
+        self.nodes[name] = node
+        self._by_address[address] = name
+        return node
+
+    def start(self, name: str) -> None:
+        """Starts a node's process with an empty state."""
+        node = self.nodes[name]
+        node.life += 1
+        node.paused = False
+        node.reachable = True
+        node.reading = False
+        node.waiting.clear()
+        incarnation = int(self.now * 1000) + node.life
+        node.announcement = msgspec.structs.replace(
+            node.announcement, incarnation=incarnation, leaving=False
+        )
+        node.store = MemoryEntryStore(self.tail_entries, self.padding)
+        seed = self.rng.getrandbits(64)
+        node.mesh = Mesh(
+            self.settings,
+            node.announcement,
+            random.Random(seed),
+            node.store,
+            self.seeds,
+        )
+        first = self.rng.random() * self.settings.tick_s
+        self._tick_later(name, node.life, first)
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock and handles all events on the way."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def append(self, data: bytes) -> LogEntry:
+        """Appends a record to the log."""
+        entry = LogEntry(len(self.log) + 1, data)
+        self.log.append(entry)
+        self._wake_readers()
+        return entry
+
+    def set_log(self, up: bool) -> None:
+        """Starts or ends an outage of the log."""
+        self.log_up = up
+        if up:
+            self._wake_readers()
+
+    def pause(self, name: str) -> None:
+        """Stops a process; links stay, messages wait."""
+        self.nodes[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Continues a paused process."""
+        node = self.nodes[name]
+        node.paused = False
+        waiting, node.waiting = node.waiting, []
+        for action in waiting:
+            action()
+
+    def kill(self, name: str, machine: bool = False) -> None:
+        """Ends a process, or its whole machine without any farewell."""
+        node = self.nodes[name]
+        node.mesh = None
+        node.life += 1
+        node.paused = False
+        node.reachable = not machine
+        node.waiting.clear()
+        for pipe in list(node.pipes.values()):
+            side = pipe.ends.index(name)
+            pipe.open[side] = False
+            if not machine:
+                self._deliver(pipe, side, None)
+        node.pipes.clear()
+
+    def cut(self, groups: dict[str, int], reset: bool) -> None:
+        """Separates groups of nodes.
+
+        Args:
+          groups: Group by node; the others are in group 0.
+          reset: Whether links across are reset at once; otherwise what is
+            sent on them waits for the end of the cut.
+        """
+        self.groups = dict(groups)
+        if not reset:
+            return
+        for pipe in self._pipes():
+            if self._separated(*pipe.ends):
+                for side in (0, 1):
+                    self._end_side(pipe, side)
+
+    def heal(self) -> None:
+        """Ends the cut."""
+        self.groups = {}
+        for pipe in self._pipes():
+            for side in (0, 1):
+                held = list(pipe.held[side])
+                pipe.held[side].clear()
+                for message in held:
+                    self._deliver(pipe, side, message)
+
+    def break_links(self, name: str, count: int) -> None:
+        """Resets some of a node's links."""
+        node = self.nodes[name]
+        ids = sorted(node.pipes)
+        for link in self.rng.sample(ids, min(count, len(ids))):
+            for side in (0, 1):
+                self._end_side(node.pipes[link], side)
+            del node.pipes[link]
+
+    def call(self, name: str, action: Call) -> None:
+        """Calls a mesh and carries out its effects."""
+        node = self.nodes[name]
+        if node.mesh is None:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self.call(name, action))
+            return
+        if self.measure:
+            started = time.perf_counter()
+            effects = action(node.mesh, self.now)
+            node.cpu_s += time.perf_counter() - started
+        else:
+            effects = action(node.mesh, self.now)
+        for effect in effects:
+            self._carry_out(name, node, effect)
+
+    def live(self) -> list[str]:
+        """Returns the nodes whose process runs."""
+        return [n for n, node in self.nodes.items() if node.mesh is not None]
+
+    def mesh(self, name: str) -> Mesh:
+        """Returns the mesh of a running node.
+
+        Raises:
+          ValueError: The process is down.
+        """
+        mesh = self.nodes[name].mesh
+        if mesh is None:
+            raise ValueError(f"{name} is down")
+        return mesh
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        self._sequence += 1
+        event = (self.now + delay, self._sequence, action)
+        heapq.heappush(self._events, event)
+
+    def delay(self, first: str, second: str) -> float:
+        """Returns the one-way delay between two nodes."""
+        a = self.nodes[first].announcement
+        b = self.nodes[second].announcement
+        if a.failure_domain == b.failure_domain:
+            return SAME_DOMAIN_S
+        return CROSS_DOMAIN_S if a.region == b.region else CROSS_REGION_S
+
+    def _tick_later(self, name: str, life: int, delay: float) -> None:
+        self.later(delay, lambda: self._tick(name, life))
+
+    def _tick(self, name: str, life: int) -> None:
+        node = self.nodes[name]
+        if node.life != life:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self._tick(name, life))
+            return
+        self.call(name, Mesh.tick)
+        self._tick_later(name, life, self.settings.tick_s)
+
+    def _carry_out(
+        self, name: str, node: SimulatedNode, effect: PeerEffect
+    ) -> None:
+        if isinstance(effect, Send):
+            self._send(name, node, effect)
+        elif isinstance(effect, Dial):
+            self._dial(name, node.life, effect.address)
+        elif isinstance(effect, CloseLink):
+            pipe = node.pipes.pop(effect.link, None)
+            if pipe is not None:
+                side = pipe.ids.index(effect.link)
+                pipe.open[side] = False
+                self._deliver(pipe, side, None)
+        elif isinstance(effect, ReadLog):
+            node.reading = effect.active
+            self._read_later(name, node)
+        elif isinstance(effect, EntriesApplied):
+            for entry in effect.entries:
+                node.applied_at.setdefault(entry.offset, self.now)
+        elif isinstance(effect, StateLoaded):
+            node.applied_at.setdefault(effect.offset, self.now)
+        elif isinstance(effect, AlarmRaised):
+            node.alarms[effect.started_at] = effect.reason
+        elif isinstance(effect, EvidenceReceived):
+            node.evidence.extend(effect.cells)
+
+    def _send(self, name: str, node: SimulatedNode, effect: Send) -> None:
+        if self.measure:
+            node.sent_bytes += self._size(effect.message)
+        pipe = node.pipes.get(effect.link)
+        if pipe is not None:
+            side = pipe.ids.index(effect.link)
+            self._deliver(pipe, side, effect.message)
+
+    def _size(self, message: Message) -> int:
+        """Returns a message's bytes on the wire; floods are encoded once."""
+        if self._last_size[0] is not message:
+            size = len(message_codec.encode(message)) + FRAME_BYTES
+            self._last_size = message, size
+        return self._last_size[1]
+
+    def _deliver(
+        self, pipe: PeerPipe, side: int, message: Message | None
+    ) -> None:
+        """Carries a message, or the end of the link, to the other side."""
+        if self._separated(*pipe.ends):
+            pipe.held[side].append(message)
+            return
+        delay = self.delay(*pipe.ends) * (1 + 0.1 * self.rng.random())
+        pipe.ready_at[side] = max(pipe.ready_at[side], self.now + delay)
+        wait = pipe.ready_at[side] - self.now
+        if message is None:
+            self.later(wait, lambda: self._end_side(pipe, 1 - side))
+        else:
+            self.later(wait, lambda: self._arrive(pipe, side, message))
+
+    def _arrive(self, pipe: PeerPipe, side: int, message: Message) -> None:
+        other = 1 - side
+        name, link = pipe.ends[other], pipe.ids[other]
+        node = self.nodes[name]
+        if not pipe.open[other] or node.life != pipe.lives[other]:
+            if node.reachable and pipe.open[side]:
+                self._deliver(pipe, other, None)  # Reset by the machine.
+            return
+        self.call(name, lambda mesh, now: mesh.receive(link, message, now))
+
+    def _end_side(self, pipe: PeerPipe, side: int) -> None:
+        if not pipe.open[side]:
+            return
+        pipe.open[side] = False
+        name, link = pipe.ends[side], pipe.ids[side]
+        node = self.nodes[name]
+        node.pipes.pop(link, None)
+        if node.life == pipe.lives[side]:
+            self.call(name, lambda mesh, now: mesh.link_down(link, now))
+
+    def _dial(self, name: str, life: int, address: str) -> None:
+        target = self._by_address.get(address)
+        if target is None or self._separated(name, target):
+            self._fail_dial(name, life, address, False, DIAL_TIMEOUT_S)
+            return
+        round_trip = 2 * self.delay(name, target)
+        node = self.nodes[target]
+        if node.mesh is None:
+            wait = round_trip if node.reachable else DIAL_TIMEOUT_S
+            self._fail_dial(name, life, address, node.reachable, wait)
+            return
+        self.later(
+            round_trip, lambda: self._connect(name, life, target, address)
+        )
+
+    def _fail_dial(
+        self, name: str, life: int, address: str, refused: bool, wait: float
+    ) -> None:
+        def fail() -> None:
+            if self.nodes[name].life == life:
+                self.call(
+                    name,
+                    lambda mesh, now: mesh.dial_failed(address, refused, now),
+                )
+
+        self.later(wait, fail)
+
+    def _connect(self, name: str, life: int, target: str, address: str) -> None:
+        near, far = self.nodes[name], self.nodes[target]
+        if near.life != life:
+            return
+        if far.mesh is None or self._separated(name, target):
+            self._fail_dial(name, life, address, far.reachable, 0.0)
+            return
+        self._links += 2
+        first, second = self._links, self._links + 1
+        pipe = PeerPipe((name, target), (near.life, far.life), (first, second))
+        near.pipes[first] = pipe
+        far.pipes[second] = pipe
+        self.call(name, lambda mesh, now: mesh.link_up(first, now, address))
+        self.call(target, lambda mesh, now: mesh.link_up(second, now))
+
+    def _pipes(self) -> Iterable[PeerPipe]:
+        found: dict[int, PeerPipe] = {}
+        for node in self.nodes.values():
+            for pipe in node.pipes.values():
+                found[pipe.ids[0]] = pipe
+        return list(found.values())
+
+    def _separated(self, first: str, second: str) -> bool:
+        if not self.groups:
+            return False
+        return self.groups.get(first, 0) != self.groups.get(second, 0)
+
+    def _wake_readers(self) -> None:
+        for name, node in self.nodes.items():
+            if node.reading and node.mesh is not None:
+                self._read_later(name, node)
+
+    def _read_later(self, name: str, node: SimulatedNode) -> None:
+        life = node.life
+        delay = LOG_READ_S * (0.5 + self.rng.random())
+        self.later(delay, lambda: self._read(name, life))
+
+    def _read(self, name: str, life: int) -> None:
+        node = self.nodes[name]
+        if node.life != life or not node.reading:
+            return
+        if not self.log_up or node.log_cut:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self._read(name, life))
+            return
+        after = node.store.offset
+        if after + 1 < self.first_retained:
+            return
+        entries = self.log[after:]
+        if entries:
+            self.call(name, lambda mesh, now: mesh.records_read(entries, now))
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/peer_pipe.py
@@ -0,0 +1,27 @@
+"""A link in the in-memory network."""
+
+import dataclasses
+from typing import Any
+
+
+@dataclasses.dataclass(slots=True)
+class PeerPipe:
+    """An ordered, bidirectional stream between two nodes.
+
+    Attributes:
+      ends: Names of the dialing and the accepting node.
+      lives: Process number of each end when the link was opened.
+      ids: Link number at each end.
+      open: Whether each end still has the link.
+      ready_at: Earliest delivery time in the direction from each end.
+      held: Events held in the direction from each end by a cut.
+    """
+
+    ends: tuple[str, str]
+    lives: tuple[int, int]
+    ids: tuple[int, int]
+    open: list[bool] = dataclasses.field(default_factory=lambda: [True, True])
+    ready_at: list[float] = dataclasses.field(default_factory=lambda: [0.0] * 2)
+    held: tuple[list[Any], list[Any]] = dataclasses.field(
+        default_factory=lambda: ([], [])
+    )
