--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/decision.py
@@ -0,0 +1,31 @@
+"""The record of one routing decision."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Decision:
+    """One routing decision, written to the log.
+
+    Attributes:
+      route: Name of the route, "" if none matched.
+      service: Service that the route names.
+      version: Version that was chosen.
+      instance: Backend server instance that was chosen, "" for a refusal.
+      address: Its "ip:port".
+      candidates: Backend servers that the policy chose from.
+      policy: Name of the balancing policy.
+      attempt: Number of the attempt, from 1; 0 for a refusal.
+      reason: "local", "overflow", "no_local" or "retry", or the kind of the
+        refusal.
+    """
+
+    route: str
+    service: str
+    version: str
+    instance: str
+    address: str
+    candidates: int
+    policy: str
+    attempt: int
+    reason: str
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/exchange.py
@@ -0,0 +1,474 @@
+"""The state machine of one request."""
+
+import dataclasses
+import enum
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from vanillamast_core.configuration import Route
+from vanillamast_core.peers import KeyState
+from vanillamast_core.requests import exchange_events as events
+from vanillamast_core.requests.deadline import Deadline
+from vanillamast_core.requests.decision import Decision
+from vanillamast_core.requests.exchange_effects import (
+    Answer,
+    Attempt,
+    Cancel,
+    Claim,
+    CloseConnection,
+    ExchangeEffect,
+    Observed,
+    Refuse,
+    Settle,
+    Wait,
+)
+from vanillamast_core.requests.observation import AttemptOutcome, Observation
+from vanillamast_core.requests.refusal import Refusal, refuse
+from vanillamast_core.requests.request_inputs import RequestInputs
+from vanillamast_core.requests.server_choice import ServerChoice
+from vanillamast_core.requests.server_view import ServerView
+
+if TYPE_CHECKING:
+    from vanillamast_core.requests.service_pool import ServicePool
+
+SETTLED_NOT_RUN = 0  # `SettleKey.status` of a request that did not run.
+SETTLED_UNCLEAR = -1  # `SettleKey.status` of an unclear outcome.
+RETRIED_STATUSES = frozenset({502, 503, 504})
+
+_KEY_REFUSALS = {
+    KeyState.RUNNING: "key_running",
+    KeyState.RAN: "key_ran",
+    KeyState.UNCLEAR: "key_unclear",
+}
+
+
+class Phase(enum.Enum):
+    """Where a request stands."""
+
+    NEW = enum.auto()
+    CLAIMING = enum.auto()  # Its key is being claimed.
+    WAITING = enum.auto()  # In the admission queue.
+    CONNECTING = enum.auto()  # No byte of the attempt has been sent.
+    SENT = enum.auto()  # Bytes may have reached the backend server.
+    ANSWERING = enum.auto()  # The response is being passed on.
+    ENDED = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Exchange:
+    """One request of a caller, with all its attempts.
+
+    Every event goes through `RequestRouter.handle`, which also admits waiting
+    requests when a slot becomes free.
+
+    Attributes:
+      pool: Backend servers of the service.
+      route_name: Name of the route.
+      route: The route as it was when the request arrived.
+      method: HTTP method.
+      inputs: Values from the request's header.
+      deadline: Time by which the exchange ends.
+      idempotent: Whether the request may be repeated after it may have run.
+      replayable: Whether the body can be sent again; the node clears it when
+        it drops sent bytes.
+      owner: For the node's use.
+      phase: Where the request stands.
+      timer_at: Monotonic time, in seconds, at which `TimedOut` is due.
+      attempts: Number of the current attempt.
+      server: Backend server of the current attempt.
+      tried: Backend servers of earlier attempts.
+      started_at: Monotonic time when the current attempt began.
+      headers_at: Monotonic time when its response header arrived.
+      status: Status of the current attempt's response.
+      connected: Whether the current attempt had a connection.
+      maybe_ran: Whether an attempt may have run the request.
+      claimed: Whether the request holds the claim of its key.
+    """
+
+    pool: "ServicePool"
+    route_name: str
+    route: Route
+    method: str
+    inputs: RequestInputs
+    deadline: Deadline
+    idempotent: bool
+    replayable: bool = True
+    owner: Any = None
+    phase: Phase = Phase.NEW
+    timer_at: float = 0.0
+    attempts: int = 0
+    server: ServerView | None = None
+    tried: list[ServerView] = dataclasses.field(default_factory=list)
+    started_at: float = 0.0
+    headers_at: float = 0.0
+    status: int = 0
+    connected: bool = False
+    maybe_ran: bool = False
+    claimed: bool = False
+
+    handlers: ClassVar[dict[type, Callable[..., list[ExchangeEffect]]]] = {}
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more happens to the request."""
+        return self.phase is Phase.ENDED
+
+    def start(self, now: float) -> list[ExchangeEffect]:
+        """Begins the request.
+
+        Args:
+          now: Monotonic time in seconds.
+        """
+        self.timer_at = self.deadline.at
+        if self.deadline.expired(now):
+            return self._refuse("deadline_exceeded", now)
+        if self.inputs.key and not self.idempotent:
+            self.phase = Phase.CLAIMING
+            return [Claim(self)]
+        return self._seek_slot(now)
+
+    def handle(
+        self, event: events.ExchangeEvent, now: float
+    ) -> list[ExchangeEffect]:
+        """Takes an event.
+
+        Args:
+          event: What happened. Events that no longer matter are ignored.
+          now: Monotonic time in seconds.
+
+        Returns:
+          What the node does next.
+        """
+        if self.phase is Phase.ENDED:
+            return []
+        if isinstance(event, events.AttemptEvent):
+            in_attempt = self.phase in _ATTEMPT_PHASES
+            if event.attempt != self.attempts or not in_attempt:
+                return []
+        return self.handlers[type(event)](self, event, now)
+
+    # Admission.
+
+    def _seek_slot(self, now: float) -> list[ExchangeEffect]:
+        refused = self.pool.refusal_before_start(self, now)
+        if refused:
+            return self._refuse(refused, now)
+        choice = self.pool.admit(self, now)
+        if choice is not None:
+            return self._attempt(choice, now)
+        if not self.pool.enqueue(self, now):
+            return self._refuse("overloaded", now)
+        self.phase = Phase.WAITING
+        return [Wait(self)]
+
+    def on_key_answered(
+        self, event: events.KeyAnswered, now: float
+    ) -> list[ExchangeEffect]:
+        """Goes on with a granted claim, refuses otherwise."""
+        if self.phase is not Phase.CLAIMING:
+            return []
+        if event.answer is None:
+            # The home node may have granted the claim; settling it as not
+            # run makes the key usable again.
+            self.claimed = True
+            return self._refuse("key_unclear", now)
+        if event.answer.state is KeyState.GRANTED:
+            self.claimed = True
+            return self._seek_slot(now)
+        detail = ""
+        if event.answer.state is KeyState.RAN:
+            detail = f"the request ran with status {event.answer.status}"
+        return self._refuse(_KEY_REFUSALS[event.answer.state], now, detail)
+
+    def on_admitted(
+        self, event: events.Admitted, now: float
+    ) -> list[ExchangeEffect]:
+        """Starts the first attempt after waiting."""
+        return self._attempt(event.choice, now)
+
+    def _attempt(
+        self, choice: ServerChoice, now: float, reason: str = ""
+    ) -> list[ExchangeEffect]:
+        server = choice.server
+        server.acquire(self.route.caller_class)
+        self.attempts += 1
+        self.server = server
+        self.started_at = now
+        self.headers_at = 0.0
+        self.status = 0
+        self.connected = False
+        self.phase = Phase.CONNECTING
+        self.timer_at = self._attempt_timer(now)
+        if self.attempts == 1:
+            self.pool.budget.first_attempt(now)
+        announcement = server.announcement
+        decision = Decision(
+            self.route_name,
+            self.pool.service,
+            announcement.version,
+            announcement.instance,
+            announcement.server_address,
+            choice.candidates,
+            self.pool.settings.policy,
+            self.attempts,
+            reason or choice.reason,
+        )
+        return [Attempt(self, server, self.attempts, decision)]
+
+    def _attempt_timer(self, now: float) -> float:
+        if not self.idempotent or not self._attempts_left():
+            return self.deadline.at
+        share = self.pool.settings.attempt_share
+        return now + self.deadline.remaining_s(now) * share
+
+    # Events of an attempt.
+
+    def on_connected(
+        self, event: events.Connected, now: float
+    ) -> list[ExchangeEffect]:
+        """Notes that the backend server accepted a connection."""
+        self.connected = True
+        return []
+
+    def on_bytes_sent(
+        self, event: events.BytesSent, now: float
+    ) -> list[ExchangeEffect]:
+        """Notes that the request may run from now on."""
+        self.connected = True
+        self.phase = Phase.SENT
+        return []
+
+    def on_connect_failed(
+        self, event: events.ConnectFailed, now: float
+    ) -> list[ExchangeEffect]:
+        """Tries another backend server: this one got no byte."""
+        if self.phase is not Phase.CONNECTING:
+            return self.on_disconnected(event, now)
+        self.connected = False
+        effects = self._end_attempt(AttemptOutcome.CONNECT_FAILED, now)
+        return effects + self._retry_or_refuse("connect_failed", now)
+
+    def on_disconnected(
+        self, event: events.AttemptEvent, now: float
+    ) -> list[ExchangeEffect]:
+        """Repeats the request if that is safe."""
+        if self.phase is Phase.ANSWERING:
+            return self._cut(AttemptOutcome.CUT, now)
+        if self.phase is Phase.SENT:
+            self.maybe_ran = True
+        effects = self._end_attempt(AttemptOutcome.DISCONNECTED, now)
+        return effects + self._retry_or_refuse("connect_failed", now)
+
+    def on_not_run(
+        self, event: events.NotRun, now: float
+    ) -> list[ExchangeEffect]:
+        """Tries another backend server: this one did not run it."""
+        if self.phase is Phase.ANSWERING:
+            return []
+        self.connected = True
+        self.status = event.status
+        effects = self._end_attempt(AttemptOutcome.SHED, now)
+        return effects + self._retry_or_refuse("shed", now)
+
+    def on_headers_received(
+        self, event: events.HeadersReceived, now: float
+    ) -> list[ExchangeEffect]:
+        """Passes the response on, or repeats an idempotent request."""
+        if self.phase is Phase.ANSWERING:
+            return []
+        self.connected = True
+        self.maybe_ran = True
+        self.status = event.status
+        self.headers_at = now
+        if event.status in RETRIED_STATUSES and self.idempotent:
+            choice = self._retry_choice(now)
+            if choice is not None:
+                effects: list[ExchangeEffect] = [Cancel(self, self.attempts)]
+                effects += self._end_attempt(AttemptOutcome.ANSWERED, now)
+                return effects + self._attempt(choice, now, "retry")
+        self.phase = Phase.ANSWERING
+        self.timer_at = self.deadline.at
+        return [*self._settle(event.status), Answer(self)]
+
+    def on_body_ended(
+        self, event: events.BodyEnded, now: float
+    ) -> list[ExchangeEffect]:
+        """Ends the exchange."""
+        if self.phase is not Phase.ANSWERING:
+            return []
+        effects = self._end_attempt(AttemptOutcome.ANSWERED, now)
+        self.phase = Phase.ENDED
+        return effects
+
+    def on_body_cut(
+        self, event: events.BodyCut, now: float
+    ) -> list[ExchangeEffect]:
+        """Aborts the response, or repeats a request without one."""
+        return self.on_disconnected(event, now)
+
+    # Events of the caller and the timer.
+
+    def on_body_rejected(
+        self, event: events.BodyRejected, now: float
+    ) -> list[ExchangeEffect]:
+        """Refuses a request whose body is over a limit."""
+        effects = self._drop_attempt(AttemptOutcome.CANCELLED, now)
+        if self.phase is Phase.ANSWERING:
+            self.phase = Phase.ENDED
+            return [*effects, CloseConnection(self)]
+        return effects + self._refuse(event.kind, now)
+
+    def on_caller_gone(
+        self, event: events.CallerGone, now: float
+    ) -> list[ExchangeEffect]:
+        """Cancels the attempt; there is nobody to answer."""
+        effects = self._drop_attempt(AttemptOutcome.CANCELLED, now)
+        if self.phase is Phase.WAITING:
+            self.pool.dequeue(self)
+        elif self.phase is Phase.CLAIMING:
+            self.claimed = True  # The claim may be granted meanwhile.
+        self.phase = Phase.ENDED
+        return effects + self._settle_unanswered()
+
+    def on_timed_out(
+        self, event: events.TimedOut, now: float
+    ) -> list[ExchangeEffect]:
+        """Repeats, refuses or aborts, as the phase allows."""
+        if now < self.timer_at:
+            return []
+        if self.phase is Phase.CLAIMING:
+            self.claimed = True
+            return self._refuse("deadline_exceeded", now)
+        if self.phase is Phase.WAITING:
+            self.pool.dequeue(self)
+            expired = self.deadline.expired(now)
+            kind = "deadline_exceeded" if expired else "queue_timeout"
+            return self._refuse(kind, now)
+        if self.phase is Phase.ANSWERING:
+            return self._cut(AttemptOutcome.TIMED_OUT, now)
+        if not self.deadline.expired(now):
+            return self._repeat_slow_attempt(now)
+        effects = self._drop_attempt(AttemptOutcome.TIMED_OUT, now)
+        return effects + self._refuse("deadline_exceeded", now)
+
+    def _repeat_slow_attempt(self, now: float) -> list[ExchangeEffect]:
+        choice = self._retry_choice(now)
+        if choice is None:
+            self.timer_at = self.deadline.at
+            return []
+        effects = self._drop_attempt(AttemptOutcome.TIMED_OUT, now)
+        return effects + self._attempt(choice, now, "retry")
+
+    # Ends.
+
+    def _drop_attempt(
+        self, outcome: AttemptOutcome, now: float
+    ) -> list[ExchangeEffect]:
+        """Ends a running attempt from this side; it may have run."""
+        if self.phase not in _ATTEMPT_PHASES:
+            return []
+        if self.phase is not Phase.CONNECTING:
+            self.maybe_ran = True
+        effects: list[ExchangeEffect] = [Cancel(self, self.attempts)]
+        return effects + self._end_attempt(outcome, now)
+
+    def _cut(self, outcome: AttemptOutcome, now: float) -> list[ExchangeEffect]:
+        effects = self._drop_attempt(outcome, now)
+        self.phase = Phase.ENDED
+        return [*effects, CloseConnection(self)]
+
+    def _end_attempt(
+        self, outcome: AttemptOutcome, now: float
+    ) -> list[ExchangeEffect]:
+        server = self.server
+        assert server is not None
+        self.tried.append(server)
+        self.server = None
+        until = self.headers_at or now
+        announcement = server.announcement
+        observation = Observation(
+            self.route_name,
+            self.pool.service,
+            announcement.version,
+            announcement.instance,
+            announcement.failure_domain,
+            self.connected,
+            outcome,
+            self.status,
+            until - self.started_at,
+            server.is_cold(self.started_at),
+        )
+        self.pool.attempt_ended(
+            server, self.route.caller_class, observation, now - self.started_at
+        )
+        self.pool.judge(server, observation, now)
+        return [Observed(self, observation)]
+
+    def _attempts_left(self) -> bool:
+        return (
+            self.inputs.attempt <= 1
+            and self.attempts < self.pool.settings.max_attempts
+        )
+
+    def _retry_choice(self, now: float) -> ServerChoice | None:
+        """Returns a server for a safe and affordable further attempt."""
+        safe = self.idempotent or not self.maybe_ran
+        if not safe or not self.replayable or not self._attempts_left():
+            return None
+        if self.deadline.expired(now):
+            return None
+        return self.pool.choose_for_retry(self, now)
+
+    def _retry_or_refuse(self, kind: str, now: float) -> list[ExchangeEffect]:
+        choice = self._retry_choice(now)
+        if choice is not None:
+            return self._attempt(choice, now, "retry")
+        return self._refuse(kind, now)
+
+    def _refuse(
+        self, kind: str, now: float, detail: str = ""
+    ) -> list[ExchangeEffect]:
+        refusal = refuse(kind, detail)
+        if self.maybe_ran and refusal.not_run:
+            refusal = _unclear(refusal)
+        self.phase = Phase.ENDED
+        return [*self._settle_unanswered(), Refuse(self, refusal)]
+
+    def _settle_unanswered(self) -> list[ExchangeEffect]:
+        ran = self.maybe_ran
+        return self._settle(SETTLED_UNCLEAR if ran else SETTLED_NOT_RUN)
+
+    def _settle(self, status: int) -> list[ExchangeEffect]:
+        if not self.claimed:
+            return []
+        self.claimed = False
+        return [Settle(self, status)]
+
+
+def _unclear(refusal: Refusal) -> Refusal:
+    """Returns what is said in place of a refusal after a possible run."""
+    if refusal.status < 500:
+        return dataclasses.replace(refusal, not_run=False)
+    status = 504 if refusal.kind == "deadline_exceeded" else 502
+    return refuse("outcome_unclear", status=status)
+
+
+_ATTEMPT_PHASES = frozenset({Phase.CONNECTING, Phase.SENT, Phase.ANSWERING})
+
+Exchange.handlers.update(
+    {
+        events.KeyAnswered: Exchange.on_key_answered,
+        events.Admitted: Exchange.on_admitted,
+        events.Connected: Exchange.on_connected,
+        events.ConnectFailed: Exchange.on_connect_failed,
+        events.BytesSent: Exchange.on_bytes_sent,
+        events.HeadersReceived: Exchange.on_headers_received,
+        events.NotRun: Exchange.on_not_run,
+        events.Disconnected: Exchange.on_disconnected,
+        events.BodyEnded: Exchange.on_body_ended,
+        events.BodyCut: Exchange.on_body_cut,
+        events.BodyRejected: Exchange.on_body_rejected,
+        events.TimedOut: Exchange.on_timed_out,
+        events.CallerGone: Exchange.on_caller_gone,
+    }
+)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/key_ledger.py
@@ -0,0 +1,194 @@
+"""Idempotency keys whose home is this node."""
+
+import collections
+import dataclasses
+
+from vanillamast_core.peers import ClaimKey, KeyAnswer, KeyState, SettleKey
+from vanillamast_core.requests.key_home import key_home
+from vanillamast_core.requests.key_time import key_time
+from vanillamast_core.requests.settings import RequestSettings
+
+# Membership changes remembered. Older ones are forgotten, which makes the
+# ledger refuse more keys, never grant more.
+MAX_EPOCHS = 64
+_UNCLEAR = KeyAnswer(KeyState.UNCLEAR)
+_GRANTED = KeyAnswer(KeyState.GRANTED)
+_RUNNING = KeyAnswer(KeyState.RUNNING)
+
+
+@dataclasses.dataclass(slots=True)
+class KeyEntry:
+    """What is known of one key.
+
+    Attributes:
+      claim: Claim that holds the key.
+      fingerprint: Digest of the request's method and path.
+      state: `RUNNING`, `RAN` or `UNCLEAR`.
+      status: HTTP status if the request ran.
+      expires_at: Monotonic time, in seconds, when the key is forgotten.
+    """
+
+    claim: str
+    fingerprint: bytes
+    state: KeyState
+    status: int
+    expires_at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MemberEpoch:
+    """A time in which the service's members did not change.
+
+    Attributes:
+      members: Instances of the service's backend servers.
+      since: Monotonic time, in seconds, when the epoch began.
+      since_wall: The same in wall time.
+      hold_until: Monotonic time until which keys that came from a vanished
+        instance are refused.
+      previous: Members before, including instances that vanished.
+    """
+
+    members: tuple[str, ...]
+    since: float
+    since_wall: float
+    hold_until: float
+    previous: tuple[str, ...]
+
+
+class KeyLedger:
+    """Grants each key of one service at most once within the retention.
+
+    Attributes:
+      settings: Settings of the request path.
+      service: Service of the co-located backend server.
+      instance: Name of this instance.
+      epochs: Member lists, oldest first.
+      entries: Keys, ordered by expiry.
+    """
+
+    def __init__(self, settings: RequestSettings, service: str, instance: str):
+        self.settings = settings
+        self.service = service
+        self.instance = instance
+        self.epochs: collections.deque[MemberEpoch] = collections.deque(
+            maxlen=MAX_EPOCHS
+        )
+        self.entries: collections.OrderedDict[str, KeyEntry] = (
+            collections.OrderedDict()
+        )
+
+    def set_members(
+        self, members: list[str], vanished: bool, now: float, wall: float
+    ) -> None:
+        """Takes the instances of the service's backend servers.
+
+        Args:
+          members: Instances, this one included unless it is leaving.
+          vanished: Whether an instance went away without leaving.
+          now: Monotonic time in seconds.
+          wall: Wall time in seconds since the epoch.
+        """
+        current = tuple(sorted(members))
+        previous: tuple[str, ...] = ()
+        if self.epochs:
+            previous = self.epochs[-1].members
+            if current == previous:
+                return
+        hold = now + self.settings.key_hold_s if vanished else 0.0
+        self.epochs.append(MemberEpoch(current, now, wall, hold, previous))
+        horizon = now - self.settings.key_retention_s
+        while len(self.epochs) > 1 and self.epochs[1].since <= horizon:
+            self.epochs.popleft()
+
+    def claim(self, claim: ClaimKey, now: float, wall: float) -> KeyAnswer:
+        """Answers a claim.
+
+        Args:
+          claim: The claim. A repeated one with an equal id is granted again.
+          now: Monotonic time in seconds.
+          wall: Wall time in seconds since the epoch.
+        """
+        self._expire(now)
+        entry = self.entries.get(claim.key)
+        if entry is not None:
+            return self._answer(entry, claim)
+        if not self._is_authoritative(claim, now, wall):
+            return _UNCLEAR
+        if len(self.entries) >= self.settings.key_capacity:
+            # Dropping a retained key could let its request run again.
+            return _UNCLEAR
+        self.entries[claim.key] = KeyEntry(
+            claim.claim,
+            claim.fingerprint,
+            KeyState.RUNNING,
+            0,
+            now + self.settings.key_retention_s,
+        )
+        return _GRANTED
+
+    def _answer(self, entry: KeyEntry, claim: ClaimKey) -> KeyAnswer:
+        if entry.fingerprint != claim.fingerprint:
+            # The key belongs to another request, of which the claimant must
+            # not learn the outcome.
+            return _UNCLEAR
+        if entry.state is KeyState.RUNNING:
+            return _GRANTED if entry.claim == claim.claim else _RUNNING
+        return KeyAnswer(entry.state, entry.status)
+
+    def settle(self, settle: SettleKey, now: float) -> None:
+        """Takes the outcome of a granted claim; others are ignored."""
+        entry = self.entries.get(settle.key)
+        if entry is None or entry.claim != settle.claim:
+            return
+        if entry.state is not KeyState.RUNNING:
+            return
+        if settle.status == 0:
+            del self.entries[settle.key]
+            return
+        ran = settle.status > 0
+        entry.state = KeyState.RAN if ran else KeyState.UNCLEAR
+        entry.status = settle.status if ran else 0
+        entry.expires_at = now + self.settings.key_retention_s
+        self.entries.move_to_end(settle.key)
+
+    def _expire(self, now: float) -> None:
+        while self.entries:
+            key = next(iter(self.entries))
+            if self.entries[key].expires_at > now:
+                return
+            del self.entries[key]
+
+    def _is_authoritative(
+        self, claim: ClaimKey, now: float, wall: float
+    ) -> bool:
+        """Returns whether no other node can have granted the key."""
+        if claim.service != self.service:
+            return False
+        home_since = self._home_since(claim.key, now)
+        if home_since is None:
+            return False
+        if now - home_since.since >= self.settings.key_retention_s:
+            return True
+        made = key_time(claim.key)
+        if made is None:
+            return False
+        margin = self.settings.key_margin_s
+        return home_since.since_wall + margin < made <= wall + margin
+
+    def _home_since(self, key: str, now: float) -> MemberEpoch | None:
+        """Returns the epoch in which this node became the key's home.
+
+        Returns:
+          None if it is not the home, or holds the key back because its home
+          may be alive on the other side of a partition.
+        """
+        found = None
+        for epoch in reversed(self.epochs):
+            if key_home(self.service, key, epoch.members) != self.instance:
+                break
+            found = epoch
+            if epoch.hold_until > now:
+                before = key_home(self.service, key, epoch.previous)
+                if before != self.instance:
+                    return None
+        return found
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/key_time.py
@@ -0,0 +1,23 @@
+"""Reads the time in a UUID of version 7."""
+
+import uuid
+
+_UUID_LENGTH = 36
+_VERSION_WITH_TIME = 7
+
+
+def key_time(key: str) -> float | None:
+    """Returns when a key was made.
+
+    Returns:
+      Wall time in seconds since the epoch, None if the key is no UUIDv7.
+    """
+    if len(key) != _UUID_LENGTH:
+        return None
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return None
+    if value.version != _VERSION_WITH_TIME:
+        return None
+    return (value.int >> 80) / 1000.0
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/observation.py
@@ -0,0 +1,56 @@
+"""What a node observed about one ended attempt."""
+
+import dataclasses
+import enum
+
+
+class AttemptOutcome(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"  # Complete response.
+    CONNECT_FAILED = "connect_failed"
+    SHED = "shed"  # The server refused to run it.
+    DISCONNECTED = "disconnected"  # Lost before the response headers.
+    CUT = "cut"  # Lost within the response body.
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"  # The caller went away.
+
+
+@dataclasses.dataclass(slots=True)
+class Observation:
+    """One ended attempt.
+
+    Attributes:
+      route: Name of the route.
+      service: Service that was called.
+      version: Backend server version.
+      instance: Backend server instance.
+      failure_domain: Failure domain of the backend server.
+      connected: Whether a connection to it existed.
+      outcome: How the attempt ended.
+      status: HTTP status, 0 if there was none.
+      latency_s: Seconds from the start of the attempt to the response
+        headers, or to the end if there were none.
+      cold: Whether the backend server was in its slow start.
+    """
+
+    route: str
+    service: str
+    version: str
+    instance: str
+    failure_domain: str
+    connected: bool
+    outcome: AttemptOutcome
+    status: int
+    latency_s: float
+    cold: bool
+
+    @property
+    def failed(self) -> bool:
+        """Whether the backend server is to blame for the outcome."""
+        if self.outcome is AttemptOutcome.ANSWERED:
+            return self.status >= 500
+        return self.outcome not in (
+            AttemptOutcome.SHED,
+            AttemptOutcome.CANCELLED,
+        )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/outlier_detector.py
@@ -0,0 +1,57 @@
+"""Ejection of backend servers that fail repeatedly."""
+
+import dataclasses
+import math
+
+from vanillamast_core.requests.server_view import ServerView
+from vanillamast_core.requests.settings import RequestSettings
+
+
+@dataclasses.dataclass(slots=True)
+class OutlierDetector:
+    """Ejects a bounded share of one version's backend servers.
+
+    Attributes:
+      settings: Settings of the request path.
+    """
+
+    settings: RequestSettings
+
+    def allowance(self, servers: int) -> int:
+        """Returns how many of so many servers may be ejected at once."""
+        if servers < 2:
+            return 0
+        share = math.floor(self.settings.ejection_share * servers)
+        return min(servers - 1, max(1, share))
+
+    def succeeded(self, server: ServerView) -> None:
+        """Records a success, which ends a run of failures."""
+        server.failures = 0
+        server.ejections = max(0, server.ejections - 1)
+
+    def failed(
+        self, server: ServerView, peers: list[ServerView], now: float
+    ) -> bool:
+        """Records a failure.
+
+        Args:
+          server: Backend server that failed.
+          peers: All backend servers of the same version, itself included.
+          now: Monotonic time in seconds.
+
+        Returns:
+          Whether the server is ejected now.
+        """
+        server.failures += 1
+        if server.failures < self.settings.ejection_failures:
+            return False
+        if server.ejected_until > now:
+            return False
+        ejected = sum(1 for peer in peers if peer.ejected_until > now)
+        if ejected >= self.allowance(len(peers)):
+            return False
+        duration = self.settings.ejection_s * 2.0 ** min(server.ejections, 16)
+        server.ejected_until = now + min(duration, self.settings.ejection_max_s)
+        server.ejections += 1
+        server.failures = 0
+        return True
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/request_router.py
@@ -0,0 +1,183 @@
+"""The request path's decisions, tied together for the listener."""
+
+import random
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.configuration import CallerClass, Route, Service
+from vanillamast_core.requests.deadline import Deadline
+from vanillamast_core.requests.exchange import Exchange
+from vanillamast_core.requests.exchange_effects import ExchangeEffect
+from vanillamast_core.requests.exchange_events import ExchangeEvent
+from vanillamast_core.requests.refusal import Refusal, refuse
+from vanillamast_core.requests.request_inputs import RequestInputs
+from vanillamast_core.requests.route_table import RouteTable
+from vanillamast_core.requests.service_pool import ServicePool
+from vanillamast_core.requests.settings import RequestSettings
+from vanillamast_core.requests.version_chooser import SplitFactory
+
+
+class RequestRouter:
+    """Routes requests by the snapshots that the control side pushes.
+
+    The snapshots may change at any time; a request in flight keeps its route
+    and the slots that it holds.
+
+    Attributes:
+      settings: Settings of the request path.
+      failure_domain: Failure domain of this node.
+      rng: Random source.
+      split_factory: Makes the chooser between the versions of a move.
+      table: The applied routes, None before the first configuration.
+      classes: Caller classes by name.
+      services: Services by name.
+      pools: State of each service.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        failure_domain: str,
+        rng: random.Random,
+        split_factory: SplitFactory,
+    ):
+        self.settings = settings
+        self.failure_domain = failure_domain
+        self.rng = rng
+        self.split_factory = split_factory
+        self.table: RouteTable | None = None
+        self.classes: dict[str, CallerClass] = {}
+        self.services: dict[str, Service] = {}
+        self.pools: dict[str, ServicePool] = {}
+
+    # Inputs from the control side.
+
+    def set_routes(
+        self,
+        routes: dict[str, Route],
+        classes: dict[str, CallerClass],
+        services: dict[str, Service],
+    ) -> None:
+        """Replaces routes, caller classes and services in one step."""
+        self.table = RouteTable(routes)
+        self.classes = classes
+        self.services = services
+        for pool in self.pools.values():
+            self._configure(pool)
+
+    def set_servers(
+        self,
+        service: str,
+        announcements: list[Announcement],
+        panic: bool,
+        now: float,
+        wall: float,
+    ) -> list[ExchangeEffect]:
+        """Replaces the usable backend servers of a service.
+
+        Args:
+          service: Name of the service.
+          announcements: Its usable backend servers, of all versions.
+          panic: Whether they are used because none is known to be alive.
+          now: Monotonic time in seconds.
+          wall: Wall time in seconds since the epoch.
+
+        Returns:
+          Effects for waiting requests that may start now.
+        """
+        pool = self.pool(service)
+        pool.set_servers(announcements, panic, now, wall)
+        return pool.dispatch(now)
+
+    def set_split(self, service: str, old: str, new: str, share: float) -> None:
+        """Sets the authorized share of a move's new version.
+
+        An unchanged split is left alone, so that its long-run share stays
+        exact when the control side pushes it again.
+        """
+        pool = self.pool(service)
+        same = (pool.old, pool.new, pool.share) == (old, new, share)
+        if pool.split is not None and same:
+            return
+        chooser = self.split_factory(share, self.rng)
+        pool.set_split(old, new, share, chooser)
+
+    def clear_split(self, service: str) -> None:
+        """Ends the split of a service; its own version gets all traffic."""
+        self.pool(service).clear_split()
+
+    def pool(self, service: str) -> ServicePool:
+        """Returns the state of a service."""
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = ServicePool(
+                service, self.settings, self.failure_domain, self.rng
+            )
+            self._configure(pool)
+            self.pools[service] = pool
+        return pool
+
+    def _configure(self, pool: ServicePool) -> None:
+        pool.queue.classes = self.classes
+        service = self.services.get(pool.service)
+        if service is not None:
+            pool.version = service.version
+            pool.budget.ratio = service.retry_ratio
+
+    # Requests.
+
+    def route(
+        self, method: str, path: str, inputs: RequestInputs, now: float
+    ) -> Exchange | Refusal:
+        """Finds the route of a request.
+
+        Args:
+          method: HTTP method.
+          path: Decoded path.
+          inputs: Values from the request's header.
+          now: Monotonic time in seconds.
+
+        Returns:
+          An exchange to `start`, or a refusal.
+        """
+        if self.table is None:
+            return refuse("no_configuration")
+        name, known = self.table.match(method, path)
+        if not name:
+            return refuse("method_not_allowed" if known else "no_route")
+        route = self.table.routes[name]
+        return Exchange(
+            self.pool(route.service),
+            name,
+            route,
+            method,
+            inputs,
+            Deadline.of(route.timeout_ms, inputs.deadline_ms, now),
+            route.is_idempotent(method),
+        )
+
+    def start(self, exchange: Exchange, now: float) -> list[ExchangeEffect]:
+        """Begins a routed request."""
+        return exchange.start(now)
+
+    def handle(
+        self, exchange: Exchange, event: ExchangeEvent, now: float
+    ) -> list[ExchangeEffect]:
+        """Takes an event of a request.
+
+        Returns:
+          Effects for this request and, if a slot became free, for waiting
+          requests; see `ExchangeEffect.exchange`.
+        """
+        pool = exchange.pool
+        effects = exchange.handle(event, now)
+        if pool.queue.size:
+            effects = effects + pool.dispatch(now)
+        return effects
+
+    def in_flight(self) -> int:
+        """Returns the number of attempts that hold a slot."""
+        return sum(
+            view.outstanding
+            for pool in self.pools.values()
+            for view in pool.views.values()
+        )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/route_table.py
@@ -0,0 +1,39 @@
+"""Finds the route of a request."""
+
+from vanillamast_core.configuration import Route
+
+
+class RouteTable:
+    """Routes by path prefix and method; the longest prefix wins.
+
+    Attributes:
+      prefixes: Route names by method, by prefix without a final "/".
+      routes: Routes by name.
+    """
+
+    def __init__(self, routes: dict[str, Route]):
+        self.routes = routes
+        self.prefixes: dict[str, dict[str, str]] = {}
+        for name, route in routes.items():
+            methods = self.prefixes.setdefault(route.path.rstrip("/"), {})
+            for method in route.methods:
+                methods[method] = name
+
+    def match(self, method: str, path: str) -> tuple[str, bool]:
+        """Finds a route.
+
+        Returns:
+          The route's name, "" if there is none, and whether any route has a
+          prefix of the path.
+        """
+        known = False
+        prefix = path.rstrip("/")
+        while True:
+            methods = self.prefixes.get(prefix)
+            if methods is not None:
+                known = True
+                if method in methods:
+                    return methods[method], True
+            if not prefix:
+                return "", known
+            prefix = prefix[: prefix.rfind("/")] if "/" in prefix else ""
--- /dev/null
+++ b/packages/core/src/vanillamast_core/requests/settings.py
@@ -0,0 +1,61 @@
+"""Settings of the request path."""
+
+import msgspec
+
+
+class RequestSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits and time constants of routing, admission and retries.
+
+    Attributes:
+      policy: Name of the balancing policy.
+      slow_start_s: Time, in seconds, after which a backend server that just
+        began to serve gets its full share.
+      slow_start_floor: Share that it gets at the start of that time.
+      overflow_at: Utilization of the own failure domain, 0 to 1, above which
+        other failure domains receive a share.
+      load_half_life_s: Age, in seconds, at which a reported load counts half.
+      ejection_failures: Consecutive failures that eject a backend server.
+      ejection_s: Seconds of the first ejection; each further one doubles.
+      ejection_max_s: Upper bound of an ejection, in seconds.
+      ejection_share: Largest share of a version's servers ejected at once.
+      timeout_blame_s: A timeout counts as a failure of the backend server
+        only if the attempt had at least this many seconds. A caller with a
+        tiny deadline must not eject servers.
+      shed_factor: Factor on a server's limit when it sheds a request.
+      limit_growth: Upper bound of a server's limit as a multiple of slots.
+      retry_floor_per_s: Retries a second that the budget always allows.
+      retry_burst: Most retries that the budget saves up.
+      attempt_share: Share of the remaining time after which an idempotent
+        attempt without response headers is repeated elsewhere.
+      max_attempts: Attempts for one request, the first included.
+      retry_after_s: Hint to callers of refusals that may succeed later.
+      key_retention_s: Seconds for which a key is kept after its last claim.
+      key_capacity: Keys kept by one node.
+      key_hold_s: Seconds for which a node refuses keys taken over from an
+        instance that vanished.
+      key_margin_s: Seconds by which the time in a UUIDv7 must be later than
+        the takeover. Covers clock differences and the time in which other
+        nodes may still use the previous home.
+    """
+
+    policy: str = "power_of_two"
+    slow_start_s: float = 10.0
+    slow_start_floor: float = 0.1
+    overflow_at: float = 0.7
+    load_half_life_s: float = 2.0
+    ejection_failures: int = 5
+    ejection_s: float = 1.0
+    ejection_max_s: float = 30.0
+    ejection_share: float = 0.3
+    timeout_blame_s: float = 0.25
+    shed_factor: float = 0.7
+    limit_growth: float = 2.0
+    retry_floor_per_s: float = 1.0
+    retry_burst: float = 10.0
+    attempt_share: float = 0.5
+    max_attempts: int = 3
+    retry_after_s: float = 1.0
+    key_retention_s: float = 600.0
+    key_capacity: int = 20_000
+    key_hold_s: float = 60.0
+    key_margin_s: float = 15.0
--- /dev/null
+++ b/packages/node/src/vanillamast_node/caller_app.py
@@ -0,0 +1,110 @@
+"""The ASGI application that answers callers."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import falcon.asgi
+from vanillamast_core.requests import Refusal
+
+from vanillamast_node.forwarded_call import ForwardedCall
+from vanillamast_node.forwarder import Forwarder
+from vanillamast_node.header_fields import REFUSAL_FIELD, RawFields
+from vanillamast_node.proxy_errors import ResponseAbortedError
+from vanillamast_node.request_body import Receive
+
+CALL_KEY = "vanillamast.call"
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+_LOGGER = logging.getLogger("vanillamast")
+_NO_BODY_YET = {"type": "http.request", "body": b"", "more_body": True}
+
+
+class CallerApp:
+    """Forwards each request through one falcon sink.
+
+    Attributes:
+      forwarder: What all requests share.
+      falcon_app: The falcon application.
+      calls: Requests that are being answered.
+    """
+
+    def __init__(self, forwarder: Forwarder):
+        self.forwarder = forwarder
+        self.falcon_app: Any = falcon.asgi.App()
+        self.falcon_app.add_sink(_forward, prefix="/")
+        self.falcon_app.add_error_handler(ResponseAbortedError, _reraise)
+        self.calls: set[ForwardedCall] = set()
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Answers one request."""
+        call = ForwardedCall(self.forwarder, scope, receive)
+        scope[CALL_KEY] = call
+        self.calls.add(call)
+
+        async def send_fields(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start" and call.fields:
+                message["headers"] = call.fields
+            await send(message)
+
+        try:
+            await self.falcon_app(scope, _no_body_yet, send_fields)
+        except ResponseAbortedError:
+            call.connection.abort()
+        except asyncio.CancelledError:
+            call.connection.abort()
+            if not call.absorb_interruption():
+                raise
+        except Exception:
+            _LOGGER.exception("request failed")
+            call.connection.abort()
+        finally:
+            self.calls.discard(call)
+            call.finish()
+
+
+async def _no_body_yet() -> dict[str, Any]:
+    # falcon reads the first event before the sink runs. The body is read by
+    # the call, and only after the request was admitted.
+    return _NO_BODY_YET
+
+
+async def _reraise(
+    req: Any, resp: Any, error: ResponseAbortedError, params: Any
+) -> None:
+    raise error
+
+
+async def _forward(req: Any, resp: Any, **params: str) -> None:
+    call: ForwardedCall = req.scope[CALL_KEY]
+    refusal = await call.run()
+    if refusal is not None:
+        call.fields = _refusal_fields(call, refusal)
+        resp.status = refusal.status
+        resp.data = refusal.body()
+        return
+    response = call.response
+    assert response is not None
+    resp.status = response.status
+    if req.method == "HEAD" or response.status in (204, 304):
+        call.end_response()
+        return
+    resp.stream = call.stream()
+
+
+def _refusal_fields(call: ForwardedCall, refusal: Refusal) -> RawFields:
+    fields = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(refusal.body())),
+        (REFUSAL_FIELD, refusal.kind.encode()),
+    ]
+    if refusal.retry_after_s:
+        retry_after = max(1, round(refusal.retry_after_s))
+        fields.append((b"retry-after", b"%d" % retry_after))
+    if call.header.length != 0 and not call.body.complete:
+        # The rest of the body is not read, so the connection cannot be used
+        # for another request.
+        fields.append((b"connection", b"close"))
+    return fields
--- /dev/null
+++ b/packages/node/src/vanillamast_node/caller_listener.py
@@ -0,0 +1,145 @@
+"""The listener for callers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+
+from vanillamast_node.caller_app import CallerApp
+from vanillamast_node.caller_protocol import CallerProtocol
+from vanillamast_node.forwarder import Forwarder
+
+BACKLOG = 1024
+START_POLL_S = 0.005
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CutOff:
+    """A request that a planned stop interrupted.
+
+    Attributes:
+      route: Name of its route.
+      phase: Where it stood.
+    """
+
+    route: str
+    phase: str
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without its own handling of signals."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class CallerListener:
+    """Accepts callers' connections and forwards their requests.
+
+    Attributes:
+      forwarder: What all requests share.
+      app: The ASGI application.
+      address: "ip:port" that it listens on, once started.
+    """
+
+    def __init__(self, forwarder: Forwarder, address: str):
+        self.forwarder = forwarder
+        self.address = address
+        self.app = CallerApp(forwarder)
+        self.server: _Server | None = None
+        self.serving: asyncio.Task[None] | None = None
+        self.socket: socket.socket | None = None
+
+    async def start(self) -> None:
+        """Opens the listener.
+
+        Raises:
+          OSError: The address cannot be used.
+        """
+        host, _, port = self.address.rpartition(":")
+        self.socket = socket.create_server((host, int(port)), backlog=BACKLOG)
+        self.socket.setblocking(False)
+        name = self.socket.getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        settings = self.forwarder.settings
+        protocol = type(
+            "_ConfiguredProtocol",
+            (CallerProtocol,),
+            {
+                "header_limit": settings.header_bytes,
+                "header_timeout_s": settings.header_timeout_s,
+            },
+        )
+        config = uvicorn.Config(
+            self.app,
+            http=protocol,
+            ws="none",
+            loop="asyncio",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            log_level="critical",
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            proxy_headers=False,
+            timeout_keep_alive=max(1, round(settings.caller_idle_s)),
+        )
+        self.server = _Server(config)
+        self.serving = asyncio.create_task(
+            self.server.serve(sockets=[self.socket])
+        )
+        while not self.server.started:
+            if self.serving.done():
+                await self.serving
+            await asyncio.sleep(START_POLL_S)
+
+    async def drain(
+        self, delay_s: float | None = None, limit_s: float | None = None
+    ) -> list[CutOff]:
+        """Stops accepting and waits for the requests in flight.
+
+        Args:
+          delay_s: Seconds to go on accepting; None takes the settings'.
+          limit_s: Seconds to wait after that; None takes the settings'.
+
+        Returns:
+          The requests that were interrupted.
+        """
+        assert self.server is not None
+        assert self.serving is not None
+        settings = self.forwarder.settings
+        await asyncio.sleep(
+            settings.drain_delay_s if delay_s is None else delay_s
+        )
+        limit = settings.drain_limit_s if limit_s is None else limit_s
+        self.server.should_exit = True
+        deadline = asyncio.get_running_loop().time() + limit
+        while self.app.calls or not self.serving.done():
+            if asyncio.get_running_loop().time() >= deadline:
+                break
+            await asyncio.sleep(START_POLL_S)
+        cut_off = [
+            CutOff(call.exchange.route_name, call.exchange.phase.name.lower())
+            for call in self.app.calls
+            if call.exchange is not None
+        ]
+        await self.stop()
+        return cut_off
+
+    async def stop(self) -> None:
+        """Closes the listener and all connections at once."""
+        assert self.server is not None
+        assert self.serving is not None
+        self.server.should_exit = True
+        self.server.force_exit = True
+        for connection in list(self.server.server_state.connections):
+            if isinstance(connection, CallerProtocol):
+                connection.abort()
+        await self.serving
+        if self.forwarder.tasks:
+            await asyncio.wait(self.forwarder.tasks, timeout=1.0)
--- /dev/null
+++ b/packages/node/src/vanillamast_node/caller_protocol.py
@@ -0,0 +1,166 @@
+"""One connection of a caller."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
+from vanillamast_core.requests import Refusal, refuse
+
+from vanillamast_node.header_fields import REFUSAL_FIELD
+
+CONNECTION_KEY = "vanillamast.connection"
+_REASONS = {400: b"Bad Request", 431: b"Request Header Fields Too Large"}
+
+
+class CallerProtocol(HttpToolsProtocol):
+    """Adds limits and the fate of running requests to uvicorn's protocol.
+
+    Attributes:
+      header_limit: Largest header section in bytes.
+      header_timeout_s: Seconds that a header section may take.
+      on_lost: Called when the connection is lost during a request.
+      on_malformed: Called when the rest of its body is malformed; returns
+        whether the request can still be refused.
+      running: The request that is being answered.
+    """
+
+    header_limit = 16_384
+    header_timeout_s = 10.0
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self.on_lost: Callable[[], None] | None = None
+        self.on_malformed: Callable[[], None] | None = None
+        self.running: RequestResponseCycle | None = None
+        self.in_header = True
+        self.header_size = 0
+        self.header_timer: asyncio.TimerHandle | None = None
+        self.broken = False
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Starts the time for the first header section."""
+        super().connection_made(transport)
+        self._start_header_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the running request and drops pipelined ones."""
+        self._stop_header_timer()
+        self.pipeline.clear()
+        super().connection_lost(exc)
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes and applies the limits on the header section."""
+        if self.broken:
+            return
+        if self.in_header:
+            self.header_size += len(data)
+        super().data_received(data)
+        if not self.in_header or self.broken:
+            return
+        if self.header_size > self.header_limit:
+            self._refuse_connection(refuse("header_too_large"))
+        elif self.header_size and self.header_timer is None:
+            self._start_header_timer()
+
+    def on_message_begin(self) -> None:
+        """Begins a header section."""
+        super().on_message_begin()
+        self.in_header = True
+        self.scope[CONNECTION_KEY] = self  # type: ignore[literal-required]
+
+    def on_headers_complete(self) -> None:
+        """Hands the request over unless its header section is too large."""
+        if self.broken:
+            return
+        self.in_header = False
+        self.header_size = 0
+        self._stop_header_timer()
+        size = len(self.url)
+        for name, value in self.headers:
+            size += len(name) + len(value) + 4
+        if size > self.header_limit:
+            self._refuse_connection(refuse("header_too_large"))
+        elif self.parser.should_upgrade() and self._has_body():
+            # The parser takes the bytes after an upgrade request for another
+            # protocol, so its body would be lost.
+            self._refuse_connection(refuse("bad_request", "upgrade with body"))
+        else:
+            super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        if not self.broken:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends a request."""
+        self.in_header = True
+        if not self.broken:
+            super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses malformed bytes without touching a response under way."""
+        self._refuse_connection(refuse("bad_request", msg))
+
+    def abort(self) -> None:
+        """Resets the connection, so that the caller sees a failure."""
+        self.broken = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _has_body(self) -> bool:
+        names = {name for name, _ in self.headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self.running = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _refuse_connection(self, refusal: Refusal) -> None:
+        """Refuses what arrived, after the responses that come before it."""
+        self.broken = True
+        self._stop_header_timer()
+        running = self.running
+        if running is None or running.response_complete:
+            self._write_refusal(refusal)
+            return
+        # A response is under way on this connection; the refusal must not be
+        # mixed into it.
+        self.pipeline.clear()
+        running.keep_alive = False
+        if running.more_body and self.on_malformed is not None:
+            self.on_malformed()
+
+    def _write_refusal(self, refusal: Refusal) -> None:
+        body = refusal.body()
+        reason = _REASONS[refusal.status]
+        head = (
+            b"HTTP/1.1 %d %b\r\ncontent-type: application/json\r\n"
+            b"content-length: %d\r\nconnection: close\r\n%b: %b\r\n\r\n"
+        ) % (
+            refusal.status,
+            reason,
+            len(body),
+            REFUSAL_FIELD,
+            refusal.kind.encode(),
+        )
+        self.transport.write(head + body)
+        self.transport.close()
+
+    def _start_header_timer(self) -> None:
+        self.header_timer = self.loop.call_later(
+            self.header_timeout_s, self.timeout_keep_alive_handler
+        )
+
+    def _stop_header_timer(self) -> None:
+        if self.header_timer is not None:
+            self.header_timer.cancel()
+            self.header_timer = None
--- /dev/null
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -0,0 +1,482 @@
+"""One request on its way through the node."""
+
+import asyncio
+import collections
+import hashlib
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import multidict
+from vanillamast_core import VanillamastError
+from vanillamast_core.peers import ClaimKey, KeyAnswer, SettleKey
+from vanillamast_core.requests import (
+    Answer,
+    Attempt,
+    BodyCut,
+    BodyEnded,
+    BodyRejected,
+    BytesSent,
+    CallerGone,
+    Cancel,
+    Claim,
+    CloseConnection,
+    ConnectFailed,
+    Decision,
+    Disconnected,
+    Exchange,
+    ExchangeEffect,
+    ExchangeEvent,
+    HeadersReceived,
+    KeyAnswered,
+    NotRun,
+    Observed,
+    Refusal,
+    Refuse,
+    Settle,
+    TimedOut,
+    refuse,
+)
+
+from vanillamast_node import header_fields
+from vanillamast_node.caller_protocol import CONNECTION_KEY, CallerProtocol
+from vanillamast_node.forwarder import Forwarder
+from vanillamast_node.proxy_errors import (
+    BodyRejectedError,
+    CallerGoneError,
+    ResponseAbortedError,
+    UpstreamConnectError,
+    UpstreamLostError,
+)
+from vanillamast_node.request_body import Receive, RequestBody
+from vanillamast_node.request_header import RequestHeader, read_header
+
+_NO_LENGTH = frozenset({b"content-length"})
+_KEEP_ALL: frozenset[bytes] = frozenset()
+_BODILESS = frozenset({204, 304})
+_SHED_STATUS = 503
+
+
+class ForwardedCall:
+    """Carries out the effects of one `Exchange`.
+
+    The call runs in the task of the ASGI application. A timer or a lost
+    connection interrupts it by cancelling what the task waits for.
+
+    Attributes:
+      forwarder: What all requests share.
+      scope: ASGI scope.
+      connection: The caller's connection.
+      exchange: The request's state machine, None before it is routed.
+      body: The request body.
+      response: Response of the current attempt.
+      fields: Header fields for the caller.
+      inbox: Effects that are not carried out yet.
+    """
+
+    __slots__ = (
+        "body",
+        "claim_id",
+        "connection",
+        "exchange",
+        "fields",
+        "forwarder",
+        "header",
+        "inbox",
+        "interrupted",
+        "interruptible",
+        "loop",
+        "response",
+        "scope",
+        "task",
+        "timer",
+        "waiter",
+    )
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        scope: dict[str, Any],
+        receive: Receive,
+    ):
+        self.forwarder = forwarder
+        self.scope = scope
+        self.connection: CallerProtocol = scope[CONNECTION_KEY]
+        self.loop = asyncio.get_running_loop()
+        self.exchange: Exchange | None = None
+        self.header: RequestHeader
+        settings = forwarder.settings
+        self.body = RequestBody(
+            receive, settings.body_bytes, settings.replay_bytes
+        )
+        self.response: aiohttp.ClientResponse | None = None
+        self.fields: header_fields.RawFields | None = None
+        self.inbox: collections.deque[ExchangeEffect] = collections.deque()
+        self.task = asyncio.current_task(self.loop)
+        self.timer: asyncio.TimerHandle | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.interruptible = False
+        self.interrupted = False
+        self.claim_id = ""
+
+    # The request's course.
+
+    async def run(self) -> Refusal | None:
+        """Runs the request until there is something to answer.
+
+        Returns:
+          A refusal, or None if the response is in `response`.
+
+        Raises:
+          ResponseAbortedError: There is nobody to answer.
+        """
+        found = self._route()
+        if isinstance(found, Refusal):
+            self._log_refusal(found)
+            return found
+        self._begin(found)
+        while True:
+            effect = await self._next_effect()
+            if isinstance(effect, Attempt):
+                await self._attempt(effect)
+            elif isinstance(effect, Answer):
+                return None
+            elif isinstance(effect, Refuse):
+                self._log_refusal(effect.refusal)
+                return effect.refusal
+            elif isinstance(effect, Claim):
+                await self._claim(found)
+            elif isinstance(effect, Cancel):
+                self._drop_response()
+            elif isinstance(effect, CloseConnection):
+                raise ResponseAbortedError("the request was given up")
+
+    def _route(self) -> Exchange | Refusal:
+        scope = self.scope
+        self.header = header = read_header(scope)
+        if header.problem:
+            return refuse("bad_request", header.problem)
+        if scope["http_version"] != "1.1":
+            return refuse("version_not_supported")
+        if header.length and header.length > self.body.limit:
+            return refuse("body_too_large")
+        return self.forwarder.router.route(
+            scope["method"], scope["path"], header.inputs, self.loop.time()
+        )
+
+    def _begin(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        exchange.owner = self
+        self.connection.on_lost = self._caller_gone
+        self.connection.on_malformed = self._body_malformed
+        now = self.loop.time()
+        self._carry_out(self.forwarder.router.start(exchange, now))
+        self._arm(exchange.timer_at)
+
+    def finish(self) -> None:
+        """Frees everything that the request holds, however it ended."""
+        self.connection.on_lost = None
+        self.connection.on_malformed = None
+        if self.timer is not None:
+            self.timer.cancel()
+        exchange = self.exchange
+        if exchange is not None and not exchange.ended:
+            self._tell(CallerGone())
+        self._drop_response()
+
+    async def _next_effect(self) -> ExchangeEffect:
+        while not self.inbox:
+            self.waiter = self.loop.create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+        return self.inbox.popleft()
+
+    def _tell(self, event: ExchangeEvent) -> bool:
+        """Passes an event to the state machine.
+
+        Returns:
+          Whether that had an effect on this request.
+        """
+        assert self.exchange is not None
+        effects = self.forwarder.router.handle(
+            self.exchange, event, self.loop.time()
+        )
+        self._carry_out(effects)
+        return any(effect.exchange is self.exchange for effect in effects)
+
+    def _carry_out(self, effects: list[ExchangeEffect]) -> None:
+        for effect in effects:
+            call: ForwardedCall = effect.exchange.owner
+            if isinstance(effect, Observed):
+                self.forwarder.observe(effect.observation)
+            elif isinstance(effect, Settle):
+                call._settle(effect.status)
+            else:
+                call._deliver(effect)
+
+    def _deliver(self, effect: ExchangeEffect) -> None:
+        if isinstance(effect, Attempt):
+            self.forwarder.decided(effect.decision)
+        self.inbox.append(effect)
+        waiter = self.waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _log_refusal(self, refusal: Refusal) -> None:
+        exchange = self.exchange
+        name = exchange.route_name if exchange is not None else ""
+        service = exchange.pool.service if exchange is not None else ""
+        self.forwarder.decided(
+            Decision(name, service, "", "", "", 0, "", 0, refusal.kind)
+        )
+
+    # Interruptions.
+
+    def _arm(self, at: float) -> None:
+        self.timer = self.loop.call_at(at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        exchange = self.exchange
+        assert exchange is not None
+        if exchange.ended:
+            return
+        if self.loop.time() >= exchange.timer_at:
+            self._interrupt(TimedOut())
+        if not exchange.ended:
+            self._arm(exchange.timer_at)
+
+    def _caller_gone(self) -> None:
+        self._interrupt(CallerGone())
+
+    def _body_malformed(self) -> None:
+        self._interrupt(BodyRejected("bad_request"))
+
+    def _interrupt(self, event: ExchangeEvent) -> None:
+        exchange = self.exchange
+        if exchange is None or exchange.ended:
+            return
+        had_effect = self._tell(event)
+        if exchange.ended and not self.inbox:
+            self._deliver(CloseConnection(exchange))
+        if had_effect and self.interruptible and not self.interrupted:
+            self.interrupted = True
+            assert self.task is not None
+            self.task.cancel()
+
+    def absorb_interruption(self) -> bool:
+        """Returns whether a cancellation came from `_interrupt`."""
+        self.interruptible = False
+        if not self.interrupted:
+            return False
+        self.interrupted = False
+        assert self.task is not None
+        self.task.uncancel()
+        return True
+
+    # Attempts.
+
+    async def _attempt(self, attempt: Attempt) -> None:
+        number = attempt.number
+        self.interruptible = True
+        try:
+            response = await self._send(attempt)
+        except asyncio.CancelledError:
+            if not self.absorb_interruption():
+                raise
+        except UpstreamConnectError:
+            self._tell(ConnectFailed(number))
+        except (UpstreamLostError, CallerGoneError, BodyRejectedError) as error:
+            self._attempt_failed(number, error)
+        else:
+            self.response = response
+            await self._received(number, response)
+        finally:
+            self.interruptible = False
+
+    def _attempt_failed(self, number: int, error: VanillamastError) -> None:
+        if isinstance(error, CallerGoneError):
+            self._tell(CallerGone())
+            assert self.exchange is not None
+            self._deliver(CloseConnection(self.exchange))
+        elif isinstance(error, BodyRejectedError):
+            self._tell(BodyRejected("body_too_large"))
+        else:
+            self._tell(Disconnected(number))
+
+    async def _send(self, attempt: Attempt) -> aiohttp.ClientResponse:
+        exchange = attempt.exchange
+        body: bytes | AsyncIterator[bytes] | None = None
+        if self.header.length != 0:
+            await self.body.read_first()
+            body = self.body.whole()
+            if body is None:
+                body = self._chunks(exchange)
+        scope = self.scope
+        target = scope["raw_path"].decode("ascii")
+        if scope["query_string"]:
+            target += "?" + scope["query_string"].decode("ascii")
+        fields = self._upstream_fields(exchange)
+        return await self.forwarder.upstream.send(
+            exchange.method,
+            attempt.server.announcement.server_address,
+            target,
+            fields,
+            body,
+            self._connected,
+        )
+
+    def _connected(self) -> None:
+        assert self.exchange is not None
+        self._tell(BytesSent(self.exchange.attempts))
+
+    async def _chunks(self, exchange: Exchange) -> AsyncIterator[bytes]:
+        async for chunk in self.body.chunks():
+            exchange.replayable = self.body.replayable
+            yield chunk
+
+    def _upstream_fields(
+        self, exchange: Exchange
+    ) -> "multidict.CIMultiDict[str]":
+        fields: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+        for name, value in header_fields.request_fields(self.header.fields):
+            fields.add(name.decode("ascii"), value.decode("utf-8"))
+        remaining = exchange.deadline.remaining_ms(self.loop.time())
+        fields["vanillamast-deadline-ms"] = str(remaining)
+        attempt = exchange.inputs.attempt + exchange.attempts - 1
+        fields["vanillamast-attempt"] = str(attempt)
+        fields.add("via", f"1.1 {self.forwarder.settings.via}")
+        return fields
+
+    async def _received(
+        self, number: int, response: aiohttp.ClientResponse
+    ) -> None:
+        self._note_load(response)
+        status = response.status
+        not_run = response.headers.get(header_fields.NOT_RUN_FIELD)
+        if status == _SHED_STATUS and not_run == "1":
+            await self._finish_shed(response)
+            self._tell(NotRun(number, status))
+            return
+        self.fields = self._caller_fields(response)
+        self._tell(HeadersReceived(number, status))
+
+    def _note_load(self, response: aiohttp.ClientResponse) -> None:
+        load = response.headers.get(header_fields.LOAD_FIELD)
+        assert self.exchange is not None
+        server = self.exchange.server
+        if load is None or server is None:
+            return
+        try:
+            server.report_load(float(load), self.loop.time())
+        except ValueError:
+            return
+
+    async def _finish_shed(self, response: aiohttp.ClientResponse) -> None:
+        """Reads a short response, so that its connection can be reused."""
+        length = response.content_length
+        try:
+            if (
+                length is not None
+                and length <= self.forwarder.settings.error_body_bytes
+            ):
+                await response.read()
+        except aiohttp.ClientError:
+            pass
+        finally:
+            self._drop_response()
+
+    def _caller_fields(
+        self, response: aiohttp.ClientResponse
+    ) -> header_fields.RawFields:
+        dropped = _NO_LENGTH if response.status in _BODILESS else _KEEP_ALL
+        raw = [(name.lower(), value) for name, value in response.raw_headers]
+        fields = header_fields.end_to_end(raw, dropped)
+        fields.append((b"via", b"1.1 " + self.forwarder.settings.via.encode()))
+        return fields
+
+    def _drop_response(self) -> None:
+        """Closes the connection of an attempt that did not end cleanly."""
+        response = self.response
+        self.response = None
+        if response is not None:
+            response.close()
+
+    # The response.
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yields the response body as it arrives.
+
+        Raises:
+          ResponseAbortedError: The rest of the body is lost.
+        """
+        exchange = self.exchange
+        response = self.response
+        assert exchange is not None
+        assert response is not None
+        self.interruptible = True
+        number = exchange.attempts
+        try:
+            while chunk := await response.content.readany():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as error:
+            self._tell(BodyCut(number))
+            raise ResponseAbortedError(str(error)) from error
+        self.end_response()
+
+    def end_response(self) -> None:
+        """Ends the exchange after the whole response was passed on."""
+        exchange = self.exchange
+        response = self.response
+        assert exchange is not None
+        assert response is not None
+        self.interruptible = False
+        if self.header.length == 0 or self.body.complete:
+            self.response = None
+            response.release()
+        self._tell(BodyEnded(exchange.attempts))
+
+    # Idempotency keys.
+
+    async def _claim(self, exchange: Exchange) -> None:
+        self.claim_id = uuid.uuid4().hex
+        method_and_path = f"{exchange.method} {self.scope['path']}"
+        claim = ClaimKey(
+            exchange.pool.service,
+            exchange.inputs.key,
+            self.claim_id,
+            hashlib.blake2b(method_and_path.encode(), digest_size=8).digest(),
+        )
+        answer: KeyAnswer | None = None
+        self.interruptible = True
+        try:
+            answer = await self.forwarder.claim(claim)
+        except asyncio.CancelledError:
+            if not self.absorb_interruption():
+                raise
+            return
+        except (VanillamastError, OSError):
+            answer = None
+        finally:
+            self.interruptible = False
+        self._tell(KeyAnswered(answer))
+
+    def _settle(self, status: int) -> None:
+        exchange = self.exchange
+        assert exchange is not None
+        settle = SettleKey(
+            exchange.pool.service, exchange.inputs.key, self.claim_id, status
+        )
+        task = self.loop.create_task(self._send_settlement(settle))
+        self.forwarder.tasks.add(task)
+        task.add_done_callback(self.forwarder.tasks.discard)
+
+    async def _send_settlement(self, settle: SettleKey) -> None:
+        try:
+            await self.forwarder.settle(settle)
+        except (VanillamastError, OSError):
+            # The home node keeps the key as running until it expires, which
+            # refuses further attempts.
+            return
--- /dev/null
+++ b/packages/node/src/vanillamast_node/header_fields.py
@@ -0,0 +1,63 @@
+"""Header fields that a node removes, adds and checks."""
+
+from collections.abc import Iterable
+
+RawFields = list[tuple[bytes, bytes]]
+
+# Fields that are valid for one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+DEADLINE_FIELD = b"vanillamast-deadline-ms"
+ATTEMPT_FIELD = b"vanillamast-attempt"
+NOT_RUN_FIELD = "vanillamast-not-run"
+LOAD_FIELD = "vanillamast-load"
+REFUSAL_FIELD = b"vanillamast-refusal"
+KEY_FIELD = b"idempotency-key"
+# Fields of a request that the node replaces by its own.
+_REPLACED = frozenset({DEADLINE_FIELD, ATTEMPT_FIELD, b"expect"})
+
+
+def end_to_end(
+    fields: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> RawFields:
+    """Returns the fields that are not for one connection only.
+
+    Args:
+      fields: Fields of a message, names in lower case.
+      dropped: Further names to leave out.
+    """
+    named: set[bytes] | None = None
+    kept = []
+    for field in fields:
+        name = field[0]
+        if name in HOP_BY_HOP:
+            if name == b"connection":
+                named = named or set()
+                named.update(_tokens(field[1]))
+        elif name not in dropped:
+            kept.append(field)
+    if named:
+        # Content-Length frames the message; a peer cannot have it removed.
+        named.discard(b"content-length")
+        kept = [field for field in kept if field[0] not in named]
+    return kept
+
+
+def request_fields(fields: RawFields) -> RawFields:
+    """Returns the fields of a request to pass on."""
+    return end_to_end(fields, _REPLACED)
+
+
+def _tokens(value: bytes) -> list[bytes]:
+    return [token.strip().lower() for token in value.split(b",")]
--- /dev/null
+++ b/tests/node/proxy/proxied_mesh.py
@@ -0,0 +1,244 @@
+"""A caller listener in front of scripted backend servers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Sequence
+
+from scripted_backend import ScriptedBackend
+
+from vanillamast_core import Announcement, ServerState
+from vanillamast_core.configuration import CallerClass, Route, Service
+from vanillamast_core.peers import ClaimKey, KeyAnswer, KeyState, SettleKey
+from vanillamast_core.requests import (
+    Decision,
+    Observation,
+    RequestRouter,
+    RequestSettings,
+)
+from vanillamast_node import (
+    CallerListener,
+    Forwarder,
+    ForwardingSettings,
+    UpstreamPool,
+)
+
+WARM_SINCE_MS = 1000
+HANG_S = 20.0  # Only a hang lasts this long.
+ROUTES = {
+    "all": Route("/", "pages", methods=("GET", "HEAD", "PUT")),
+    "posts": Route("/", "pages", methods=("POST",)),
+    "once": Route("/once", "pages", methods=("PUT",), idempotent=False),
+    "brief": Route(
+        "/brief", "pages", methods=("GET", "POST"), timeout_ms=200
+    ),
+    "background": Route("/background", "pages", caller_class="background"),
+}
+CLASSES = {"background": CallerClass(priority=5, max_share=0.5)}
+
+
+class SequenceSplit:
+    """Stands in for the version split: new for the first share of 100."""
+
+    def __init__(self, share: float, rng: random.Random):
+        self.share = share
+        self.total = rng.random()
+
+    def choose(self) -> bool:
+        """Returns whether the next request goes to the new version."""
+        self.total += self.share
+        chosen = self.total >= 1.0
+        self.total -= chosen
+        return chosen
+
+
+def announce(
+    backend: ScriptedBackend | str, instance: str, **changes: object
+) -> Announcement:
+    """Returns a warm backend server's announcement."""
+    address = backend if isinstance(backend, str) else backend.address
+    announcement = Announcement(
+        instance,
+        1,
+        "uy-sur",
+        "a",
+        "",
+        service="pages",
+        version="v1",
+        server_address=address,
+        state=ServerState.SERVING,
+        serving_since_ms=WARM_SINCE_MS,
+    )
+    return msgspec_replace(announcement, changes)
+
+
+def msgspec_replace(
+    announcement: Announcement, changes: dict[str, object]
+) -> Announcement:
+    """Returns a changed announcement."""
+    import msgspec
+
+    return msgspec.structs.replace(announcement, **changes)
+
+
+@dataclasses.dataclass
+class Response:
+    """A response as the caller read it."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+    def field(self, name: str) -> str | None:
+        """Value of a header field, None if it is absent."""
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.strip().lower() == name.encode():
+                return value.strip().decode()
+        return None
+
+
+class Caller:
+    """A raw connection to the listener."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Sends raw bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def response(self, bodiless: bool = False) -> Response:
+        """Reads one response.
+
+        Raises:
+          asyncio.IncompleteReadError: The response is cut short.
+          ConnectionError: The connection was reset.
+        """
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        response = Response(int(head.split(b" ")[1]), head, b"")
+        if bodiless or response.status in (204, 304) or response.status < 200:
+            return response
+        length = response.field("content-length")
+        if length is not None:
+            response.body = await self.reader.readexactly(int(length))
+            return response
+        while True:
+            size = int(await self.reader.readuntil(b"\r\n"), 16)
+            chunk = await self.reader.readexactly(size + 2)
+            response.body += chunk[:-2]
+            if size == 0:
+                return response
+
+    async def call(
+        self, method: str, target: str, fields: str = "", body: bytes = b""
+    ) -> Response:
+        """Sends a request and reads its response."""
+        if body or method in ("POST", "PUT"):
+            fields += f"Content-Length: {len(body)}\r\n"
+        head = f"{method} {target} HTTP/1.1\r\nHost: x\r\n{fields}\r\n"
+        await self.send(head.encode() + body)
+        return await self.response(method == "HEAD")
+
+    def close(self) -> None:
+        """Resets the connection."""
+        self.writer.transport.abort()
+
+
+@dataclasses.dataclass
+class ProxiedMesh:
+    """The listener under test with everything that it reported."""
+
+    router: RequestRouter
+    listener: CallerListener
+    observations: list[Observation] = dataclasses.field(default_factory=list)
+    decisions: list[Decision] = dataclasses.field(default_factory=list)
+    claims: list[ClaimKey] = dataclasses.field(default_factory=list)
+    settled: list[SettleKey] = dataclasses.field(default_factory=list)
+    key_answer: KeyAnswer | None = KeyAnswer(KeyState.GRANTED)
+    callers: list[Caller] = dataclasses.field(default_factory=list)
+
+    async def caller(self) -> Caller:
+        """Connects a caller."""
+        host, _, port = self.listener.address.rpartition(":")
+        caller = Caller(*await asyncio.open_connection(host, int(port)))
+        self.callers.append(caller)
+        return caller
+
+    async def claim(self, claim: ClaimKey) -> KeyAnswer:
+        """Stands in for the home node."""
+        self.claims.append(claim)
+        if self.key_answer is None:
+            raise ConnectionError("the home node does not answer")
+        return self.key_answer
+
+    async def settle(self, settle: SettleKey) -> None:
+        """Stands in for the home node."""
+        self.settled.append(settle)
+
+    def set_servers(self, announcements: Sequence[Announcement]) -> None:
+        """Pushes the usable backend servers."""
+        now = asyncio.get_running_loop().time()
+        self.router.set_servers(
+            "pages", list(announcements), False, now, WARM_SINCE_MS + 1e6
+        )
+
+
+async def eventually(condition: "object") -> None:
+    """Waits until a condition holds; fails only on a hang."""
+    async with asyncio.timeout(HANG_S):
+        while not condition():  # type: ignore[operator]
+            await asyncio.sleep(0.002)
+
+
+@contextlib.asynccontextmanager
+async def proxied(
+    *backends: ScriptedBackend | Announcement,
+    settings: ForwardingSettings | None = None,
+    requests: RequestSettings | None = None,
+) -> AsyncIterator[ProxiedMesh]:
+    """Runs a listener in front of backend servers.
+
+    Args:
+      *backends: Backend servers, named "i0", "i1" and so on, or ready
+        announcements.
+      settings: Settings of the HTTP path.
+      requests: Settings of the decisions.
+    """
+    settings = settings or ForwardingSettings()
+    router = RequestRouter(
+        requests or RequestSettings(), "a", random.Random(7), SequenceSplit
+    )
+    router.set_routes(ROUTES, CLASSES, {"pages": Service("v1")})
+    async with asyncio.timeout(HANG_S), UpstreamPool(settings) as upstream:
+        mesh: ProxiedMesh
+        forwarder = Forwarder(
+            settings,
+            router,
+            upstream,
+            lambda observation: mesh.observations.append(observation),
+            lambda decision: mesh.decisions.append(decision),
+            lambda claim: mesh.claim(claim),
+            lambda settle: mesh.settle(settle),
+        )
+        mesh = ProxiedMesh(router, CallerListener(forwarder, "127.0.0.1:0"))
+        mesh.set_servers(
+            [
+                backend
+                if isinstance(backend, Announcement)
+                else announce(backend, f"i{index}")
+                for index, backend in enumerate(backends)
+            ]
+        )
+        await mesh.listener.start()
+        try:
+            yield mesh
+        finally:
+            for caller in mesh.callers:
+                caller.close()
+            await mesh.listener.stop()
--- /dev/null
+++ b/tests/node/proxy/scripted_backend.py
@@ -0,0 +1,154 @@
+"""A raw-socket backend server that misbehaves on demand."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+
+@dataclasses.dataclass
+class Received:
+    """One request as the backend server saw it."""
+
+    head: bytes
+    body: bytes
+    connection: int
+
+    @property
+    def target(self) -> str:
+        """Target of the request line."""
+        return self.head.split(b" ", 2)[1].decode()
+
+    def field(self, name: str) -> str:
+        """Value of a header field, "" if it is absent."""
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.strip().lower() == name.encode():
+                return value.strip().decode()
+        return ""
+
+
+class Exchange:
+    """One request on a connection, for a script to answer."""
+
+    def __init__(
+        self,
+        backend: "ScriptedBackend",
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: int,
+    ):
+        self.backend = backend
+        self.reader = reader
+        self.writer = writer
+        self.connection = connection
+        self.head = b""
+
+    async def read_body(self) -> bytes:
+        """Reads the body and counts the request as run."""
+        length = Received(self.head, b"", 0).field("content-length")
+        body = b""
+        if length:
+            body = await self.reader.readexactly(int(length))
+        elif b"chunked" in self.head.lower():
+            body = await self._read_chunked()
+        self.backend.ran.append(Received(self.head, body, self.connection))
+        return body
+
+    async def _read_chunked(self) -> bytes:
+        body = b""
+        while True:
+            size = int(await self.reader.readline(), 16)
+            body += (await self.reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                return body
+
+    async def answer(
+        self, body: bytes = b"ok", status: int = 200, extra: str = ""
+    ) -> None:
+        """Sends a complete response."""
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+        await self.send(f"{head}{extra}\r\n".encode() + body)
+
+    async def send(self, data: bytes) -> None:
+        """Sends raw bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def close(self, reset: bool = False) -> None:
+        """Closes the connection, with a reset if asked."""
+        if reset:
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
+    async def closed_by_peer(self) -> bytes:
+        """Reads until the node closes the connection."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b""
+
+
+Script = Callable[[Exchange], Awaitable[None]]
+
+
+async def answer_ok(exchange: Exchange) -> None:
+    """Runs the request and answers it."""
+    await exchange.read_body()
+    await exchange.answer()
+
+
+class ScriptedBackend:
+    """Runs one script for each request head that arrives.
+
+    Attributes:
+      script: Answers requests.
+      heads: Request heads that arrived.
+      ran: Requests whose whole body arrived.
+      connections: Connections accepted.
+    """
+
+    def __init__(self, script: Script = answer_ok):
+        self.script = script
+        self.heads: list[bytes] = []
+        self.ran: list[Received] = []
+        self.connections = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.address = ""
+        self.server: asyncio.Server
+
+    async def __aenter__(self) -> "ScriptedBackend":
+        self.server = await asyncio.start_server(
+            self._connected, "127.0.0.1", 0
+        )
+        name = self.server.sockets[0].getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.connections += 1
+        number = self.connections
+        try:
+            while not writer.is_closing():
+                exchange = Exchange(self, reader, writer, number)
+                exchange.head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(exchange.head)
+                await self.script(exchange)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.close()
