--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 # Needs grpcio-tools, which is not among the pinned requirements because the
 # generated code is committed.
 generate:
-	PATH="$(abspath $(VENV))/bin:$$PATH" $(PY) -m grpc_tools.protoc -I packages/node/src --python_out=packages/node/src \
+	PATH="$(abspath $(VENV))/bin:$$PATH" $(PY) -m grpc_tools.protoc -I packages/node/src --python_out=packages/node/src --pyi_out=packages/node/src \
 	  --grpclib_python_out=packages/node/src \
 	  packages/node/src/vanillamast_node/peers.proto
 
--- /dev/null
+++ b/packages/core/src/vanillamast_core/checked_yaml.py
@@ -0,0 +1,117 @@
+"""Checked reading of YAML into typed models."""
+
+import re
+import typing
+from typing import Any, TypeVar
+
+import msgspec
+import yaml
+
+from vanillamast_core.errors import VanillamastError
+
+T = TypeVar("T")
+
+PATH_PATTERN = re.compile(r" - at `(?:key in )?\$(?P<path>[^`]*)`$")
+UNKNOWN_PATTERN = re.compile(r"unknown field `(?P<name>[^`]*)`")
+MISSING_PATTERN = re.compile(r"missing required field `(?P<name>[^`]*)`")
+MAX_VALUE_LENGTH = 60
+
+Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class CheckedYamlError(VanillamastError):
+    """A text that is not YAML, or not of the wanted form.
+
+    Attributes:
+      key: Dotted path of the key, "" for the whole text.
+      value: What stands there, shortened.
+      allowed: What may stand there.
+    """
+
+    def __init__(self, key: str, value: str, allowed: str):
+        place = f"{key}: " if key else ""
+        super().__init__(f"{place}{value}; allowed: {allowed}")
+        self.key = key
+        self.value = value
+        self.allowed = allowed
+
+
+def parse_checked(text: str, model: type[T]) -> T:
+    """Reads a YAML text into a msgspec model.
+
+    Args:
+      text: The text.
+      model: Type of the result; unknown keys are refused if the type forbids
+        them.
+
+    Raises:
+      CheckedYamlError: The text is not YAML or does not fit the model.
+    """
+    try:
+        raw = yaml.load(text, Loader=Loader)
+    except yaml.YAMLError as error:
+        message = " ".join(str(error).split())
+        raise CheckedYamlError("", message, "YAML") from error
+    try:
+        return msgspec.convert(raw, model)
+    except msgspec.ValidationError as error:
+        raise describe(str(error), raw, model) from error
+
+
+def describe(message: str, raw: Any, model: type) -> CheckedYamlError:
+    """Turns msgspec's message into key, value and what is allowed."""
+    match = PATH_PATTERN.search(message)
+    path = split_path(match["path"]) if match else []
+    reason = PATH_PATTERN.sub("", message)
+    if unknown := UNKNOWN_PATTERN.search(reason):
+        key = ".".join([*path, unknown["name"]])
+        return CheckedYamlError(key, "unknown key", field_names(model, path))
+    if missing := MISSING_PATTERN.search(reason):
+        key = ".".join([*path, missing["name"]])
+        return CheckedYamlError(key, "missing", "a value is required")
+    value = shorten(repr(value_at(raw, path)))
+    return CheckedYamlError(".".join(path), value, allowed_text(reason))
+
+
+def split_path(path: str) -> list[str]:
+    """Splits msgspec's path, such as ".listen.callers" or ".seeds[0]"."""
+    return [part for part in re.split(r"[.\[\]]+", path) if part]
+
+
+def value_at(raw: Any, path: list[str]) -> Any:
+    """Returns what stands at a path, or the innermost value found."""
+    for part in path:
+        if isinstance(raw, dict) and part in raw:
+            raw = raw[part]
+        elif isinstance(raw, list) and part.isdigit():
+            raw = raw[int(part)]
+    return raw
+
+
+def field_names(model: Any, path: list[str]) -> str:
+    """Returns the field names of the struct at a path, comma separated."""
+    for part in path:
+        model = child_type(model, part)
+    fields = getattr(model, "__struct_fields__", ())
+    return ", ".join(fields) or "no such key"
+
+
+def child_type(model: Any, part: str) -> Any:
+    """Returns the type of a field, or of an item of a dict or list."""
+    if hasattr(model, "__struct_fields__"):
+        return typing.get_type_hints(model).get(part)
+    arguments = typing.get_args(model)
+    return arguments[-1] if arguments else None
+
+
+def allowed_text(reason: str) -> str:
+    """Returns what msgspec expected, in lower case and without "got"."""
+    expected = reason.removeprefix("Expected ").split(", got ")[0]
+    return expected.replace("`", "")
+
+
+def shorten(text: str) -> str:
+    """Cuts a long value."""
+    if len(text) <= MAX_VALUE_LENGTH:
+        return text
+    return text[: MAX_VALUE_LENGTH - 3] + "..."
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/data_plane.py
@@ -0,0 +1,179 @@
+"""What the request path of a node is told."""
+
+from collections.abc import Callable
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.configuration import (
+    AddServices,
+    RemoveServices,
+    RoutingTable,
+    SwitchRoutes,
+    TableStep,
+)
+from vanillamast_core.control.effects import (
+    ClearSplit,
+    DropService,
+    RequestEffect,
+    SetRoutes,
+    SetServers,
+    SetSplit,
+)
+from vanillamast_core.journal import MeshState
+from vanillamast_core.moves import Move
+from vanillamast_core.peers import Directory
+from vanillamast_core.server_state import ServerState
+
+IsAlarmed = Callable[[int], bool]
+
+
+class DataPlane:
+    """Derives the request path's state from the folded state.
+
+    Only differences to what was told before are returned, in an order in
+    which no route ever names a service that the request path does not have.
+
+    Attributes:
+      table: The applied routes and services.
+      directory: All known instances.
+      servers: Backend servers that were told, by service.
+      splits: Splits that were told, by service.
+    """
+
+    def __init__(self, table: RoutingTable, directory: Directory):
+        self.table = table
+        self.directory = directory
+        self.servers: dict[str, SetServers] = {}
+        self.splits: dict[str, SetSplit] = {}
+
+    def refresh(
+        self, state: MeshState, alarmed: IsAlarmed, now: float
+    ) -> list[RequestEffect]:
+        """Returns what changed for the request path.
+
+        Args:
+          state: The folded state.
+          alarmed: Whether a move, by `Move.started_at`, was taken back by an
+            alarm that the log may not hold yet.
+          now: Monotonic time in seconds.
+        """
+        steps = self.table.update(
+            state.version, state.configuration, now, self.has_usable
+        )
+        effects: list[RequestEffect] = []
+        moves = active_moves(state)
+        for step in steps:
+            effects += self._carry_out(step, moves)
+        for service in self.table.services:
+            effects += self._servers(service, moves)
+            effects += self._split(service, state, moves, alarmed)
+        return effects
+
+    def has_usable(self, service: str) -> bool:
+        """Returns whether a usable backend server of a service is known."""
+        return bool(self.directory.usable(service))
+
+    def _carry_out(
+        self, step: TableStep, moves: dict[str, Move]
+    ) -> list[RequestEffect]:
+        if isinstance(step, AddServices):
+            return [
+                effect
+                for service in step.services
+                for effect in self._servers(service, moves)
+            ]
+        if isinstance(step, SwitchRoutes):
+            return [
+                SetRoutes(
+                    step.version,
+                    dict(step.routes),
+                    dict(self.table.classes),
+                    dict(self.table.services),
+                    step.unready,
+                )
+            ]
+        assert isinstance(step, RemoveServices)
+        for service in step.services:
+            self.servers.pop(service, None)
+            self.splits.pop(service, None)
+        return [DropService(service) for service in step.services]
+
+    def _servers(
+        self, service: str, moves: dict[str, Move]
+    ) -> list[RequestEffect]:
+        effect = self._choose_servers(service, moves.get(service))
+        if self.servers.get(service) == effect:
+            return []
+        self.servers[service] = effect
+        return [effect]
+
+    def _choose_servers(self, service: str, move: Move | None) -> SetServers:
+        """Returns the usable backend servers of a service.
+
+        For a version without any usable one, those that were known last are
+        used: a wrong suspicion must not leave callers without a server.
+        """
+        usable = self.directory.usable(service)
+        present = {announcement.version for announcement in usable}
+        wanted = {self.table.services[service].version}
+        if move is not None:
+            wanted |= {move.spec.old, move.spec.new}
+        missing = wanted - present
+        spare = [
+            announcement
+            for announcement in self.directory.known(service)
+            if announcement.version in missing
+            and may_serve(announcement)
+            and announcement.instance not in self.directory.drained
+        ]
+        return SetServers(service, (*usable, *spare), bool(spare))
+
+    def _split(
+        self,
+        service: str,
+        state: MeshState,
+        moves: dict[str, Move],
+        alarmed: IsAlarmed,
+    ) -> list[RequestEffect]:
+        wanted = self._wanted_split(service, state, moves, alarmed)
+        if wanted == self.splits.get(service):
+            return []
+        if wanted is None:
+            del self.splits[service]
+            return [ClearSplit(service)]
+        self.splits[service] = wanted
+        return [wanted]
+
+    def _wanted_split(
+        self,
+        service: str,
+        state: MeshState,
+        moves: dict[str, Move],
+        alarmed: IsAlarmed,
+    ) -> SetSplit | None:
+        move = moves.get(service)
+        if move is not None:
+            share = 0.0 if alarmed(move.started_at) else move.share
+            return SetSplit(service, move.spec.old, move.spec.new, share)
+        applied = self.table.services[service].version
+        folded = state.configuration.services.get(service)
+        if folded is None or folded.version == applied:
+            return None
+        # The folded version is not applied yet, because the node waits for
+        # endpoints of other services; a settled move must not go back.
+        return SetSplit(service, applied, folded.version, 1.0)
+
+
+def active_moves(state: MeshState) -> dict[str, Move]:
+    """Returns the moves that are not over, by service."""
+    return {
+        move.spec.service: move
+        for move in state.moves.values()
+        if not move.state.final
+    }
+
+
+def may_serve(announcement: Announcement) -> bool:
+    """Returns whether an instance said last that it serves."""
+    return (
+        announcement.state is ServerState.SERVING and not announcement.leaving
+    )
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/effects.py
@@ -0,0 +1,121 @@
+"""What the control side of a node wants done."""
+
+import dataclasses
+from typing import Any
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.configuration import CallerClass, Route, Service
+from vanillamast_core.journal import Outcome, Record
+from vanillamast_core.peers import CloseLink, Dial, ReadLog, Send
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Append:
+    """Appends a record to the platform's log, again while in doubt.
+
+    Attributes:
+      record: The record.
+      patience_s: Time after which the record is given up.
+    """
+
+    record: Record
+    patience_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SetRoutes:
+    """Switches all routes of the request path at once.
+
+    Attributes:
+      version: Configuration version that is in effect from now on.
+      routes: Routes by name.
+      classes: Caller classes by name.
+      services: Services by name.
+      unready: Services without a usable backend server.
+    """
+
+    version: int
+    routes: dict[str, Route]
+    classes: dict[str, CallerClass]
+    services: dict[str, Service]
+    unready: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SetServers:
+    """Replaces the backend servers of a service.
+
+    Attributes:
+      service: Name of the service.
+      servers: Backend servers that may be used.
+      panic: Whether all usable ones are gone and these are the last that
+        were known.
+    """
+
+    service: str
+    servers: tuple[Announcement, ...]
+    panic: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DropService:
+    """Removes a service that no route names any more."""
+
+    service: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SetSplit:
+    """Sets how a service's traffic is split between two versions.
+
+    Attributes:
+      service: Name of the service.
+      old: Version that gets the rest.
+      new: Version that gets the share.
+      share: Share of the new version, from 0 to 1.
+    """
+
+    service: str
+    old: str
+    new: str
+    share: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClearSplit:
+    """Ends the split of a service."""
+
+    service: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutcomeFolded:
+    """A record's outcome is known."""
+
+    outcome: Outcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Notice:
+    """Something that operators may want to follow; also a log line.
+
+    Attributes:
+      kind: What happened, a name with dots such as "move.step".
+      fields: Details, JSON values only.
+    """
+
+    kind: str
+    fields: dict[str, Any]
+
+
+RequestEffect = SetRoutes | SetServers | DropService | SetSplit | ClearSplit
+Effect = (
+    Append
+    | CloseLink
+    | Dial
+    | Notice
+    | OutcomeFolded
+    | ReadLog
+    | RequestEffect
+    | Send
+)
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/events.py
@@ -0,0 +1,101 @@
+"""What happens to the control side of a node."""
+
+import dataclasses
+
+from vanillamast_core.control.server_report import ServerReport
+from vanillamast_core.journal import LogEntry, Record
+from vanillamast_core.peers import Message
+from vanillamast_core.requests import Observation
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """Base of the events that `NodeCore.handle` takes."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Tick(Event):
+    """Time has passed; sent every `TICK_S`."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkUp(Event):
+    """A link to a peer is open.
+
+    Attributes:
+      link: Number of the link, given by the transport.
+      dialed: Address that this node dialed, None if the peer dialed.
+    """
+
+    link: int
+    dialed: str | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkDown(Event):
+    """A link is closed, by either side or by a failure."""
+
+    link: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DialFailed(Event):
+    """A link could not be opened.
+
+    Attributes:
+      address: Address that was dialed.
+      refused: Whether the peer's machine refused the connection, which says
+        that no process listens there.
+    """
+
+    address: str
+    refused: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MessageReceived(Event):
+    """A peer sent a message."""
+
+    link: int
+    message: Message
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EntriesRead(Event):
+    """The platform's log answered a read.
+
+    Attributes:
+      first: Lowest offset that the log still holds.
+      entries: Entries in the order of their offsets.
+      more: Whether the log holds entries after these.
+    """
+
+    first: int
+    entries: tuple[LogEntry, ...]
+    more: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerReported(Event):
+    """The backend server beside this node claimed or renewed its lease."""
+
+    report: ServerReport
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RecordSubmitted(Event):
+    """An operator wants a record appended."""
+
+    record: Record
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptEnded(Event):
+    """A request to a backend server ended."""
+
+    observation: Observation
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopRequested(Event):
+    """The node was asked to stop; it tells its peers that it leaves."""
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/lease_group.py
@@ -0,0 +1,58 @@
+"""The leases that a node may claim."""
+
+from collections.abc import Mapping
+
+from vanillamast_core.journal import (
+    ClaimLease,
+    Lease,
+    LeaseKeeper,
+    LeaseSettings,
+)
+
+
+class LeaseGroup:
+    """Keepers by name of the lease.
+
+    Attributes:
+      holder: Name of this process as a holder.
+      settings: Times of leases.
+      keepers: Keepers of the leases that this process asked for.
+    """
+
+    def __init__(self, holder: str, settings: LeaseSettings):
+        self.holder = holder
+        self.settings = settings
+        self.keepers: dict[str, LeaseKeeper] = {}
+
+    def observe(self, leases: Mapping[str, Lease], now: float) -> None:
+        """Takes note of the leases in the folded state."""
+        for name, lease in leases.items():
+            self.keeper(name).observe(lease, now)
+
+    def claim(self, name: str, now: float, rank: int) -> ClaimLease | None:
+        """Returns a claim to append now, if one is due.
+
+        Args:
+          name: Name of the lease.
+          now: Monotonic time in seconds.
+          rank: Number of live instances that should claim before this one.
+        """
+        keeper = self.keeper(name)
+        claim = keeper.decide(now, rank)
+        if claim is not None:
+            # Earlier than the first byte is sent, which shortens the time in
+            # which the lease is used.
+            keeper.sent(now)
+        return claim
+
+    def token(self, name: str, now: float) -> int | None:
+        """Returns the fencing token while this process may act, else None."""
+        return self.keeper(name).held(now)
+
+    def keeper(self, name: str) -> LeaseKeeper:
+        """Returns the keeper of a lease."""
+        keeper = self.keepers.get(name)
+        if keeper is None:
+            keeper = LeaseKeeper(name, self.holder, self.settings)
+            self.keepers[name] = keeper
+        return keeper
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/move_control.py
@@ -0,0 +1,189 @@
+"""A node's part in the moves: evidence, alarms and driving."""
+
+import random
+import uuid
+from collections.abc import Iterable, Mapping
+
+from vanillamast_core.control.core_settings import CoreSettings
+from vanillamast_core.journal import Record, TakeBack, shard_of
+from vanillamast_core.moves import (
+    DeadlineUnreachable,
+    Driver,
+    EvidenceCell,
+    EvidenceWindow,
+    Judge,
+    Move,
+    Observation,
+    Side,
+    local_alarms,
+)
+from vanillamast_core.peers import Directory
+from vanillamast_core.requests import AttemptOutcome
+from vanillamast_core.requests import Observation as Attempt
+
+# Alarms are appended again after this time by the driver, in case the append
+# of the node that raised the alarm was lost.
+ALARM_REPEAT_S = 6.0
+
+
+class MoveControl:
+    """Collects evidence, raises alarms and drives moves under a lease.
+
+    Attributes:
+      settings: Settings of the control side.
+      rng: Source of the records' ids.
+      window: Outcomes of this node's requests.
+      judge: Evidence that was sent to this node.
+      drivers: Drivers by shard of the services.
+      recorded_at: When a take-back was appended last, by `Move.started_at`.
+    """
+
+    def __init__(self, settings: CoreSettings, rng: random.Random):
+        self.settings = settings
+        self.rng = rng
+        self.window = EvidenceWindow(settings.evidence, settings.failure_domain)
+        self.judge = Judge(settings.judge)
+        self.drivers: dict[int, Driver] = {}
+        self.recorded_at: dict[int, float] = {}
+
+    def observe(
+        self, attempt: Attempt, moves: Iterable[Move], wall: float
+    ) -> None:
+        """Counts an attempt if its service has an active move."""
+        if attempt.outcome is AttemptOutcome.CANCELLED:
+            return
+        for move in moves:
+            side = side_of(move, attempt)
+            if side is not None:
+                self.window.record(to_observation(move, side, attempt), wall)
+
+    def drain(self, wall: float) -> tuple[EvidenceCell, ...]:
+        """Returns this node's evidence since the last call."""
+        return self.window.drain(wall)
+
+    def add(self, cells: Iterable[EvidenceCell]) -> None:
+        """Takes pooled evidence."""
+        self.judge.add(cells)
+
+    def alarms(
+        self,
+        moves: Iterable[Move],
+        raised: Mapping[int, str],
+        directory: Directory,
+        wall: float,
+    ) -> list[tuple[int, str]]:
+        """Returns new alarms: `Move.started_at` and the reason of each."""
+        candidates = [m for m in moves if m.started_at not in raised]
+        return local_alarms(
+            self.judge,
+            candidates,
+            wall,
+            frozenset(directory.dead),
+            instance_counts(candidates, directory),
+        )
+
+    def drive(
+        self,
+        shard: int,
+        moves: list[Move],
+        token: int,
+        directory: Directory,
+        wall: float,
+        now: float,
+        offset: int,
+    ) -> list[Record]:
+        """Returns what the holder of a driver lease appends."""
+        driver = self.drivers.get(shard)
+        if driver is None:
+            driver = Driver(self.settings.driver, self.rng)
+            self.drivers[shard] = driver
+        return driver.decide(
+            moves,
+            self.judge,
+            token,
+            wall,
+            now,
+            offset,
+            frozenset(directory.dead),
+            instance_counts(moves, directory),
+        )
+
+    def take_back(
+        self, started_at: int, reason: str, offset: int, now: float
+    ) -> TakeBack | None:
+        """Returns the record of an alarm, unless it was appended lately."""
+        last = self.recorded_at.get(started_at)
+        if last is not None and now - last < ALARM_REPEAT_S:
+            return None
+        self.recorded_at[started_at] = now
+        record_id = str(uuid.UUID(int=self.rng.getrandbits(128), version=4))
+        return TakeBack(
+            id=record_id,
+            based_on=offset,
+            started_at=started_at,
+            reason=reason,
+        )
+
+    def unreachable(self) -> list[DeadlineUnreachable]:
+        """Returns and clears the deadlines that cannot be met."""
+        found: list[DeadlineUnreachable] = []
+        for driver in self.drivers.values():
+            found += driver.take_unreachable()
+        return found
+
+    def forget(self, active: set[int]) -> None:
+        """Drops what is kept about moves that are over."""
+        for started_at in self.recorded_at.keys() - active:
+            del self.recorded_at[started_at]
+        for started_at in self.judge.moves.keys() - active:
+            self.judge.forget(started_at)
+
+
+def side_of(move: Move, attempt: Attempt) -> Side | None:
+    """Returns the side of a move that an attempt belongs to."""
+    if attempt.service != move.spec.service:
+        return None
+    if attempt.version == move.spec.new:
+        return Side.NEW
+    return Side.OLD if attempt.version == move.spec.old else None
+
+
+def to_observation(move: Move, side: Side, attempt: Attempt) -> Observation:
+    """Returns the evidence that an attempt gives.
+
+    A server that sheds everything is bad although nothing failed, so shed
+    attempts count as failures; under overload both versions shed.
+    """
+    shed = attempt.outcome is AttemptOutcome.SHED
+    return Observation(
+        move=move.started_at,
+        route=attempt.route,
+        side=side,
+        instance=attempt.instance,
+        server_domain=attempt.failure_domain,
+        connected=attempt.connected,
+        failed=attempt.failed or shed,
+        latency_s=attempt.latency_s,
+        cold=attempt.cold,
+    )
+
+
+def instance_counts(
+    moves: Iterable[Move], directory: Directory
+) -> dict[int, int]:
+    """Returns the instances of the new version by `Move.started_at`."""
+    return {
+        move.started_at: sum(
+            announcement.version == move.spec.new
+            for announcement in directory.usable(move.spec.service)
+        )
+        for move in moves
+    }
+
+
+def moves_by_shard(moves: Iterable[Move]) -> dict[int, list[Move]]:
+    """Groups moves by the shard of their service."""
+    shards: dict[int, list[Move]] = {}
+    for move in moves:
+        shards.setdefault(shard_of(move.spec.service), []).append(move)
+    return shards
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/server_lease.py
@@ -0,0 +1,81 @@
+"""The lease of the backend server beside a node."""
+
+import msgspec
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.control.server_report import ServerReport
+from vanillamast_core.server_state import ServerState
+
+
+class ServerLease:
+    """Turns a backend server's reports into the instance's announcement.
+
+    Attributes:
+      lease_s: Time without a report after which the server counts as stopped.
+      drained: Whether operators drained this instance.
+      report: The last report while the lease holds, None otherwise.
+      renewed_at: When it came, None before the first.
+    """
+
+    def __init__(self, lease_s: float):
+        self.lease_s = lease_s
+        self.drained = False
+        self.report: ServerReport | None = None
+        self.renewed_at: float | None = None
+
+    def renew(self, report: ServerReport, now: float) -> None:
+        """Takes a report, which renews the lease."""
+        self.report = report
+        self.renewed_at = now
+
+    def expire(self, now: float) -> None:
+        """Ends the lease if its time is over."""
+        if self.renewed_at is None or self.report is None:
+            return
+        if now - self.renewed_at > self.lease_s:
+            self.report = None
+
+    def restart(self, now: float) -> None:
+        """Restarts the lease's time after a pause of this node.
+
+        Renewals may wait in the socket buffers of a node that was paused, so
+        the pause says nothing about the backend server.
+        """
+        if self.report is not None:
+            self.renewed_at = now
+
+    def describe(self, own: Announcement, wall: float) -> Announcement:
+        """Returns the announcement with the backend server's state.
+
+        The incarnation is kept if nothing changed. Otherwise it rises at
+        least to the wall time in milliseconds, so that a restarted node
+        outbids what its earlier process announced.
+        """
+        changed = self._with_report(own, wall)
+        if changed == own:
+            return own
+        incarnation = max(own.incarnation + 1, int(wall * 1000))
+        return msgspec.structs.replace(changed, incarnation=incarnation)
+
+    def _with_report(self, own: Announcement, wall: float) -> Announcement:
+        report = self.report
+        if report is None:
+            lost = self.renewed_at is not None
+            state = ServerState.STOPPED if lost else ServerState.ABSENT
+            return msgspec.structs.replace(own, state=state, serving_since_ms=0)
+        state = report.server_state()
+        if self.drained and state is ServerState.SERVING:
+            state = ServerState.DRAINING
+        since_ms = 0
+        if state is ServerState.SERVING:
+            since_ms = own.serving_since_ms or int(wall * 1000)
+        return msgspec.structs.replace(
+            own,
+            service=report.service,
+            version=report.version,
+            server_address=report.address,
+            slots=report.slots,
+            connections=report.connections,
+            state=state,
+            serving_since_ms=since_ms,
+        )
--- a/packages/core/src/vanillamast_core/journal/snapshot_writer.py
+++ b/packages/core/src/vanillamast_core/journal/snapshot_writer.py
@@ -53,14 +53,15 @@
           journal: The fold whose state is written.
           now: Monotonic time in seconds.
         """
-        if not self._due(journal, now):
+        if not self.due(journal, now):
             return []
         self.tried_at = now
         return split_snapshot(
             journal.offset, journal.snapshot(), self.settings.chunk_bytes
         )
 
-    def _due(self, journal: Journal, now: float) -> bool:
+    def due(self, journal: Journal, now: float) -> bool:
+        """Returns whether a snapshot should be written now."""
         if journal.offset == 0:
             return False
         if self.tried_at is not None and (
--- a/packages/core/src/vanillamast_core/union_codec.py
+++ b/packages/core/src/vanillamast_core/union_codec.py
@@ -46,3 +46,10 @@
             RecursionError,  # Arrays nested deeper than the decoder's stack.
         ) as error:
             raise CodecError(f"{self.kinds.subject}: {error}") from error
+
+    def decode_or_none(self, data: bytes) -> S | None:
+        """Returns the struct that the bytes hold, None if it is not known."""
+        try:
+            return self.decode(data)
+        except CodecError:
+            return None
--- /dev/null
+++ b/packages/node/src/vanillamast_node/core_task.py
@@ -0,0 +1,245 @@
+"""The task that owns the control side and carries out its effects."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
+
+import eliot
+from vanillamast_core.control import (
+    Append,
+    ClearSplit,
+    DropService,
+    Effect,
+    Event,
+    NodeCore,
+    Notice,
+    OutcomeFolded,
+    RecordSubmitted,
+    ServerReport,
+    ServerReported,
+    SetRoutes,
+    SetServers,
+    SetSplit,
+    Tick,
+    queries,
+)
+from vanillamast_core.journal import Outcome, Record
+from vanillamast_core.peers import CloseLink, Dial, ReadLog, Send
+from vanillamast_core.requests import RequestRouter
+
+from vanillamast_node.event_history import EventHistory
+from vanillamast_node.log_appender import LogAppender
+from vanillamast_node.log_reader import LogReader
+from vanillamast_node.node_metrics import NodeMetrics
+from vanillamast_node.peer_transport import PeerTransport
+
+# Time that an operator's call waits for the outcome of its record.
+SUBMIT_TIMEOUT_S = 10.0
+US_PER_S = 1_000_000
+
+Performer: TypeAlias = Callable[["CoreTask", Any], None]
+performers: dict[type, Performer] = {}
+
+
+def performs(kind: type) -> Callable[[Performer], Performer]:
+    """Returns a decorator that registers who carries out an effect."""
+
+    def decorate(performer: Performer) -> Performer:
+        performers[kind] = performer
+        return performer
+
+    return decorate
+
+
+class CoreTask:
+    """Feeds events to the core, one at a time, and carries out effects.
+
+    Attributes:
+      core: The decisions.
+      router: The request path.
+      transport: Links to peers; set before `run`.
+      reader: Reader of the platform's log; set before `run`.
+      appender: Appender to the platform's log; set before `run`.
+      metrics: Counters of the node.
+      history: Events for operators.
+      events: Events that wait for the core.
+    """
+
+    def __init__(
+        self, core: NodeCore, router: RequestRouter, metrics: NodeMetrics
+    ):
+        self.core = core
+        self.router = router
+        self.metrics = metrics
+        self.history = EventHistory()
+        self.events: asyncio.Queue[Event] = asyncio.Queue()
+        self.transport: PeerTransport
+        self.reader: LogReader
+        self.appender: LogAppender
+        self._submitted: dict[str, asyncio.Future[Outcome]] = {}
+
+    def post(self, event: Event) -> None:
+        """Queues an event for the core."""
+        self.events.put_nowait(event)
+
+    async def run(self) -> None:
+        """Handles events until it is cancelled."""
+        while True:
+            event = await self.events.get()
+            try:
+                self.handle(event)
+            except Exception:
+                # A fault in one event must not stop the request path, and a
+                # faulty entry of the log must not stop all nodes at once.
+                self.metrics.count("control_failures")
+                eliot.write_traceback()
+
+    async def tick(self) -> None:
+        """Posts ticks until it is cancelled."""
+        period_s = self.core.settings.peers.tick_s
+        while True:
+            self.post(Tick())
+            await asyncio.sleep(period_s)
+
+    def handle(self, event: Event) -> None:
+        """Handles one event now."""
+        started = time.perf_counter()
+        now = asyncio.get_running_loop().time()
+        for effect in self.core.handle(event, now, time.time()):
+            self.perform(effect)
+        elapsed_us = int((time.perf_counter() - started) * US_PER_S)
+        self.metrics.event_us.record_value(max(1, elapsed_us))
+
+    def perform(self, effect: Effect) -> None:
+        """Carries out one effect."""
+        performers[type(effect)](self, effect)
+
+    # For the servers' listener.
+
+    def announce(self, report: ServerReport) -> bool | None:
+        """Takes a backend server's report.
+
+        Returns:
+          Whether the backend server should drain; None if the report names
+          another service than the node's settings.
+        """
+        service = self.core.settings.service
+        if service and report.service != service:
+            return None
+        self.post(ServerReported(report))
+        return self.core.server.drained or self.core.stopping
+
+    # For the operators' listener.
+
+    def query_names(self) -> Iterable[str]:
+        """Returns the names of the queries."""
+        return [*queries, "metrics"]
+
+    def query(self, name: str, params: dict[str, Any]) -> Any:
+        """Answers a query with JSON values."""
+        if name == "metrics":
+            return self._show_metrics()
+        return queries.get(name)(self.core, params, time.time())
+
+    async def submit(self, record: Record) -> Outcome | None:
+        """Appends a record; None if its outcome is not known in time."""
+        future = self._submitted.get(record.id)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._submitted[record.id] = future
+            self.post(RecordSubmitted(record))
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(future), SUBMIT_TIMEOUT_S
+            )
+        except TimeoutError:
+            self._submitted.pop(record.id, None)
+            return None
+
+    def outcome(self, record_id: str) -> Outcome | None:
+        """Returns the outcome of a record, if it is known."""
+        return self.core.outcome(record_id)
+
+    async def following(
+        self, after: int, wait_s: float
+    ) -> list[dict[str, Any]]:
+        """Returns what happened after a sequence number."""
+        return await self.history.after(after, wait_s)
+
+    def _show_metrics(self) -> dict[str, Any]:
+        platform = self.appender.client.bytes
+        peers = self.transport.bytes
+        uptime_s = time.time() - self.metrics.started_at
+        rate = (platform + peers) / max(uptime_s, 0.001)
+        return {
+            **self.metrics.summary(),
+            "peer_bytes": peers,
+            "platform_bytes": platform,
+            "control_bytes_per_s": round(rate, 1),
+        }
+
+    # Effects.
+
+    @performs(Dial)
+    def _dial(self, effect: Dial) -> None:
+        self.transport.dial(effect.address)
+
+    @performs(CloseLink)
+    def _close_link(self, effect: CloseLink) -> None:
+        self.transport.close_link(effect.link)
+
+    @performs(Send)
+    def _send(self, effect: Send) -> None:
+        self.transport.send(effect.link, effect.message)
+
+    @performs(ReadLog)
+    def _read_log(self, effect: ReadLog) -> None:
+        self.reader.active = effect.active
+        eliot.log_message(message_type="log.reading", active=effect.active)
+
+    @performs(Append)
+    def _append(self, effect: Append) -> None:
+        self.appender.start(effect)
+
+    @performs(SetRoutes)
+    def _set_routes(self, effect: SetRoutes) -> None:
+        self.router.set_routes(effect.routes, effect.classes, effect.services)
+
+    @performs(SetServers)
+    def _set_servers(self, effect: SetServers) -> None:
+        now = asyncio.get_running_loop().time()
+        self.router.set_servers(
+            effect.service, list(effect.servers), effect.panic, now, time.time()
+        )
+        eliot.log_message(
+            message_type="placement.servers",
+            service=effect.service,
+            servers=[a.instance for a in effect.servers],
+            panic=effect.panic,
+        )
+
+    @performs(DropService)
+    def _drop_service(self, effect: DropService) -> None:
+        self.router.pools.pop(effect.service, None)
+
+    @performs(SetSplit)
+    def _set_split(self, effect: SetSplit) -> None:
+        self.router.set_split(
+            effect.service, effect.old, effect.new, effect.share
+        )
+
+    @performs(ClearSplit)
+    def _clear_split(self, effect: ClearSplit) -> None:
+        self.router.clear_split(effect.service)
+
+    @performs(OutcomeFolded)
+    def _outcome_folded(self, effect: OutcomeFolded) -> None:
+        future = self._submitted.pop(effect.outcome.id, None)
+        if future is not None and not future.done():
+            future.set_result(effect.outcome)
+
+    @performs(Notice)
+    def _notice(self, effect: Notice) -> None:
+        self.history.add(effect)
+        eliot.log_message(message_type=effect.kind, **effect.fields)
--- /dev/null
+++ b/packages/node/src/vanillamast_node/event_history.py
@@ -0,0 +1,54 @@
+"""The last events of a node, for operators who follow them."""
+
+import asyncio
+import collections
+import time
+from typing import Any
+
+from vanillamast_core.control import Notice
+
+MAX_EVENTS = 1000
+
+
+class EventHistory:
+    """A bounded history with a long poll.
+
+    Attributes:
+      events: The last events as JSON objects, each with its `sequence`.
+      sequence: Number of the newest event, 0 before the first.
+    """
+
+    def __init__(self) -> None:
+        self.events: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=MAX_EVENTS
+        )
+        self.sequence = 0
+        self._changed = asyncio.Event()
+
+    def add(self, notice: Notice) -> None:
+        """Adds an event and wakes those who wait."""
+        self.sequence += 1
+        self.events.append(
+            {
+                "sequence": self.sequence,
+                "time": time.time(),
+                "kind": notice.kind,
+                **notice.fields,
+            }
+        )
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def after(self, sequence: int, wait_s: float) -> list[dict[str, Any]]:
+        """Returns events after a sequence number, waiting for one.
+
+        Args:
+          sequence: Number of the last event that is known.
+          wait_s: Longest wait in seconds.
+        """
+        if self.sequence <= sequence and wait_s > 0:
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+            except TimeoutError:
+                return []
+        return [e for e in self.events if e["sequence"] > sequence]
--- /dev/null
+++ b/packages/node/src/vanillamast_node/http_server.py
@@ -0,0 +1,65 @@
+"""Runs an ASGI application on uvicorn inside the node's event loop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+from vanillamast_node.peer_transport import split_address
+
+START_POLL_S = 0.01
+
+
+class HttpServer(uvicorn.Server):
+    """One listener; the node handles signals itself.
+
+    Attributes:
+      listen_address: IP and port.
+      task: The task that serves, once started.
+    """
+
+    def __init__(self, app: Any, address: str, **options: Any):
+        self.listen_address = split_address(address)
+        super().__init__(
+            uvicorn.Config(
+                app,
+                loop="asyncio",
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                access_log=False,
+                log_config=None,
+                log_level="critical",
+                server_header=False,
+                date_header=False,
+                **options,
+            )
+        )
+        self.task: asyncio.Task[None] | None = None
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leaves the process's signal handlers alone."""
+        yield
+
+    async def start_serving(self) -> None:
+        """Starts the listener and returns when it accepts connections.
+
+        Raises:
+          OSError: The address is taken or not local.
+        """
+        listener = socket.create_server(self.listen_address)
+        self.task = asyncio.create_task(self.serve(sockets=[listener]))
+        while not self.started and not self.task.done():
+            await asyncio.sleep(START_POLL_S)
+        if self.task.done():
+            await self.task
+
+    async def stop_serving(self) -> None:
+        """Closes the listener and waits for requests in flight."""
+        self.should_exit = True
+        if self.task is not None:
+            await asyncio.gather(self.task, return_exceptions=True)
--- /dev/null
+++ b/packages/node/src/vanillamast_node/log_appender.py
@@ -0,0 +1,71 @@
+"""The task that appends records to the platform's log."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import eliot
+from vanillamast_core.control import Append
+from vanillamast_core.journal import Record, record_codec
+
+from vanillamast_node.backoff import Backoff
+from vanillamast_node.platform_client import PlatformClient
+from vanillamast_node.platform_errors import PlatformError
+
+MAX_CONCURRENT_APPENDS = 8
+
+
+class LogAppender:
+    """Appends records, again with the same id while an answer is missing.
+
+    Attributes:
+      client: Client of the log.
+      folded: Called with a record's id; whether its outcome is known, which
+        ends the repeats.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        folded: Callable[[str], bool],
+        rng: random.Random,
+    ):
+        self.client = client
+        self.folded = folded
+        self.rng = rng
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_APPENDS)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, append: Append) -> None:
+        """Starts to append a record in the background."""
+        task = asyncio.create_task(self._append(append))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Gives up all appends that are not answered."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _append(self, append: Append) -> None:
+        try:
+            async with asyncio.timeout(append.patience_s), self._slots:
+                await self._append_until_answered(append.record)
+        except TimeoutError:
+            eliot.log_message(
+                message_type="platform.append_given_up",
+                record=append.record.id,
+                kind=type(append.record).__name__,
+            )
+
+    async def _append_until_answered(self, record: Record) -> None:
+        backoff = Backoff(self.client.settings, self.rng)
+        data = record_codec.encode(record)
+        while not self.folded(record.id):
+            try:
+                await self.client.append(data)
+            except PlatformError:
+                await asyncio.sleep(backoff.next_wait_s())
+                continue
+            return
--- /dev/null
+++ b/packages/node/src/vanillamast_node/node.py
@@ -0,0 +1,277 @@
+"""One node: its tasks and listeners, from start to planned stop."""
+
+import asyncio
+import contextlib
+import gc
+import random
+import signal
+import time
+
+import eliot
+from vanillamast_core.control import (
+    AttemptEnded,
+    CoreSettings,
+    NodeCore,
+    StopRequested,
+)
+from vanillamast_core.moves import VersionSplit
+from vanillamast_core.requests import Decision, Observation, RequestRouter
+
+from vanillamast_node.caller_listener import CallerListener, CutOff
+from vanillamast_node.core_task import CoreTask
+from vanillamast_node.forwarder import Forwarder
+from vanillamast_node.http_server import HttpServer
+from vanillamast_node.key_desk import KeyDesk
+from vanillamast_node.log_appender import LogAppender
+from vanillamast_node.log_reader import LogReader
+from vanillamast_node.log_writer import LogWriter
+from vanillamast_node.node_metrics import NodeMetrics
+from vanillamast_node.operator_listener import operator_app
+from vanillamast_node.peer_transport import (
+    PeerTransport,
+    cancel_all,
+    split_address,
+)
+from vanillamast_node.platform_client import PlatformClient
+from vanillamast_node.server_listener import server_app
+from vanillamast_node.settings import Settings
+from vanillamast_node.upstream_pool import UpstreamPool
+
+EXIT_OK = 0
+EXIT_CUT_OFF = 3
+US_PER_S = 1_000_000
+KEY_REFRESH_S = 0.5
+
+
+class Node:
+    """Starts all tasks and listeners and stops them in order.
+
+    Attributes:
+      settings: The node's settings.
+      rng: Source of randomness of all tasks.
+      core: The control side's decisions.
+      router: The request path's decisions.
+      metrics: Counters.
+      task: The task that owns the core.
+      keys: Claims of idempotency keys.
+      log: The log writer.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.rng = random.Random()
+        self.core = NodeCore(core_settings(settings), self.rng, time.time())
+        self.router = RequestRouter(
+            settings.requests,
+            settings.failure_domain,
+            self.rng,
+            VersionSplit,
+        )
+        self.metrics = NodeMetrics()
+        self.task = CoreTask(self.core, self.router, self.metrics)
+        self.keys = KeyDesk(self.core, settings.requests)
+        self.log = LogWriter(settings.log)
+        self.platform = PlatformClient(settings.platform)
+        self.transport = PeerTransport(self.task.post, self.keys.answer)
+        self._signals: asyncio.Queue[None] = asyncio.Queue()
+
+    async def run(self) -> int:
+        """Runs the node until it is told to stop.
+
+        Returns:
+          The exit status.
+
+        Raises:
+          OSError: A listener's address cannot be used.
+        """
+        self.log.start()
+        self._wire()
+        try:
+            async with contextlib.AsyncExitStack() as stack:
+                return await self._run_in(stack)
+        finally:
+            self.log.close()
+
+    async def _run_in(self, stack: contextlib.AsyncExitStack) -> int:
+        """Runs the node; the stack closes what was opened, last first."""
+        upstream = UpstreamPool(self.settings.forwarding)
+        await stack.enter_async_context(upstream)
+        await self.platform.open()
+        stack.push_async_callback(self.platform.close)
+        stack.push_async_callback(self.task.appender.close)
+        await self._start_listeners(stack)
+        tasks = self._start_tasks(stack)
+        callers = CallerListener(
+            self._forwarder(upstream), self.settings.listen.callers
+        )
+        await callers.start()
+        self._catch_signals()
+        tune_collector()
+        eliot.log_message(
+            message_type="node.started", instance=self.settings.instance
+        )
+        await wait_for_stop(self._signals, tasks)
+        cut_off = await self._drain(callers)
+        return EXIT_CUT_OFF if cut_off else EXIT_OK
+
+    def _wire(self) -> None:
+        """Connects the tasks with each other."""
+        self.task.transport = self.transport
+        self.keys.transport = self.transport
+        self.task.reader = LogReader(
+            self.platform,
+            self.task.post,
+            self.core.recovery.read_after,
+            self.rng,
+        )
+        self.task.appender = LogAppender(
+            self.platform,
+            lambda record_id: self.core.outcome(record_id) is not None,
+            self.rng,
+        )
+
+    def _forwarder(self, upstream: UpstreamPool) -> Forwarder:
+        return Forwarder(
+            self.settings.forwarding,
+            self.router,
+            upstream,
+            self._observe,
+            self._log_decision,
+            self.keys.claim,
+            self.keys.settle,
+        )
+
+    async def _start_listeners(self, stack: contextlib.AsyncExitStack) -> None:
+        listen = self.settings.listen
+        lease_s = self.settings.control.server_lease_s
+        stack.push_async_callback(self.transport.close)
+        await self.transport.start(*split_address(listen.peers))
+        servers = HttpServer(
+            server_app(self.task.announce, lease_s), listen.servers
+        )
+        operators = HttpServer(operator_app(self.task), listen.operators)
+        for server in (servers, operators):
+            stack.push_async_callback(server.stop_serving)
+            await server.start_serving()
+
+    def _start_tasks(
+        self, stack: contextlib.AsyncExitStack
+    ) -> list[asyncio.Task[None]]:
+        tasks = [
+            asyncio.create_task(self.task.run(), name="core"),
+            asyncio.create_task(self.task.tick(), name="ticks"),
+            asyncio.create_task(self.task.reader.run(), name="log-reader"),
+            asyncio.create_task(self._refresh_keys(), name="keys"),
+        ]
+        stack.push_async_callback(cancel_all, *tasks)
+        return tasks
+
+    async def _refresh_keys(self) -> None:
+        while True:
+            self.keys.refresh()
+            await asyncio.sleep(KEY_REFRESH_S)
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signals.put_nowait, None)
+
+    async def _drain(self, callers: CallerListener) -> list[CutOff]:
+        """Leaves the mesh and lets requests in flight end.
+
+        A second signal ends the wait.
+        """
+        self.task.post(StopRequested())
+        drain = asyncio.create_task(callers.drain())
+        second = asyncio.create_task(self._signals.get())
+        await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
+        second.cancel()
+        if not drain.done():
+            drain.cancel()
+            await asyncio.gather(drain, return_exceptions=True)
+            cut_off = await callers.drain(0.0, 0.0)
+        else:
+            cut_off = drain.result()
+        eliot.log_message(
+            message_type="node.stopped",
+            cut_off=[{"route": c.route, "phase": c.phase} for c in cut_off],
+        )
+        return cut_off
+
+    def _observe(self, observation: Observation) -> None:
+        self.metrics.count(observation.outcome.value)
+        elapsed_us = int(observation.latency_s * US_PER_S)
+        self.metrics.upstream_us.record_value(max(1, elapsed_us))
+        self.task.handle(AttemptEnded(observation))
+
+    def _log_decision(self, decision: Decision) -> None:
+        ordinary = decision.attempt == 1
+        sample = self.settings.log.sample
+        if ordinary and sample < 1.0 and self.rng.random() >= sample:
+            return
+        if decision.attempt == 0:
+            self.metrics.count(f"refused_{decision.reason}")
+        eliot.log_message(
+            message_type="routing.decision",
+            route=decision.route,
+            service=decision.service,
+            version=decision.version,
+            instance=decision.instance,
+            address=decision.address,
+            candidates=decision.candidates,
+            policy=decision.policy,
+            attempt=decision.attempt,
+            reason=decision.reason,
+        )
+
+
+def core_settings(settings: Settings) -> CoreSettings:
+    """Returns the control side's part of the settings."""
+    return CoreSettings(
+        instance=settings.instance,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        service=settings.service,
+        edge=settings.edge,
+        peer_address=settings.listen.peers,
+        operator_address=settings.listen.operators,
+        holder=f"{settings.instance}/{time.time_ns()}",
+        seeds=settings.seeds,
+        control=settings.control,
+        peers=settings.peers,
+        driver=settings.driver,
+        judge=settings.judge,
+        evidence=settings.evidence,
+        leases=settings.leases,
+        snapshots=settings.snapshots,
+    )
+
+
+def tune_collector() -> None:
+    """Keeps the collector's pauses out of requests.
+
+    Objects of the start are never garbage, and a full collection of them
+    takes some 20 ms.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
+
+
+async def wait_for_stop(
+    signals: asyncio.Queue[None], tasks: list[asyncio.Task[None]]
+) -> None:
+    """Waits for a signal, or for a task that ended by a failure.
+
+    Raises:
+      Exception: A task's failure.
+    """
+    stop = asyncio.create_task(signals.get())
+    done, _ = await asyncio.wait(
+        {stop, *tasks}, return_when=asyncio.FIRST_COMPLETED
+    )
+    if stop in done:
+        return
+    stop.cancel()
+    for task in done:
+        await task
--- /dev/null
+++ b/packages/node/src/vanillamast_node/node_metrics.py
@@ -0,0 +1,63 @@
+"""Counters and histograms of a node."""
+
+import time
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class NodeMetrics:
+    """What operators read through `show metrics`.
+
+    Attributes:
+      started_at: Wall time of the start, seconds since the epoch.
+      requests: Requests that ended, by what the caller was told.
+      upstream_us: Time of attempts at backend servers, in microseconds.
+      event_us: Time that the control side spent on one event, in
+        microseconds.
+    """
+
+    def __init__(self) -> None:
+        self.started_at = time.time()
+        self.requests: dict[str, int] = {}
+        self.upstream_us = new_histogram()
+        self.event_us = new_histogram()
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter of `requests`."""
+        self.requests[name] = self.requests.get(name, 0) + 1
+
+    def summary(self) -> dict[str, Any]:
+        """Returns all figures as JSON values, times in microseconds."""
+        usage = time.process_time()
+        uptime_s = time.time() - self.started_at
+        return {
+            "uptime_s": round(uptime_s, 1),
+            "processor_share": round(usage / max(uptime_s, 0.001), 4),
+            "requests": self.requests,
+            "upstream_us": percentiles(self.upstream_us),
+            "event_us": percentiles(self.event_us),
+        }
+
+
+def new_histogram() -> HdrHistogram:
+    """Returns an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def percentiles(histogram: HdrHistogram) -> dict[str, int]:
+    """Returns the count, some percentiles and the maximum."""
+    values = {
+        f"p{p:g}": int(histogram.get_value_at_percentile(p))
+        for p in PERCENTILES
+    }
+    return {
+        "count": histogram.get_total_count(),
+        **values,
+        "max": int(histogram.get_max_value()),
+    }
--- /dev/null
+++ b/packages/node/src/vanillamast_node/peer_transport.py
@@ -0,0 +1,210 @@
+"""Links to other nodes: grpclib streams that carry frames."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpclib
+from grpclib.client import Channel
+from grpclib.server import Server, Stream
+from vanillamast_core import CodecError
+from vanillamast_core.control import (
+    DialFailed,
+    LinkDown,
+    LinkUp,
+    MessageReceived,
+)
+from vanillamast_core.peers import Message, message_codec
+
+from vanillamast_node.peers_grpc import PeersBase, PeersStub
+from vanillamast_node.peers_pb2 import Frame
+
+DIAL_TIMEOUT_S = 3.0
+ASK_TIMEOUT_S = 1.0
+# A peer that reads so slowly that this many frames wait is cut off; the
+# overlay dials it again and repairs what it missed.
+MAX_WAITING_FRAMES = 1000
+# HTTP/2 frame header, gRPC prefix and protobuf field (17 bytes), the window
+# updates that answer it, and TCP and IP headers with the acknowledgement.
+FRAME_OVERHEAD_BYTES = 17 + 26 + 80
+
+LinkEvent = LinkUp | LinkDown | DialFailed | MessageReceived
+Report = Callable[[LinkEvent], None]
+Answer = Callable[[Message], Awaitable[Message]]
+STREAM_ERRORS = (
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.ProtocolError,
+    grpclib.exceptions.StreamTerminatedError,
+    ConnectionError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+
+class PeerTransport(PeersBase):
+    """Opens and accepts links, and moves messages over them.
+
+    Attributes:
+      report: Called with each event of a link.
+      answer: Called with each unary question of a peer.
+      bytes: Control bytes sent and received so far, overhead included.
+      blocked: Addresses that must not be reached; set by tests and the demo
+        to cut the network. Links to them are closed.
+    """
+
+    def __init__(self, report: Report, answer: Answer):
+        self.report = report
+        self.answer = answer
+        self.bytes = 0
+        self.blocked: set[str] = set()
+        self._server: Server | None = None
+        self._next_link = 1
+        self._queues: dict[int, asyncio.Queue[Message | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ask_channels: dict[str, Channel] = {}
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts to accept links.
+
+        Raises:
+          OSError: The address is taken or not local.
+        """
+        self._server = Server([self])
+        await self._server.start(host, port)
+
+    async def close(self) -> None:
+        """Closes all links and the listener."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for channel in self._ask_channels.values():
+            channel.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def dial(self, address: str) -> None:
+        """Starts to open a link; the result is reported."""
+        task = asyncio.create_task(self._dial(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def send(self, link: int, message: Message) -> None:
+        """Queues a message for a link; does nothing if it is down."""
+        messages = self._queues.get(link)
+        if messages is None:
+            return
+        try:
+            messages.put_nowait(message)
+        except asyncio.QueueFull:
+            self.close_link(link)
+
+    def close_link(self, link: int) -> None:
+        """Closes a link after the messages that wait for it."""
+        messages = self._queues.pop(link, None)
+        if messages is not None:
+            if messages.full():
+                messages.get_nowait()
+            messages.put_nowait(None)
+
+    async def ask(self, address: str, message: Message) -> Message:
+        """Sends one question and returns its answer.
+
+        Raises:
+          ConnectionError: The peer did not answer in time.
+        """
+        channel = self._ask_channels.get(address)
+        if channel is None:
+            host, port = split_address(address)
+            channel = self._ask_channels[address] = Channel(host, port)
+        frame = Frame(payload=message_codec.encode(message))
+        try:
+            reply = await PeersStub(channel).Ask(frame, timeout=ASK_TIMEOUT_S)
+            return message_codec.decode(reply.payload)
+        except (*STREAM_ERRORS, CodecError) as error:
+            raise ConnectionError(f"{address}: {error!r}") from error
+
+    async def Exchange(  # noqa: N802
+        self, stream: Stream[Frame, Frame]
+    ) -> None:
+        """Serves a link that a peer opened."""
+        await self._run_link(stream, None)
+
+    async def Ask(self, stream: Stream[Frame, Frame]) -> None:  # noqa: N802
+        """Serves one unary question."""
+        frame = await stream.recv_message()
+        if frame is None:
+            return
+        reply = await self.answer(message_codec.decode(frame.payload))
+        await stream.send_message(Frame(payload=message_codec.encode(reply)))
+
+    async def _dial(self, address: str) -> None:
+        host, port = split_address(address)
+        channel = Channel(host, port)
+        try:
+            async with PeersStub(channel).Exchange.open() as stream:
+                async with asyncio.timeout(DIAL_TIMEOUT_S):
+                    await stream.send_request()
+                await self._run_link(stream, address)
+        except ConnectionRefusedError:
+            self.report(DialFailed(address, refused=True))
+        except STREAM_ERRORS:
+            self.report(DialFailed(address, refused=False))
+        finally:
+            channel.close()
+
+    async def _run_link(self, stream: Any, dialed: str | None) -> None:
+        link = self._next_link
+        self._next_link += 1
+        messages: asyncio.Queue[Message | None] = asyncio.Queue(
+            MAX_WAITING_FRAMES
+        )
+        self._queues[link] = messages
+        self.report(LinkUp(link, dialed))
+        sender = asyncio.create_task(self._send_frames(stream, messages))
+        receiver = asyncio.create_task(self._receive_frames(stream, link))
+        try:
+            await asyncio.wait(
+                {sender, receiver}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self._queues.pop(link, None)
+            self.report(LinkDown(link))
+            await cancel_all(sender, receiver)
+            await reset(stream)
+
+    async def _send_frames(
+        self, stream: Any, messages: asyncio.Queue[Message | None]
+    ) -> None:
+        while (message := await messages.get()) is not None:
+            payload = message_codec.encode(message)
+            self.bytes += len(payload) + FRAME_OVERHEAD_BYTES
+            await stream.send_message(Frame(payload=payload))
+
+    async def _receive_frames(self, stream: Any, link: int) -> None:
+        while (frame := await stream.recv_message()) is not None:
+            self.bytes += len(frame.payload) + FRAME_OVERHEAD_BYTES
+            message = message_codec.decode(frame.payload)
+            self.report(MessageReceived(link, message))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def cancel_all(*tasks: asyncio.Task[None]) -> None:
+    """Cancels tasks and waits for their end; drops their errors."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def reset(stream: Any) -> None:
+    """Resets a stream that may be closed already."""
+    try:
+        async with asyncio.timeout(1.0):
+            await stream.cancel()
+    except STREAM_ERRORS:
+        return
--- /dev/null
+++ b/packages/node/src/vanillamast_node/platform_client.py
@@ -0,0 +1,115 @@
+"""Client of the platform's append-only log."""
+
+import base64
+
+import aiohttp
+from vanillamast_core.journal import LogEntry
+
+from vanillamast_node.log_read import LogRead
+from vanillamast_node.platform_errors import (
+    PlatformBusyError,
+    PlatformUnavailableError,
+)
+from vanillamast_node.platform_settings import PlatformSettings
+
+# Request and response heads of one call, without the body; counted as control
+# bytes because aiohttp does not report them.
+HEAD_BYTES = 350
+# Bytes of one TCP and IP header, paid by a request, a response and two
+# acknowledgements.
+PACKET_BYTES = 4 * 40
+
+
+class PlatformClient:
+    """Appends to and reads from the log over HTTP.
+
+    Attributes:
+      settings: Address and time limits.
+      session: The HTTP session; owned by this client.
+      bytes: Control bytes sent and received so far, heads estimated.
+    """
+
+    def __init__(self, settings: PlatformSettings):
+        self.settings = settings
+        self.session: aiohttp.ClientSession | None = None
+        self.bytes = 0
+
+    async def open(self) -> None:
+        """Opens the session."""
+        self.session = aiohttp.ClientSession(self.settings.log_url)
+
+    async def close(self) -> None:
+        """Closes the session and its connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def append(self, data: bytes) -> int:
+        """Appends one record.
+
+        Returns:
+          The record's offset.
+
+        Raises:
+          PlatformBusyError: The rate limit is reached; nothing was appended.
+          PlatformUnavailableError: No answer; the record may be appended.
+        """
+        body = await self._call("POST", "/v1/append", data=data)
+        return int(body["offset"])
+
+    async def read(self, after: int, wait: bool) -> LogRead:
+        """Reads entries after an offset.
+
+        Args:
+          after: Highest offset that is known already.
+          wait: Whether to wait for a new entry if there is none.
+
+        Raises:
+          PlatformUnavailableError: The log did not answer.
+        """
+        poll_s = self.settings.poll_s if wait else 0.0
+        params = {
+            "after": str(after),
+            "limit": str(self.settings.read_limit),
+            "wait_ms": str(int(poll_s * 1000)),
+        }
+        body = await self._call(
+            "GET", "/v1/read", params=params, extra_s=poll_s
+        )
+        entries = [
+            LogEntry(offset, base64.b64decode(data))
+            for offset, data in body["entries"]
+        ]
+        return LogRead(body["first"], body["next"], entries)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+        params: dict[str, str] | None = None,
+        extra_s: float = 0.0,
+    ) -> dict:
+        if self.session is None:
+            raise PlatformUnavailableError("the session is not open")
+        timeout = aiohttp.ClientTimeout(self.settings.timeout_s + extra_s)
+        try:
+            async with self.session.request(
+                method, path, data=data, params=params, timeout=timeout
+            ) as response:
+                payload = await response.read()
+                self._count(data, payload)
+                if response.status == 429:
+                    raise PlatformBusyError(f"{method} {path}: 429")
+                if response.status != 200:
+                    raise PlatformUnavailableError(
+                        f"{method} {path}: {response.status}"
+                    )
+                return await response.json(content_type=None)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise PlatformUnavailableError(
+                f"{method} {path}: {error!r}"
+            ) from error
+
+    def _count(self, data: bytes | None, payload: bytes) -> None:
+        self.bytes += len(data or b"") + len(payload)
+        self.bytes += HEAD_BYTES + PACKET_BYTES
--- /dev/null
+++ b/packages/node/src/vanillamast_node/server_listener.py
@@ -0,0 +1,60 @@
+"""Takes the announcements of the backend server beside the node."""
+
+from collections.abc import Callable
+
+import falcon
+import falcon.asgi
+import msgspec
+from vanillamast_core.control import ServerReport
+from vanillamast_core.server_state import ServerState
+
+# Answers whether the backend server should drain; None if the report names
+# another service than the node's settings.
+Announce = Callable[[ServerReport], bool | None]
+
+
+class AnnounceResource:
+    """`POST /v1/announce`.
+
+    Attributes:
+      announce: Passes a report to the control side.
+      lease_s: Lease that the answer tells.
+    """
+
+    def __init__(self, announce: Announce, lease_s: float):
+        self.announce = announce
+        self.lease_s = lease_s
+
+    async def on_post(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Renews the lease."""
+        try:
+            report = msgspec.json.decode(
+                await req.stream.read(), type=ServerReport
+            )
+            report.server_state()
+        except (msgspec.MsgspecError, KeyError) as error:
+            raise falcon.HTTPBadRequest(
+                title="invalid_announcement",
+                description=f"{error}; states: {state_names()}",
+            ) from error
+        drain = self.announce(report)
+        if drain is None:
+            raise falcon.HTTPConflict(
+                title="wrong_service",
+                description=f"this node serves another than {report.service}",
+            )
+        resp.media = {"lease_s": self.lease_s, "drain": drain}
+
+
+def state_names() -> str:
+    """Returns the names of the states, comma separated."""
+    return ", ".join(state.name.lower() for state in ServerState)
+
+
+def server_app(announce: Announce, lease_s: float) -> falcon.asgi.App:
+    """Returns the application for the servers' address."""
+    app = falcon.asgi.App()
+    app.add_route("/v1/announce", AnnounceResource(announce, lease_s))
+    return app
--- a/tests/node/proxy/proxied_mesh.py
+++ b/tests/node/proxy/proxied_mesh.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator, Sequence
 
 from scripted_backend import ScriptedBackend
-
 from vanillamast_core import Announcement, ServerState
 from vanillamast_core.configuration import CallerClass, Route, Service
 from vanillamast_core.peers import ClaimKey, KeyAnswer, KeyState, SettleKey
@@ -30,9 +29,7 @@
     "all": Route("/", "pages", methods=("GET", "HEAD", "PUT")),
     "posts": Route("/", "pages", methods=("POST",)),
     "once": Route("/once", "pages", methods=("PUT",), idempotent=False),
-    "brief": Route(
-        "/brief", "pages", methods=("GET", "POST"), timeout_ms=200
-    ),
+    "brief": Route("/brief", "pages", methods=("GET", "POST"), timeout_ms=200),
     "background": Route("/background", "pages", caller_class="background"),
 }
 CLASSES = {"background": CallerClass(priority=5, max_share=0.5)}
