Add the stand-ins for the platform log, backend servers and callers

The node needs counterparts in tests and in the demo that it cannot mistake for well-behaved ones. Adds three small processes in vanillamast_testing:

platform_log serves the log interface of design section 10 with retention, an append rate limit and fault switches. It can listen on one address per failure domain, so that one domain can be cut from the platform. backend_server announces itself, sheds load, honours deadlines and disconnects, counts runs by request id and can be made bad. load_generator sends at an open-loop rate and compares each body with the one that belongs to its request id.

--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/backend_settings.py
@@ -0,0 +1,53 @@
+"""Settings of the fake backend server."""
+
+import dataclasses
+import enum
+
+
+class LoadReport(enum.StrEnum):
+    """What the backend server says about its load."""
+
+    MEASURED = "measured"
+    IDLE = "idle"  # Always 0, however busy it is.
+    BUSY = "busy"  # Always 1, however idle it is.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendSettings:
+    """How a fake backend server behaves while it is not bad.
+
+    Attributes:
+      service: Service that it belongs to.
+      version: Its version.
+      node_servers: "ip:port" on which its node takes announcements; ""
+        announces nothing.
+      node_callers: "ip:port" on which its node takes requests; "" makes
+        downstream calls fail.
+      slots: Requests that run at once.
+      queue_limit: Requests that may wait for a slot; more are shed.
+      connections: Connections that it announces.
+      work_ms: Time that a request takes when warm.
+      start_s: Seconds in state starting.
+      cold_s: Seconds, from the start of serving, in which work is slower.
+      cold_factor: How much slower the first request is.
+      load_report: What it says about its load.
+      load_lag_s: Age of the reported load.
+      announce_every_s: Seconds between announcements.
+      drain_limit_s: Longest wait for requests in flight at a stop.
+    """
+
+    service: str
+    version: str
+    node_servers: str = ""
+    node_callers: str = ""
+    slots: int = 9
+    queue_limit: int = 4
+    connections: int = 120
+    work_ms: float = 5.0
+    start_s: float = 0.5
+    cold_s: float = 3.0
+    cold_factor: float = 4.0
+    load_report: LoadReport = LoadReport.MEASURED
+    load_lag_s: float = 0.0
+    announce_every_s: float = 1.0
+    drain_limit_s: float = 30.0
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/badness.py
@@ -0,0 +1,120 @@
+"""What is wrong with a fake backend server, and when."""
+
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+from vanillamast_core import Registry, UnknownEntryError, VanillamastError
+
+LOADED_SHARE = 0.5  # "Under load" means that more slots than this are busy.
+
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class BadnessError(VanillamastError):
+    """A badness that was asked for is not one."""
+
+
+class Harm(msgspec.Struct, frozen=True):
+    """What happens to one request.
+
+    Attributes:
+      delay_s: Added to the work, in seconds.
+      status: Status of the answer.
+      cut: Whether the answer's body is cut off in the middle.
+    """
+
+    delay_s: float = 0.0
+    status: int = 200
+    cut: bool = False
+
+
+NO_HARM = Harm()
+
+
+class Badness(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A fault of a backend server version.
+
+    Attributes:
+      kind: Name in `badness_kinds`.
+      share: Share of the requests that are affected.
+      delay_ms: Added latency of the slow kinds.
+      after_s: Seconds from the moment it is set until it begins.
+      under_load: Whether only requests are affected that arrive while more
+        than half of the slots are busy.
+      prefix: Only requests whose path starts with this are affected.
+    """
+
+    kind: str = "none"
+    share: Share = 1.0
+    delay_ms: NonNegative = 500.0
+    after_s: NonNegative = 0.0
+    under_load: bool = False
+    prefix: str = "/"
+
+    def affects(self, path: str, age_s: float, busy: float) -> bool:
+        """Returns whether a request meets the conditions.
+
+        Args:
+          path: The request's path.
+          age_s: Seconds since the badness was set.
+          busy: Share of the slots that are busy, this request included.
+        """
+        return (
+            path.startswith(self.prefix)
+            and age_s >= self.after_s
+            and (busy > LOADED_SHARE or not self.under_load)
+        )
+
+    def harm(self) -> Harm:
+        """Returns what happens to an affected request."""
+        return badness_kinds.get(self.kind)(self)
+
+
+Kind = Callable[[Badness], Harm]
+badness_kinds: Registry[Kind] = Registry("badness")
+
+
+@badness_kinds.register("none")
+def no_harm(badness: Badness) -> Harm:
+    """Leaves requests alone."""
+    return NO_HARM
+
+
+@badness_kinds.register("fail")
+def fail(badness: Badness) -> Harm:
+    """Answers with 500 after the work was done."""
+    return Harm(status=500)
+
+
+@badness_kinds.register("slow")
+def slow(badness: Badness) -> Harm:
+    """Answers correctly, but late."""
+    return Harm(delay_s=badness.delay_ms / 1000)
+
+
+@badness_kinds.register("fail_slowly")
+def fail_slowly(badness: Badness) -> Harm:
+    """Answers with 500, and late."""
+    return Harm(delay_s=badness.delay_ms / 1000, status=500)
+
+
+@badness_kinds.register("cut")
+def cut(badness: Badness) -> Harm:
+    """Closes the connection in the middle of the body."""
+    return Harm(cut=True)
+
+
+def decode_badness(data: bytes) -> Badness:
+    """Returns the badness that a JSON object describes.
+
+    Raises:
+      BadnessError: It is malformed or of an unknown kind.
+    """
+    try:
+        badness = msgspec.json.decode(data, type=Badness)
+        badness.harm()
+    except (msgspec.MsgspecError, UnknownEntryError) as error:
+        raise BadnessError(str(error)) from error
+    return badness
