--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/demo_run.py
@@ -0,0 +1,381 @@
+"""The steps of the demo."""
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+
+from vanillamast_testing.demo_report import DemoReport
+from vanillamast_testing.deployment import Deployment
+from vanillamast_testing.fleet import Fleet, choose_seeds
+from vanillamast_testing.instance_spec import InstanceSpec
+from vanillamast_testing.load_settings import LoadSettings
+from vanillamast_testing.open_loop import LoadGenerator
+from vanillamast_testing.operator_command import CommandResult, operate
+from vanillamast_testing.outcome_audit import audit_outcomes
+from vanillamast_testing.run_counts import RunCounts, merge_runs
+
+CONVERGENCE_BOUND_S = 12.0
+CONTROL_BOUND_BYTES_PER_S = 2048.0
+GOOD_MOVE_S = 30
+BAD_SHARE_BOUND = 0.1
+TAKE_BACK_BOUND_S = 60.0
+RATE_PER_S = 60.0
+POST_SHARE = 0.2
+NEW_INSTANCES = 3
+POLL_S = 0.2
+
+
+class DemoRun:
+    """Starts a deployment, moves traffic, breaks things and reports.
+
+    Attributes:
+      fleet: The processes.
+      deployment: What is shown.
+      report: The findings.
+      load: The callers, while they run.
+    """
+
+    def __init__(self, fleet: Fleet, deployment: Deployment):
+        self.fleet = fleet
+        self.deployment = deployment
+        self.report = DemoReport()
+        self.load: LoadGenerator | None = None
+
+    async def run(self) -> DemoReport:
+        """Runs all steps."""
+        await self.start_fleet()
+        await self.publish_first()
+        load = asyncio.create_task(self.start_load())
+        try:
+            await asyncio.sleep(2.0)
+            await self.move_good_version()
+            await self.move_bad_version()
+            await self.publish_again()
+            await self.ask()
+        finally:
+            assert self.load is not None
+            self.load.stop()
+            await load
+        await self.count_control_bytes()
+        await self.audit()
+        await self.stop_fleet()
+        return self.report
+
+    async def start_fleet(self) -> None:
+        """Starts the platform's stand-in and all instances."""
+        specs = self.old_instances()
+        say(f"starting {len(specs)} instances of {self.deployment.name}")
+        await self.fleet.platform.start()
+        self.fleet.add(specs, choose_seeds(specs))
+        await self.fleet.start([spec.name for spec in specs])
+
+    def old_instances(self) -> list[InstanceSpec]:
+        """Returns the instances of the deployment, spread over its domains."""
+        names = [
+            (service, number)
+            for service, count in self.deployment.servers.items()
+            for number in range(count)
+        ]
+        return [
+            self.spec(index, service, str(number + 1), "1")
+            for index, (service, number) in enumerate(names)
+        ]
+
+    def spec(
+        self, index: int, service: str, suffix: str, version: str
+    ) -> InstanceSpec:
+        """Returns an instance; the first of each domain takes callers."""
+        domains = self.deployment.failure_domains
+        return InstanceSpec(
+            name=f"{service}-{suffix}",
+            region=self.deployment.region,
+            failure_domain=domains[index % len(domains)],
+            service=service,
+            version=version,
+            host=self.fleet.host(index),
+            edge=index < len(domains),
+        )
+
+    async def publish_first(self) -> None:
+        """Publishes the configuration and times its way to all nodes."""
+        path = self.fleet.settings.directory / "configuration.yaml"
+        path.write_text(self.deployment.configuration)
+        await self.fleet.wait_for(
+            self.fleet.running(), lambda status: status["offset"] > 0, 30.0
+        )
+        await self.publish(path, "first")
+
+    async def publish(self, path: Any, label: str) -> None:
+        """Publishes a file through one node and waits for all others."""
+        result = await self.command(f'publish "{path}" as "{label}"')
+        version = (await self.any_status())["version"]
+        took_s = await self.fleet.wait_for(
+            self.fleet.running(),
+            lambda status: status["applied_version"] >= version,
+            CONVERGENCE_BOUND_S * 2,
+        )
+        self.report.add(
+            f"convergence of {label!r} after its acceptance",
+            f"{took_s:.2f} s",
+            f"at most {CONVERGENCE_BOUND_S:.0f} s",
+            result.status == 0 and took_s <= CONVERGENCE_BOUND_S,
+        )
+
+    async def start_load(self) -> None:
+        """Sends reads and posts through the nodes that take callers."""
+        edges = [i.spec for i in self.fleet.instances.values() if i.spec.edge]
+        self.load = LoadGenerator(
+            LoadSettings(
+                targets=tuple(spec.callers for spec in edges),
+                rate=RATE_PER_S,
+                duration_s=600.0,
+                reads=self.deployment.reads,
+                posts=self.deployment.posts,
+                post_share=POST_SHARE,
+            )
+        )
+        await self.load.run()
+
+    async def move_good_version(self) -> None:
+        """Moves traffic to a good version while parts of the mesh fail."""
+        service = self.deployment.good_service
+        await self.start_new_version(service, badness="{}")
+        started = time.monotonic()
+        await self.command(
+            f"move {service} from 1 to 2 in {GOOD_MOVE_S}s named good"
+        )
+        failures = asyncio.create_task(self.cause_failures())
+        state = await self.wait_for_move(
+            "good", {"done", "settled", "taken_back", "stopped"}, 90.0
+        )
+        took_s = time.monotonic() - started
+        await failures
+        self.report.add(
+            "good version done in time",
+            f"{state} after {took_s:.1f} s",
+            f"done within {GOOD_MOVE_S} s",
+            state in ("done", "settled") and took_s <= GOOD_MOVE_S,
+        )
+
+    async def cause_failures(self) -> None:
+        """Kills and restarts nodes, an instance and the platform's log."""
+        victims = [
+            instance
+            for instance in self.fleet.instances.values()
+            if not instance.spec.edge and instance.spec.version == "1"
+        ]
+        say(f"killing the node of {victims[0].spec.name}")
+        await victims[0].node.kill()
+        await asyncio.sleep(2.0)
+        say("killing the platform's log")
+        await self.fleet.platform.kill()
+        await victims[0].node.start()
+        await asyncio.sleep(3.0)
+        say("starting the platform's log again")
+        await self.fleet.platform.start()
+        say(f"restarting the node of {victims[1].spec.name} as planned")
+        await victims[1].node.stop(20.0)
+        await victims[1].node.start()
+
+    async def move_bad_version(self) -> None:
+        """Starts a version that fails and waits until it is taken back."""
+        service = self.deployment.bad_service
+        await self.start_new_version(service, badness='{"kind": "fails"}')
+        assert self.load is not None
+        first = len(self.load.records)
+        started = time.monotonic()
+        await self.command(
+            f"move {service} from 1 to 2 in {GOOD_MOVE_S}s named bad"
+        )
+        state = await self.wait_for_move(
+            "bad", {"done", "settled", "taken_back", "stopped"}, 90.0
+        )
+        took_s = time.monotonic() - started
+        share = await self.bad_share(first)
+        self.report.add(
+            "bad version taken back",
+            f"{state} after {took_s:.1f} s",
+            f"taken_back within {TAKE_BACK_BOUND_S:.0f} s",
+            state == "taken_back" and took_s <= TAKE_BACK_BOUND_S,
+        )
+        self.report.add(
+            "share of the service's requests that it got",
+            f"{share:.3f}",
+            f"at most {BAD_SHARE_BOUND}",
+            share <= BAD_SHARE_BOUND,
+        )
+
+    async def bad_share(self, first: int) -> float:
+        """Returns the bad version's share of its service's runs."""
+        assert self.load is not None
+        sent = {r.request_id for r in self.load.records[first:]}
+        runs = {"1": 0, "2": 0}
+        for instance in self.fleet.instances.values():
+            spec = instance.spec
+            if spec.service != self.deployment.bad_service:
+                continue
+            counts = await self.runs_of(spec)
+            runs[spec.version] += sum(
+                count
+                for request, count in counts.runs.items()
+                if request in sent
+            )
+        return runs["2"] / max(1, sum(runs.values()))
+
+    async def start_new_version(self, service: str, badness: str) -> None:
+        """Starts instances of version 2 beside the old ones."""
+        index = len(self.fleet.instances)
+        specs = [
+            self.spec(index + n, service, f"new-{n + 1}", "2")
+            for n in range(NEW_INSTANCES)
+        ]
+        seeds = choose_seeds([i.spec for i in self.fleet.instances.values()])
+        self.fleet.add(specs, seeds)
+        for spec in specs:
+            server = self.fleet.instances[spec.name].server
+            server.arguments += (f"--badness={badness}",)
+        say(f"starting {len(specs)} instances of {service} version 2")
+        names = [spec.name for spec in specs]
+        await self.fleet.start(names)
+        await self.fleet.wait_for(
+            names, lambda status: status["server_state"] == "serving", 30.0
+        )
+
+    async def publish_again(self) -> None:
+        """Publishes one more change after the failures."""
+        path = self.fleet.settings.directory / "configuration.yaml"
+        directory = self.fleet.settings.directory / "next.yaml"
+        directory.write_text(
+            path.read_text().replace(
+                "routes:",
+                "routes:\n  help: {path: /help, service: "
+                f"{self.deployment.good_service}}}",
+                1,
+            )
+        )
+        text = await self.current_versions(directory.read_text())
+        directory.write_text(text)
+        await self.publish(directory, "second")
+
+    async def current_versions(self, text: str) -> str:
+        """Returns a configuration text with what is in effect of services.
+
+        The moves have changed versions, and a file that still names the old
+        ones would move traffic back at once.
+        """
+        answer = await self.fleet.client.get(
+            self.operator_address(), "/v1/configuration"
+        )
+        assert answer is not None
+        for name, service in answer["configuration"]["services"].items():
+            old = f'{name}: {{version: "1"'
+            text = text.replace(
+                old, f'{name}: {{version: "{service["version"]}"'
+            )
+        return text
+
+    async def ask(self) -> None:
+        """Asks what is in force where."""
+        result = await self.command("show versions")
+        print(result.output)
+        result = await self.command("show moves")
+        print(result.output)
+
+    async def count_control_bytes(self) -> None:
+        """Reads the control bytes that the nodes counted."""
+        addresses = [
+            self.fleet.instances[n].spec.operators for n in self.fleet.running()
+        ]
+        answers = await self.fleet.client.get_all(addresses, "/v1/metrics")
+        rates = [a["control_bytes_per_s"] for a in answers.values() if a]
+        worst = max(rates)
+        self.report.add(
+            "control bytes a second and node",
+            f"mean {sum(rates) / len(rates):.0f}, worst {worst:.0f}",
+            f"at most {CONTROL_BOUND_BYTES_PER_S:.0f}",
+            worst <= CONTROL_BOUND_BYTES_PER_S,
+        )
+
+    async def audit(self) -> None:
+        """Compares what callers were told with what was run."""
+        assert self.load is not None
+        counts = merge_runs(
+            [
+                await self.runs_of(instance.spec)
+                for instance in self.fleet.instances.values()
+            ]
+        )
+        result = audit_outcomes(self.load.records, counts)
+        print(f"callers: {self.load.summary()}")
+        for name, value in result.violations().items():
+            self.report.add(name, value, "0", value == 0)
+
+    async def stop_fleet(self) -> None:
+        """Stops all instances as planned."""
+        say("stopping all instances")
+        instances = list(self.fleet.instances.values())
+        statuses = await asyncio.gather(*(i.stop() for i in instances))
+        clean = sum(status == 0 for status in statuses)
+        self.report.add(
+            "planned stops without a cut-off request",
+            f"{clean} of {len(statuses)}",
+            "all",
+            clean == len(statuses),
+        )
+
+    async def wait_for_move(
+        self, name: str, states: set[str], timeout_s: float
+    ) -> str:
+        """Waits until a move is in one of the states; returns its state."""
+        deadline = time.monotonic() + timeout_s
+        last = ""
+        while time.monotonic() < deadline:
+            answer = await self.fleet.client.get(
+                self.operator_address(), "/v1/moves"
+            )
+            for move in (answer or {}).get("moves", []):
+                if move["name"] != name:
+                    continue
+                text = f"move {name}: {move['state']}, share {move['share']}"
+                if text != last:
+                    say(text)
+                    last = text
+                if move["state"] in states:
+                    return move["state"]
+            await asyncio.sleep(POLL_S)
+        return "unfinished"
+
+    async def command(self, text: str) -> CommandResult:
+        """Runs a command of the operators' language and shows it."""
+        say(f"vanillamast '{text}'")
+        result = await operate(self.operator_address(), text)
+        if result.status != 0:
+            print(result.output)
+            self.report.add(
+                f"command {text!r}", f"status {result.status}", "0", False
+            )
+        return result
+
+    async def any_status(self) -> dict[str, Any]:
+        """Returns the status of the node that operators use."""
+        answer = await self.fleet.client.get(
+            self.operator_address(), "/v1/status"
+        )
+        assert answer is not None
+        return answer
+
+    def operator_address(self) -> str:
+        """Returns the address of the node that operators use."""
+        return next(iter(self.fleet.instances.values())).spec.operators
+
+    async def runs_of(self, spec: InstanceSpec) -> RunCounts:
+        """Returns how often a backend server ran each request."""
+        answer = await self.fleet.client.get(spec.backend, "/control/runs")
+        return msgspec.convert(answer or {}, RunCounts)
+
+
+def say(text: str) -> None:
+    """Prints what happens, with the time."""
+    print(f"{time.strftime('%H:%M:%S')}  {text}", flush=True)
