Leave the end of a link's stream to grpclib

Cause: a stream that the peer had reset was reset again, which raised StreamClosedError in grpclib's handler and left tracebacks on standard error.

Change: no reset by the link; warnings of libraries become JSON lines.

--- a/packages/node/src/vanillamast_node/log_writer.py
+++ b/packages/node/src/vanillamast_node/log_writer.py
@@ -1,5 +1,6 @@
 """Writes log lines without blocking the event loop."""
 
+import logging
 import queue
 import sys
 import threading
@@ -7,6 +8,7 @@
 
 import eliot
 import msgspec
+from eliot.stdlib import EliotHandler
 
 from vanillamast_node.log_settings import LogSettings
 
@@ -39,6 +41,10 @@
         """Starts the thread and takes eliot's messages."""
         self._thread.start()
         eliot.add_destinations(self.accept)
+        # Warnings of libraries become JSON lines, too.
+        root = logging.getLogger()
+        root.handlers = [EliotHandler()]
+        root.setLevel(logging.WARNING)
 
     def accept(self, message: dict[str, Any]) -> None:
         """Queues one message; called by eliot."""
--- a/packages/node/src/vanillamast_node/peer_transport.py
+++ b/packages/node/src/vanillamast_node/peer_transport.py
@@ -4,9 +4,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import grpclib
+import grpclib.exceptions
 from grpclib.client import Channel
 from grpclib.server import Server, Stream
+from h2.exceptions import H2Error
 from vanillamast_core import CodecError
 from vanillamast_core.control import (
     DialFailed,
@@ -38,6 +39,7 @@
     ConnectionError,
     OSError,
     asyncio.TimeoutError,
+    H2Error,
 )
 
 
@@ -171,7 +173,6 @@
             self._queues.pop(link, None)
             self.report(LinkDown(link))
             await cancel_all(sender, receiver)
-            await reset(stream)
 
     async def _send_frames(
         self, stream: Any, messages: asyncio.Queue[Message | None]
@@ -200,11 +201,3 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
 
-
-async def reset(stream: Any) -> None:
-    """Resets a stream that may be closed already."""
-    try:
-        async with asyncio.timeout(1.0):
-            await stream.cancel()
-    except STREAM_ERRORS:
-        return
