--- a/packages/core/src/vanillamast_core/configuration/load.py
+++ b/packages/core/src/vanillamast_core/configuration/load.py
@@ -62,7 +62,9 @@
     data = msgspec.to_builtins(configuration)
     for move in data["moves"].values():
         move["deadline"] = _dump_deadline(move["deadline"])
-    return yaml.safe_dump(data, sort_keys=True, allow_unicode=True)
+    # Escapes all but ASCII: PyYAML writes U+0085 unescaped if allowed to
+    # write Unicode, and reads it back as a line break.
+    return yaml.safe_dump(data, sort_keys=True, allow_unicode=False)
 
 
 def _require_mapping(path: str, data: object) -> None:
--- a/packages/core/src/vanillamast_core/configuration/route_index.py
+++ b/packages/core/src/vanillamast_core/configuration/route_index.py
@@ -16,6 +16,7 @@
 
     Attributes:
       by_path: Routes by method, by path prefix.
+      longest: Length of the longest prefix.
     """
 
     def __init__(self, routes: Mapping[str, Route]):
@@ -24,6 +25,7 @@
             methods = self.by_path.setdefault(route.path, {})
             for method in route.methods:
                 methods[method] = RouteFound(name, route)
+        self.longest = max(map(len, self.by_path), default=0)
 
     def match(self, method: str, path: str) -> RouteMatch:
         """Returns the route whose prefix is the longest.
@@ -35,7 +37,9 @@
           method: Method of the request, in upper case.
           path: Target of the request; a query is ignored.
         """
-        prefix = path.partition("?")[0]
+        if not path.startswith("/"):  # "*" or an absolute URI.
+            return NoRoute()
+        prefix = self._limit(path.partition("?")[0])
         while prefix:
             if methods := self.by_path.get(prefix):
                 return methods.get(method) or MethodNotAllowed(
@@ -44,6 +48,12 @@
             prefix = self._shorten(prefix)
         return NoRoute()
 
+    def _limit(self, path: str) -> str:
+        """Cuts what no prefix reaches, so that long paths cost no more."""
+        if len(path) <= self.longest:
+            return path
+        return path[: path.rfind("/", 0, self.longest + 1)] or "/"
+
     def _shorten(self, prefix: str) -> str:
         """Returns the next shorter prefix that ends at a "/" boundary."""
         if prefix == "/":
--- a/packages/core/src/vanillamast_core/configuration/routing_table.py
+++ b/packages/core/src/vanillamast_core/configuration/routing_table.py
@@ -81,9 +81,10 @@
     ) -> list[TableStep]:
         """Goes on towards a version, as far as it can at this time.
 
-        To be called when the fold has a new version, when endpoints change
-        and at `wake_at`. The table is changed before it returns; the steps
-        tell the caller which endpoints to get and to let go, in this order.
+        To be called when the fold has a new version. The table is changed
+        before it returns; the steps tell the caller which endpoints to get
+        and to let go, in this order. `advance` is to be called after the
+        steps were carried out, when endpoints change and at `wake_at`.
 
         Args:
           version: Offset that the configuration has; one that is not above
@@ -91,7 +92,6 @@
           configuration: The whole valid configuration of that version.
           now: Monotonic time in seconds.
           has_usable: Whether the node knows a usable endpoint of a service.
-            It is asked again after the services were added.
         """
         steps: list[TableStep] = []
         newest = self.pending.version if self.pending else self.applied_version
--- a/packages/core/src/vanillamast_core/journal/fold_platform.py
+++ b/packages/core/src/vanillamast_core/journal/fold_platform.py
@@ -47,11 +47,9 @@
     if refusal := conflict(record, offset, key, state.last_change(key)):
         return refusal
     if record.drained:
-        state.drains.setdefault(record.instance, offset)
-        state.touch(key, offset)
+        state.set_drain(record.instance, offset)
     else:
-        state.drains.pop(record.instance, None)
-        state.touch_removed(key, offset)
+        state.end_drain(record.instance, offset)
     return accepted(record, offset)
 
 
@@ -60,4 +58,7 @@
     state: MeshState, record: SnapshotChunk, offset: int
 ) -> Outcome:
     """Changes nothing: snapshots serve recovery from the log alone."""
-    return accepted(record, offset)
+    if record.is_sound(offset):
+        return accepted(record, offset)
+    detail = f"part {record.index} of {record.count} at {record.offset}"
+    return refused(record, offset, OutcomeReason.INVALID, detail)
--- a/packages/core/src/vanillamast_core/journal/lease_keeper.py
+++ b/packages/core/src/vanillamast_core/journal/lease_keeper.py
@@ -82,12 +82,11 @@
           rank: Number of live instances that should claim before this one.
         """
         self._note_demand(now)
-        if self.pending:
-            if now - self.pending.last_sent_at < self.settings.resend_s:
-                return None
-        elif self._due(now, rank):
+        if not self._due(now, rank):
+            return None
+        if self.pending is None:
             self.pending = PendingClaim(self._claim(), None, now)
-        else:
+        elif now - self.pending.last_sent_at < self.settings.resend_s:
             return None
         self.pending.last_sent_at = now
         return self.pending.record
--- a/packages/core/src/vanillamast_core/journal/mesh_state.py
+++ b/packages/core/src/vanillamast_core/journal/mesh_state.py
@@ -13,6 +13,9 @@
 # move this covers hours.
 MAX_OUTCOMES = 1_024
 MAX_REMOVED = 1_024
+# More than three times the instances of the target size: drains that nobody
+# ended, of instances that were replaced, must not pile up.
+MAX_DRAINS = 4_096
 
 
 class MeshState(msgspec.Struct, array_like=True, kw_only=True):
@@ -33,7 +36,7 @@
       moves: Moves by name; of those in a final state the last 64.
       leases: Leases by name.
       beacons: Last beacon by failure domain.
-      drains: Offset at which the drain began by instance.
+      drains: Offset at which the drain began by instance, the last 4,096.
       outcomes: Outcomes by id of record, in order of their offsets, the last
         1,024. Leases, beacons and snapshots are idempotent without it.
     """
@@ -97,6 +100,19 @@
             oldest = min(final, key=lambda m: (m.changed_at, m.name))
             del self.moves[oldest.name]
 
+    def set_drain(self, instance: str, offset: int) -> None:
+        """Notes a drain and forgets the oldest of too many."""
+        self.drains.setdefault(instance, offset)
+        self.touch(f"drains/{instance}", offset)
+        if len(self.drains) > MAX_DRAINS:
+            oldest = min(self.drains, key=lambda i: (self.drains[i], i))
+            self.end_drain(oldest, offset)
+
+    def end_drain(self, instance: str, offset: int) -> None:
+        """Ends a drain, if there is one."""
+        self.drains.pop(instance, None)
+        self.touch_removed(f"drains/{instance}", offset)
+
     def remember(self, outcome: Outcome) -> None:
         """Keeps an outcome and forgets the oldest of too many."""
         self.outcomes[outcome.id] = outcome
--- a/packages/core/src/vanillamast_core/journal/restore.py
+++ b/packages/core/src/vanillamast_core/journal/restore.py
@@ -27,7 +27,7 @@
     """
     retained = list(entries)
     snapshots = complete_snapshots(retained)
-    missing = 1
+    missing: list[int] = []
     for offset in [*sorted(snapshots, reverse=True), 0]:
         journal = Journal()
         try:
@@ -37,8 +37,9 @@
         except CodecError:
             continue
         except GapError as error:
-            missing = error.expected
-    raise RestoreError(missing, sorted(snapshots))
+            missing.append(error.expected)
+    # The newest snapshot needs the fewest entries.
+    raise RestoreError(missing[0], sorted(snapshots))
 
 
 def complete_snapshots(entries: Sequence[LogEntry]) -> dict[int, bytes]:
@@ -53,7 +54,9 @@
             parts[key][chunk.index] = chunk.data
     result = {}
     for (offset, count, digest), by_index in parts.items():
-        data = b"".join(by_index.get(i, b"") for i in range(count))
+        if len(by_index) < count:
+            continue
+        data = b"".join(by_index[index] for index in range(count))
         if snapshot_digest(data) == digest:
             result[offset] = data
     return result
@@ -74,6 +77,6 @@
         record = record_codec.decode(entry.data)
     except CodecError:
         return None
-    if not isinstance(record, SnapshotChunk) or record.offset >= entry.offset:
-        return None
-    return record
+    if isinstance(record, SnapshotChunk) and record.is_sound(entry.offset):
+        return record
+    return None
--- a/packages/core/src/vanillamast_core/journal/snapshot_writer.py
+++ b/packages/core/src/vanillamast_core/journal/snapshot_writer.py
@@ -28,19 +28,21 @@
         self.tried_at: float | None = None
         self.parts: dict[tuple[int, int, bytes], set[int]] = {}
 
-    def observe(self, chunk: SnapshotChunk, now: float) -> None:
+    def observe(self, chunk: SnapshotChunk, offset: int, now: float) -> None:
         """Takes note of a part in the log, with or without its data.
 
         Args:
           chunk: A folded record.
+          offset: Offset of its entry.
           now: Monotonic time in seconds.
         """
-        if chunk.offset <= (self.complete_offset or 0):
+        known = self.complete_offset or 0
+        if chunk.offset <= known or not chunk.is_sound(offset):
             return
         key = (chunk.offset, chunk.count, chunk.digest)
         seen = self.parts.setdefault(key, set())
         seen.add(chunk.index)
-        if seen == set(range(chunk.count)):
+        if len(seen) == chunk.count:
             self._complete(chunk.offset, now)
 
     def decide(self, journal: Journal, now: float) -> list[SnapshotChunk]:
