Refer refused nodes to others and keep the eager graph connected

Cause: with 300 nodes starting at once 15 stayed without links for 20 s because 8 seeds were full, and probes of seeds made short-lived links that became the only source of entries; entries then waited for a heartbeat (0.6 to 1.5 s) about every second time.

Change: Busy names other nodes, a seed that the directory knows is not probed, unneeded links close after 3 s, and a node that loses the link on which entries came asks all peers to push again.

--- a/packages/core/src/vanillamast_core/peers/directory.py
+++ b/packages/core/src/vanillamast_core/peers/directory.py
@@ -159,6 +159,14 @@
         record = self.records.get(instance)
         return None if record is None else record.liveness
 
+    def find_address(self, peer_address: str) -> str | None:
+        """Returns the instance at an address; decodes all records."""
+        for instance, record in self.records.items():
+            found = unpack_announcement(record.packed)
+            if found.peer_address == peer_address:
+                return instance
+        return None
+
     def usable(self, service: str) -> list[Announcement]:
         """Returns who can get requests: alive, serving, staying, undrained."""
         found = self._usable.get(service)
--- a/packages/core/src/vanillamast_core/peers/entry_spreader.py
+++ b/packages/core/src/vanillamast_core/peers/entry_spreader.py
@@ -7,7 +7,7 @@
 from vanillamast_core.peers.effects import EntriesApplied
 from vanillamast_core.peers.entry_store import EntryStore
 from vanillamast_core.peers.link import Link
-from vanillamast_core.peers.link_messages import Entries
+from vanillamast_core.peers.link_messages import Entries, Graft
 from vanillamast_core.peers.link_table import LinkTable
 from vanillamast_core.peers.settings import PeerSettings
 
@@ -48,6 +48,7 @@
       store: The fold of the log.
       links: Links of this node.
       pending: Entries that wait for an earlier one, by offset.
+      parent: Link on which the last new entry arrived.
     """
 
     def __init__(
@@ -57,6 +58,18 @@
         self.store = store
         self.links = links
         self.pending: dict[int, LogEntry] = {}
+        self.parent: Link | None = None
+
+    def lost(self, link: Link) -> None:
+        """Asks all peers to push again if entries came on a lost link.
+
+        Otherwise perhaps no peer pushes to this node any more, or only one
+        that gets its own entries from here; the next entry would be noticed
+        by heartbeats only. Duplicates prune the links again.
+        """
+        if link is self.parent:
+            self.parent = None
+            self.links.flood(Graft(self.store.offset))
 
     def offer(self, entries: Sequence[LogEntry], source: Link | None) -> bool:
         """Takes entries in any order, from the log or a peer.
@@ -73,6 +86,8 @@
                 self.pending[entry.offset] = entry
                 fresh = True
         if fresh:
+            if source is not None:
+                self.parent = source
             self.apply_pending(source)
         return fresh
 
--- a/packages/core/src/vanillamast_core/peers/link_messages.py
+++ b/packages/core/src/vanillamast_core/peers/link_messages.py
@@ -79,6 +79,12 @@
 
 @message_kinds.register("busy")
 class Busy(Message, array_like=True, frozen=True, tag=8):
-    """The sender cannot serve a snapshot or take a link at present."""
+    """The sender cannot serve a snapshot or take a link at present.
+
+    Attributes:
+      retry_after_s: Earliest sensible time of the next attempt.
+      peers: Addresses of other nodes to ask in its place.
+    """
 
     retry_after_s: float
+    peers: tuple[str, ...] = ()
--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -61,6 +61,7 @@
 MAX_SEEDS = 64
 BUSY_DIALS = 3  # Refusals for too many links after which a peer is avoided.
 LINK_BUSY_RETRY_S = 1.0
+REFERRALS = 4  # Addresses that a full node names to one that it refuses.
 
 Handler: TypeAlias = Callable[["Mesh", Link, Any, float], None]
 handlers: dict[type[Message], Handler] = {}
@@ -92,6 +93,7 @@
       alarms: Moves that were taken back.
       reading_log: Whether this node should read the platform's log.
       seeds: Addresses of any nodes, to find the mesh.
+      referrals: Addresses that a full node named, tried before the seeds.
       avoided: Until when an instance is not dialed.
     """
 
@@ -133,6 +135,7 @@
         self.reading_log = False
         self.seeds: list[str] = []
         self.seed_instances: dict[str, str] = {}
+        self.referrals: list[str] = []
         self.avoided: dict[str, float] = {}
         self._targets: list[str] | None = None
         self._started_at: float | None = None
@@ -218,8 +221,7 @@
         if dialed is not None:
             self.dialer.connected(dialed)
         elif len(self.links.by_id) >= self.settings.max_links:
-            self.links.send(state, Busy(LINK_BUSY_RETRY_S))
-            self.links.close(state)
+            self._refer(state)
             return self._finish(now)
         self.links.add(state)
         hello = Hello(
@@ -416,10 +418,12 @@
         ):
             self.links.close(link)
             self.catch_up.lost(link, now)
+            self.spreader.lost(link)
 
     def _lose(self, link: Link, now: float) -> None:
         self.links.forget(link)
         self.catch_up.lost(link, now)
+        self.spreader.lost(link)
         if link.dialed is not None:
             self.dialer.lost(link.dialed, link.instance, now)
 
@@ -446,7 +450,22 @@
         self.avoided[instance] = now + self.settings.avoid_s
         self._targets = None
 
+    def _refer(self, link: Link) -> None:
+        """Refuses a link and names linked peers, which have room more likely.
+
+        When a whole failure domain starts at once, all of its nodes dial the
+        same few seeds.
+        """
+        linked = sorted(self.links.by_instance)
+        names = self.rng.sample(linked, min(REFERRALS, len(linked)))
+        addresses = [self.peer_address(name) for name in names]
+        peers = tuple(address for address in addresses if address)
+        self.links.send(link, Busy(LINK_BUSY_RETRY_S, peers))
+        self.links.close(link)
+
     def _rotate_seed(self, address: str) -> None:
+        if address in self.referrals:
+            self.referrals.remove(address)
         if address in self.seeds:
             self.seeds.remove(address)
             self.seeds.append(address)
@@ -472,7 +491,7 @@
             if instance not in self.links.by_instance:
                 self._dial_instance(instance, now)
         if not self.links.by_instance:
-            for address in self.seeds[:SEEDS_AT_ONCE]:
+            for address in (self.referrals + self.seeds)[:SEEDS_AT_ONCE]:
                 known = self.seed_instances.get(address, "")
                 self.dialer.want(address, known, now)
         if now >= self._next_probe:
@@ -502,11 +521,13 @@
 
     def _is_seed_known(self, address: str) -> bool:
         instance = self.seed_instances.get(address)
+        if instance is None or instance not in self.directory.records:
+            instance = self.directory.find_address(address)
         if instance is None:
             return False
-        record = self.directory.records.get(instance)
-        # A dead record is probed by itself, a missing one by its seed.
-        return record is not None
+        self.seed_instances[address] = instance
+        # The dead are probed anyway.
+        return True
 
     def _merge_alarms(self, moves: dict[int, str], source: Link | None) -> None:
         news = self.alarms.merge(moves)
@@ -537,6 +558,7 @@
         self.catch_up.saw_hello(link, now)
 
     def _reached(self, link: Link, instance: str, now: float) -> None:
+        self.referrals.clear()
         if self.avoided.pop(instance, None) is not None:
             self._targets = None
         if link.dialed is None:
@@ -599,6 +621,8 @@
             return
         attempt = self.dialer.failed(link.dialed, now)
         self._rotate_seed(link.dialed)
+        if not self.links.by_instance:
+            self.referrals = list(message.peers[:REFERRALS])
         if attempt.instance and attempt.failures >= BUSY_DIALS:
             self._avoid(attempt.instance, now)
 
--- a/packages/core/src/vanillamast_core/peers/settings.py
+++ b/packages/core/src/vanillamast_core/peers/settings.py
@@ -72,7 +72,7 @@
     avoid_s: Seconds = 60.0
     redial_base_s: Seconds = 0.2
     redial_cap_s: Seconds = 5.0
-    unwanted_grace_s: Seconds = 10.0
+    unwanted_grace_s: Seconds = 3.0
     rejoin_rate: Seconds = 2.0
     rejoin_min_s: Seconds = 1.0
     max_links: Count = 32
