Test the HTTP path against failing backend servers and callers

Cause: the forwarding path had only a smoke run. They found three faults, fixed here: a refused header kept its connection open, the first chunk of a body over the replay limit was lost, and a body over the limit was reported as a lost upstream connection.

--- a/packages/node/src/vanillamast_node/caller_app.py
+++ b/packages/node/src/vanillamast_node/caller_app.py
@@ -103,8 +103,9 @@
     if refusal.retry_after_s:
         retry_after = max(1, round(refusal.retry_after_s))
         fields.append((b"retry-after", b"%d" % retry_after))
-    if call.header.length != 0 and not call.body.complete:
-        # The rest of the body is not read, so the connection cannot be used
-        # for another request.
+    unread = call.header.length != 0 and not call.body.complete
+    if unread or call.header.problem:
+        # The rest of the body is not read or its length is in doubt, so the
+        # connection cannot be used for another request.
         fields.append((b"connection", b"close"))
     return fields
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -333,9 +333,16 @@
         self._tell(BytesSent(self.exchange.attempts))
 
     async def _chunks(self, exchange: Exchange) -> AsyncIterator[bytes]:
-        async for chunk in self.body.chunks():
-            exchange.replayable = self.body.replayable
-            yield chunk
+        try:
+            async for chunk in self.body.chunks():
+                exchange.replayable = self.body.replayable
+                yield chunk
+        except CallerGoneError:
+            self._interrupt(CallerGone())
+            raise
+        except BodyRejectedError:
+            self._interrupt(BodyRejected("body_too_large"))
+            raise
 
     def _upstream_fields(
         self, exchange: Exchange
--- a/packages/node/src/vanillamast_node/request_body.py
+++ b/packages/node/src/vanillamast_node/request_body.py
@@ -15,10 +15,11 @@
       receive: ASGI callable of the request.
       limit: Largest body in bytes.
       replay_limit: Bytes kept for further attempts.
-      kept: Chunks read so far, while all of them are kept.
+      kept: All chunks read so far, or those not handed out yet once the
+        body is too long to be sent again.
       size: Bytes read so far.
       complete: Whether the whole body has been read.
-      replayable: Whether `kept` holds everything read so far.
+      replayable: Whether `kept` holds the body from its start.
     """
 
     def __init__(self, receive: Receive, limit: int, replay_limit: int):
@@ -36,10 +37,12 @@
             await self._read()
 
     def whole(self) -> bytes | None:
-        """Returns the body if all of it is at hand."""
-        if self.complete and self.replayable:
-            return b"".join(self.kept)
-        return None
+        """Returns the body if all of it is at hand and may be kept."""
+        if not self.complete or not self.replayable:
+            return None
+        if self.size > self.replay_limit:
+            return None
+        return b"".join(self.kept)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body from its start.
@@ -48,14 +51,21 @@
           CallerGoneError: The caller closed its connection.
           BodyRejectedError: The body is over the limit.
         """
-        for chunk in list(self.kept):
+        for chunk in self._take():
             yield chunk
         while not self.complete:
-            chunk = await self._read()
-            if chunk:
-                yield chunk
+            await self._read()
+            yield self._take()[-1]
+
+    def _take(self) -> list[bytes]:
+        """Returns the kept chunks, and drops them once they are too many."""
+        chunks = list(self.kept)
+        if self.size > self.replay_limit:
+            self.replayable = False
+            self.kept.clear()
+        return chunks
 
-    async def _read(self) -> bytes:
+    async def _read(self) -> None:
         event = await self.receive()
         if event["type"] != "http.request":
             raise CallerGoneError("the caller closed its connection")
@@ -64,14 +74,4 @@
         self.size += len(chunk)
         if self.size > self.limit:
             raise BodyRejectedError(f"the body is over {self.limit} bytes")
-        self._keep(chunk)
-        return chunk
-
-    def _keep(self, chunk: bytes) -> None:
-        if not self.replayable:
-            return
-        if self.size > self.replay_limit:
-            self.replayable = False
-            self.kept.clear()
-        elif chunk:
-            self.kept.append(chunk)
+        self.kept.append(chunk)
--- a/tests/node/proxy/proxied_mesh.py
+++ b/tests/node/proxy/proxied_mesh.py
@@ -4,10 +4,9 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Sequence
-
-from scripted_backend import ScriptedBackend
+from collections.abc import AsyncIterator, Callable, Sequence
 
+import msgspec
 from vanillamast_core import Announcement, ServerState
 from vanillamast_core.configuration import CallerClass, Route, Service
 from vanillamast_core.peers import ClaimKey, KeyAnswer, KeyState, SettleKey
@@ -24,14 +23,18 @@
     UpstreamPool,
 )
 
+from tests.node.proxy.scripted_backend import ScriptedBackend
+
 WARM_SINCE_MS = 1000
+GRANTED = KeyAnswer(KeyState.GRANTED)
 HANG_S = 20.0  # Only a hang lasts this long.
 ROUTES = {
     "all": Route("/", "pages", methods=("GET", "HEAD", "PUT")),
     "posts": Route("/", "pages", methods=("POST",)),
     "once": Route("/once", "pages", methods=("PUT",), idempotent=False),
-    "brief": Route(
-        "/brief", "pages", methods=("GET", "POST"), timeout_ms=200
+    "brief": Route("/brief", "pages", methods=("GET", "POST"), timeout_ms=200),
+    "patient": Route(
+        "/patient", "pages", methods=("GET", "POST"), timeout_ms=20_000
     ),
     "background": Route("/background", "pages", caller_class="background"),
 }
@@ -39,7 +42,7 @@
 
 
 class SequenceSplit:
-    """Stands in for the version split: new for the first share of 100."""
+    """Stands in for the version split of the moves package."""
 
     def __init__(self, share: float, rng: random.Random):
         self.share = share
@@ -70,15 +73,6 @@
         state=ServerState.SERVING,
         serving_since_ms=WARM_SINCE_MS,
     )
-    return msgspec_replace(announcement, changes)
-
-
-def msgspec_replace(
-    announcement: Announcement, changes: dict[str, object]
-) -> Announcement:
-    """Returns a changed announcement."""
-    import msgspec
-
     return msgspec.structs.replace(announcement, **changes)
 
 
@@ -160,7 +154,7 @@
     decisions: list[Decision] = dataclasses.field(default_factory=list)
     claims: list[ClaimKey] = dataclasses.field(default_factory=list)
     settled: list[SettleKey] = dataclasses.field(default_factory=list)
-    key_answer: KeyAnswer | None = KeyAnswer(KeyState.GRANTED)
+    key_answer: KeyAnswer | None = GRANTED
     callers: list[Caller] = dataclasses.field(default_factory=list)
 
     async def caller(self) -> Caller:
@@ -189,10 +183,10 @@
         )
 
 
-async def eventually(condition: "object") -> None:
+async def eventually(condition: Callable[[], object]) -> None:
     """Waits until a condition holds; fails only on a hang."""
     async with asyncio.timeout(HANG_S):
-        while not condition():  # type: ignore[operator]
+        while not condition():
             await asyncio.sleep(0.002)
 
 
--- /dev/null
+++ b/tests/node/proxy/test_streaming.py
@@ -0,0 +1,225 @@
+"""Bodies that are larger than any buffer, keys, and the planned stop."""
+
+import asyncio
+import json
+
+import pytest
+from vanillamast_core.peers import KeyAnswer, KeyState
+from vanillamast_node import ForwardingSettings
+
+from tests.node.proxy.proxied_mesh import eventually, proxied
+from tests.node.proxy.scripted_backend import Exchange, ScriptedBackend
+
+PIECE = b"x" * 65_536
+PIECES = 400  # 26 MB, far above the sum of all buffers on the way.
+
+
+class TestBackpressure:
+    """Slow readers on either side."""
+
+    async def test_slow_caller_slows_the_backend_server(self) -> None:
+        """Guards against holding whole responses in memory."""
+        sent = 0
+
+        async def large(exchange: Exchange) -> None:
+            nonlocal sent
+            await exchange.read_body()
+            length = len(PIECE) * PIECES
+            await exchange.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+            )
+            for _ in range(PIECES):
+                await exchange.send(PIECE)
+                sent += 1
+
+        async with ScriptedBackend(large) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            await caller.send(b"GET /patient HTTP/1.1\r\nHost: x\r\n\r\n")
+            await caller.reader.readuntil(b"\r\n\r\n")
+            before = -1
+            while before != sent:
+                before = sent
+                await asyncio.sleep(0.1)
+            assert sent < PIECES
+            await caller.reader.readexactly(len(PIECE) * PIECES)
+            await eventually(lambda: mesh.router.in_flight() == 0)
+
+    async def test_slow_backend_server_slows_the_caller(self) -> None:
+        """Guards against holding whole request bodies in memory."""
+        read = asyncio.Event()
+
+        async def slow(exchange: Exchange) -> None:
+            await read.wait()
+            body = await exchange.read_body()
+            await exchange.answer(b"%d" % len(body))
+
+        size = len(PIECE) * PIECES
+        settings = ForwardingSettings(body_bytes=size)
+        async with (
+            ScriptedBackend(slow) as backend,
+            proxied(backend, settings=settings) as mesh,
+        ):
+            caller = await mesh.caller()
+            await caller.send(
+                b"POST /patient HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: %d\r\n\r\n" % size
+            )
+            caller.writer.write(b"x" * size)
+            transport = caller.writer.transport
+            before = -1
+            while before != transport.get_write_buffer_size():
+                before = transport.get_write_buffer_size()
+                await asyncio.sleep(0.1)
+            assert transport.get_write_buffer_size() > 0
+            read.set()
+            assert (await caller.response()).body == b"%d" % size
+
+    async def test_first_bytes_are_not_held_back(self) -> None:
+        """Guards against responses that wait for their end."""
+        release = asyncio.Event()
+
+        async def pieces(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await exchange.send(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            await exchange.send(b"3\r\nabc\r\n")
+            await release.wait()
+            await exchange.send(b"3\r\ndef\r\n0\r\n\r\n")
+
+        async with ScriptedBackend(pieces) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await caller.reader.readuntil(b"abc\r\n")
+            release.set()
+            assert (await caller.reader.readuntil(b"0\r\n\r\n"))[3:6] == b"def"
+            await eventually(lambda: mesh.router.in_flight() == 0)
+            assert (await caller.call("GET", "/")).body == b"abcdef"
+            assert backend.connections == 1
+
+    async def test_early_answer_to_an_unfinished_body(self) -> None:
+        """Guards against reusing a connection with half a body on it."""
+        calls = 0
+
+        async def impatient(exchange: Exchange) -> None:
+            nonlocal calls
+            calls += 1
+            if calls > 1:
+                await exchange.read_body()
+            await exchange.answer(b"early" if calls == 1 else b"ok")
+
+        async with (
+            ScriptedBackend(impatient) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc"
+            )
+            assert (await caller.response()).body == b"early"
+            other = await mesh.caller()
+            answer = await other.call("POST", "/", body=b"y")
+            assert answer.body == b"ok"
+            assert backend.ran[0].body == b"y"
+            assert backend.connections == 2
+
+
+class TestKeys:
+    """Idempotency keys at the entry node."""
+
+    async def test_claim_and_settle(self) -> None:
+        """Guards against running a keyed post without its claim."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", "Idempotency-Key: k\r\n")
+            assert answer.status == 200
+            await eventually(lambda: mesh.settled)
+            assert mesh.settled[0].status == 200
+            assert mesh.settled[0].claim == mesh.claims[0].claim
+            await caller.call("GET", "/", "Idempotency-Key: k\r\n")
+            assert len(mesh.claims) == 1
+
+    @pytest.mark.parametrize(
+        ("state", "status", "kind"),
+        [
+            (KeyState.RUNNING, 409, "key_running"),
+            (KeyState.RAN, 409, "key_ran"),
+            (KeyState.UNCLEAR, 503, "key_unclear"),
+            (None, 503, "key_unclear"),
+        ],
+    )
+    async def test_claim_not_granted(
+        self, state: KeyState | None, status: int, kind: str
+    ) -> None:
+        """Guards against a second run, and against denying the first."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+            mesh.key_answer = None if state is None else KeyAnswer(state, 201)
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", "Idempotency-Key: k\r\n")
+            assert answer.status == status
+            assert answer.field("vanillamast-refusal") == kind
+            assert json.loads(answer.body)["not_run"] is False
+            assert backend.heads == []
+            if state is None:
+                await eventually(lambda: mesh.settled)
+                assert mesh.settled[0].status == 0
+
+    async def test_lost_answer_settles_as_unclear(self) -> None:
+        """Guards against granting a key again after a possible run."""
+
+        async def die(exchange: Exchange) -> None:
+            await exchange.read_body()
+            exchange.close(reset=True)
+
+        async with ScriptedBackend(die) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", "Idempotency-Key: k\r\n")
+            assert answer.status == 502
+            await eventually(lambda: mesh.settled)
+            assert mesh.settled[0].status == -1
+
+
+class TestDrain:
+    """The planned stop."""
+
+    async def test_requests_in_flight_finish(self) -> None:
+        """Guards against a stop that interrupts requests."""
+        release = asyncio.Event()
+
+        async def slow(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await release.wait()
+            await exchange.answer()
+
+        async with ScriptedBackend(slow) as backend, proxied(backend) as mesh:
+            callers = [await mesh.caller() for _ in range(3)]
+            idle = await mesh.caller()
+            calls = [
+                asyncio.create_task(caller.call("POST", "/"))
+                for caller in callers
+            ]
+            await eventually(lambda: len(backend.heads) == 3)
+            drain = asyncio.create_task(mesh.listener.drain(0.0, 15.0))
+            assert await idle.reader.read() == b""
+            with pytest.raises(ConnectionError):
+                await mesh.caller()
+            release.set()
+            for answer in await asyncio.gather(*calls):
+                assert answer.status == 200
+            assert await drain == []
+
+    async def test_cut_off_requests_are_reported(self) -> None:
+        """Guards against a stop that hides what it interrupted."""
+
+        async def freeze(exchange: Exchange) -> None:
+            await exchange.closed_by_peer()
+
+        async with ScriptedBackend(freeze) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+            )
+            await eventually(lambda: backend.heads)
+            cut_off = await mesh.listener.drain(0.0, 0.0)
+            assert [(c.route, c.phase) for c in cut_off] == [("posts", "sent")]
+            assert await caller.reader.read() == b""
--- /dev/null
+++ b/tests/node/proxy/test_upstream_failures.py
@@ -0,0 +1,380 @@
+"""Backend servers that fail at each phase of an exchange."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+from vanillamast_core.requests import AttemptOutcome
+from vanillamast_node import ForwardingSettings
+
+from tests.node.proxy.proxied_mesh import announce, eventually, proxied
+from tests.node.proxy.scripted_backend import (
+    Exchange,
+    ScriptedBackend,
+    answer_ok,
+)
+
+SHED = (
+    "HTTP/1.1 503 X\r\nContent-Length: 4\r\nvanillamast-not-run: 1\r\n\r\nbusy"
+)
+
+
+def closed_port() -> str:
+    """Returns an address on which nothing listens."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+async def die_after_head(exchange: Exchange) -> None:
+    """Dies once the request header arrived."""
+    exchange.close(reset=True)
+
+
+async def die_after_body(exchange: Exchange) -> None:
+    """Runs the request and dies without an answer."""
+    await exchange.read_body()
+    exchange.close(reset=True)
+
+
+async def die_in_answer(exchange: Exchange) -> None:
+    """Runs the request and dies in the response header."""
+    await exchange.read_body()
+    await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Le")
+    exchange.close()
+
+
+async def shed(exchange: Exchange) -> None:
+    """Refuses without running the request."""
+    await exchange.send(SHED.encode())
+
+
+class TestNotRunForCertain:
+    """Failures after which any request may be sent again."""
+
+    async def test_post_moves_on_from_a_refused_connection(self) -> None:
+        """Guards against losing a post to a server that is down."""
+        async with ScriptedBackend() as good:
+            down = announce(closed_port(), "down")
+            async with proxied(down, announce(good, "good")) as mesh:
+                caller = await mesh.caller()
+                for _ in range(6):
+                    answer = await caller.call("POST", "/", body=b"chapter")
+                    assert answer.status == 200
+                assert [r.body for r in good.ran] == [b"chapter"] * 6
+                failed = [o for o in mesh.observations if o.failed]
+                assert failed
+                assert {o.outcome for o in failed} == {
+                    AttemptOutcome.CONNECT_FAILED
+                }
+                assert not any(o.connected for o in failed)
+
+    async def test_shed_post_runs_once_elsewhere(self) -> None:
+        """Guards against dropping or doubling a post that was shed."""
+        async with (
+            ScriptedBackend(shed) as full,
+            ScriptedBackend() as good,
+            proxied(full, good) as mesh,
+        ):
+            caller = await mesh.caller()
+            posts = 0
+            while not full.heads:
+                posts += 1
+                answer = await caller.call("POST", "/", body=b"x")
+                assert answer.status == 200
+            assert full.ran == []
+            assert len(good.ran) == posts
+            assert good.ran[-1].field("vanillamast-attempt") == "2"
+
+    async def test_all_servers_shed(self) -> None:
+        """Guards against a refusal that hides that nothing ran."""
+        async with ScriptedBackend(shed) as full, proxied(full) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", body=b"x")
+            assert answer.status == 503
+            assert answer.field("vanillamast-refusal") == "shed"
+            assert json.loads(answer.body)["not_run"] is True
+            assert answer.field("retry-after") == "1"
+
+    async def test_large_body_that_was_shed_is_not_sent_again(self) -> None:
+        """Guards against replaying a body of which only a part is kept."""
+        settings = ForwardingSettings(replay_bytes=1000)
+
+        async def read_and_shed(exchange: Exchange) -> None:
+            await exchange.reader.readexactly(50_000)
+            await shed(exchange)
+
+        async with (
+            ScriptedBackend(read_and_shed) as one,
+            ScriptedBackend(read_and_shed) as two,
+            proxied(one, two, settings=settings) as mesh,
+        ):
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", body=b"x" * 50_000)
+            assert answer.status == 503
+            assert json.loads(answer.body)["not_run"] is True
+            assert len(one.heads) + len(two.heads) == 1
+
+
+class TestUnclear:
+    """Failures after which a post must not be sent again."""
+
+    @pytest.mark.parametrize(
+        "script", [die_after_head, die_after_body, die_in_answer]
+    )
+    async def test_post_is_not_repeated(self, script: object) -> None:
+        """Guards against a duplicate chapter after a lost answer."""
+        async with (
+            ScriptedBackend(script) as one,  # type: ignore[arg-type]
+            ScriptedBackend(script) as two,  # type: ignore[arg-type]
+            proxied(one, two) as mesh,
+        ):
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", body=b"chapter")
+            assert answer.status == 502
+            assert answer.field("vanillamast-refusal") == "outcome_unclear"
+            assert json.loads(answer.body)["not_run"] is False
+            assert len(one.heads) + len(two.heads) == 1
+
+    @pytest.mark.parametrize(
+        "script", [die_after_head, die_after_body, die_in_answer]
+    )
+    async def test_get_is_repeated_elsewhere(self, script: object) -> None:
+        """Guards against failing a page that another server can give."""
+        async with (
+            ScriptedBackend(script) as bad,  # type: ignore[arg-type]
+            ScriptedBackend() as good,
+            proxied(bad, good) as mesh,
+        ):
+            caller = await mesh.caller()
+            while not bad.heads:
+                answer = await caller.call("GET", "/page")
+                assert answer.status == 200
+                assert answer.body == b"ok"
+
+    async def test_put_declared_not_repeatable_runs_once(self) -> None:
+        """Guards against repeats inside the client library.
+
+        aiohttp repeats PUT by itself when a reused connection fails.
+        """
+        calls = 0
+
+        async def die_second(exchange: Exchange) -> None:
+            nonlocal calls
+            calls += 1
+            await exchange.read_body()
+            if calls == 1:
+                await exchange.answer()
+            else:
+                exchange.close(reset=True)
+
+        async with (
+            ScriptedBackend(die_second) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            assert (await caller.call("PUT", "/once", body=b"x")).status == 200
+            answer = await caller.call("PUT", "/once", body=b"x")
+            assert answer.status == 502
+            assert backend.connections == 1
+            assert len(backend.ran) == 2
+
+    async def test_get_on_a_dead_pooled_connection(self) -> None:
+        """Guards against a client-side repeat outside the retry budget."""
+        calls = 0
+
+        async def die_second(exchange: Exchange) -> None:
+            nonlocal calls
+            calls += 1
+            await exchange.read_body()
+            if calls == 2:
+                exchange.close(reset=True)
+            else:
+                await exchange.answer()
+
+        async with (
+            ScriptedBackend(die_second) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            assert (await caller.call("GET", "/")).status == 200
+            assert (await caller.call("GET", "/")).status == 502
+            assert len(backend.heads) == 2
+            assert (await caller.call("GET", "/")).status == 200
+
+    async def test_closed_idle_connection_is_not_used(self) -> None:
+        """Guards against an unclear post after an ordinary idle close."""
+
+        async def close_when_idle(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await exchange.answer()
+            exchange.close()
+
+        async with (
+            ScriptedBackend(close_when_idle) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            for _ in range(5):
+                answer = await caller.call("POST", "/", body=b"x")
+                assert answer.status == 200
+                # Lets the node see the end of the connection.
+                await eventually(lambda: not backend.tasks)
+                await asyncio.sleep(0.02)
+            assert len(backend.ran) == 5
+
+
+class TestLate:
+    """Backend servers that answer too late or not at all."""
+
+    async def test_late_answer_to_a_post_is_unclear(self) -> None:
+        """Guards against stating that a running post did not run."""
+        release = asyncio.Event()
+
+        async def late(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await release.wait()
+            await exchange.answer(b"late")
+
+        async with ScriptedBackend(late) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/brief", body=b"x")
+            assert answer.status == 504
+            assert json.loads(answer.body)["not_run"] is False
+            release.set()
+            backend.script = answer_ok
+            answer = await caller.call("POST", "/", body=b"y")
+            assert answer.body == b"ok"
+            assert backend.connections == 2
+
+    async def test_frozen_server_does_not_lose_a_page(self) -> None:
+        """Guards against spending a page's whole time on a frozen server."""
+
+        async def freeze(exchange: Exchange) -> None:
+            await exchange.closed_by_peer()
+
+        async with (
+            ScriptedBackend(freeze) as frozen,
+            ScriptedBackend() as good,
+            proxied(frozen, good) as mesh,
+        ):
+            caller = await mesh.caller()
+            while not frozen.heads:
+                answer = await caller.call("GET", "/brief")
+                assert answer.status == 200
+            assert [o.outcome for o in mesh.observations][-2:] == [
+                AttemptOutcome.TIMED_OUT,
+                AttemptOutcome.ANSWERED,
+            ]
+            await eventually(lambda: mesh.router.in_flight() == 0)
+
+    async def test_answers_are_not_mixed_up(self) -> None:
+        """Guards against giving a late answer to another request."""
+
+        async def slow_echo(exchange: Exchange) -> None:
+            await exchange.read_body()
+            target = exchange.head.split(b" ", 2)[1]
+            if b"slow" in target:
+                await asyncio.sleep(0.3)
+            await exchange.answer(target)
+
+        async with (
+            ScriptedBackend(slow_echo) as one,
+            proxied(one) as mesh,
+        ):
+            slow = [await mesh.caller() for _ in range(4)]
+            fast = [await mesh.caller() for _ in range(4)]
+            pending = [
+                asyncio.create_task(c.call("POST", f"/brief/slow{i}"))
+                for i, c in enumerate(slow)
+            ]
+            for turn in range(20):
+                for index, caller in enumerate(fast):
+                    target = f"/fast{index}-{turn}"
+                    answer = await caller.call("GET", target)
+                    assert answer.body == target.encode()
+            for answer in await asyncio.gather(*pending):
+                assert answer.status == 504
+
+
+class TestCut:
+    """Responses that end early."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("reset", [False, True])
+    async def test_cut_body_reaches_the_caller(
+        self, head: bytes, reset: bool
+    ) -> None:
+        """Guards against a short page that looks complete."""
+
+        async def cut(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await exchange.send(head + b"x" * 100)
+            await asyncio.sleep(0.02)
+            exchange.close(reset)
+
+        async with ScriptedBackend(cut) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await caller.call("GET", "/")
+            await eventually(lambda: mesh.observations)
+            assert mesh.observations[-1].outcome is AttemptOutcome.CUT
+            assert mesh.router.in_flight() == 0
+
+    async def test_body_cut_between_chunks(self) -> None:
+        """Guards against ending a chunked body in place of the server."""
+
+        async def cut(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await exchange.send(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n"
+            )
+            exchange.close()
+
+        async with ScriptedBackend(cut) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await caller.call("GET", "/")
+
+
+class TestCancellation:
+    """Callers that go away."""
+
+    @pytest.mark.parametrize("phase", ["waiting", "sending", "streaming"])
+    async def test_caller_gone_cancels_the_upstream_call(
+        self, phase: str
+    ) -> None:
+        """Guards against work and slots spent on nobody."""
+        gone = asyncio.Event()
+
+        async def hold(exchange: Exchange) -> None:
+            if phase == "streaming":
+                await exchange.send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"
+                )
+            await exchange.closed_by_peer()
+            gone.set()
+
+        async with ScriptedBackend(hold) as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            length = 10 if phase == "sending" else 0
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+                % length
+                + b"abc"[:length]
+            )
+            await eventually(lambda: backend.heads)
+            if phase == "streaming":
+                await caller.reader.readuntil(b"abc")
+            caller.close()
+            await gone.wait()
+            await eventually(lambda: mesh.observations)
+            assert mesh.observations[0].outcome is AttemptOutcome.CANCELLED
+            assert mesh.router.in_flight() == 0
