--- a/packages/core/src/vanillamast_core/control/node_core.py
+++ b/packages/core/src/vanillamast_core/control/node_core.py
@@ -487,7 +487,7 @@
     def _note_snapshot(self, entry: LogEntry, now: float) -> None:
         record = record_codec.decode_or_none(entry.data)
         if isinstance(record, SnapshotChunk):
-            self.snapshots.observe(record, now)
+            self.snapshots.observe(record, entry.offset, now)
 
     def _write_beacon(self, now: float) -> None:
         """Appends a beacon if the failure domain's is out of date.
