--- a/packages/node/src/vanillamast_node/peer_transport.py
+++ b/packages/node/src/vanillamast_node/peer_transport.py
@@ -60,7 +60,7 @@
         self.bytes = 0
         self.blocked: set[str] = set()
         self._server: Server | None = None
-        self._next_link = 1
+        self._next_link = 0
         self._queues: dict[int, asyncio.Queue[Message | None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._ask_channels: dict[str, Channel] = {}
@@ -109,6 +109,11 @@
                 messages.get_nowait()
             messages.put_nowait(None)
 
+    def take_number(self) -> int:
+        """Returns a number for a new link."""
+        self._next_link += 1
+        return self._next_link
+
     async def ask(self, address: str, message: Message) -> Message:
         """Sends one question and returns its answer.
 
@@ -156,8 +161,7 @@
             channel.close()
 
     async def _run_link(self, stream: Any, dialed: str | None) -> None:
-        link = self._next_link
-        self._next_link += 1
+        link = self.take_number()
         messages: asyncio.Queue[Message | None] = asyncio.Queue(
             MAX_WAITING_FRAMES
         )
@@ -200,4 +204,3 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -0,0 +1,148 @@
+"""Runs many control sides in one process, to fill a mesh to its target size.
+
+Run as `python -m vanillamast_testing.core_host --count=1176
+--log_url=http://127.0.0.1:9400 --network=127.40`. Each has its own listener
+for peers, so that real nodes link to it; among themselves they link in
+memory. They have no request path.
+"""
+
+import asyncio
+import random
+import sys
+import time
+
+from absl import flags
+from vanillamast_core.control import (
+    CoreSettings,
+    NodeCore,
+    ServerReport,
+    ServerReported,
+)
+from vanillamast_core.moves import VersionSplit
+from vanillamast_core.peers import KeyAnswer, KeyState, Message
+from vanillamast_core.requests import RequestRouter, RequestSettings
+from vanillamast_node.core_task import CoreTask
+from vanillamast_node.log_appender import LogAppender
+from vanillamast_node.log_reader import LogReader
+from vanillamast_node.node_metrics import NodeMetrics
+from vanillamast_node.peer_transport import split_address
+from vanillamast_node.platform_client import PlatformClient
+from vanillamast_node.platform_settings import PlatformSettings
+
+from vanillamast_testing.command_flags import parse_flags
+from vanillamast_testing.instance_spec import InstanceSpec
+from vanillamast_testing.local_transport import LocalTransport
+from vanillamast_testing.target_mesh import target_instances
+
+REPORT_S = 1.0
+START_SPREAD_S = 0.02
+FLAGS = flags.FlagValues()
+flags.DEFINE_integer(
+    "first", 0, "Index of the first instance.", 0, flag_values=FLAGS
+)
+flags.DEFINE_integer("count", 1176, "Instances.", 1, flag_values=FLAGS)
+flags.DEFINE_string("network", "127.40", "Addresses.", flag_values=FLAGS)
+flags.DEFINE_string("log_url", None, "Platform's log.", flag_values=FLAGS)
+flags.DEFINE_multi_string("seed", [], "Nodes' ip:port.", flag_values=FLAGS)
+flags.mark_flag_as_required("log_url", flag_values=FLAGS)
+
+
+class HostedNode:
+    """One control side, its transport and its backend server's reports.
+
+    Attributes:
+      spec: Who it is.
+      task: The task that owns its control side.
+      transport: Its links.
+    """
+
+    def __init__(
+        self,
+        spec: InstanceSpec,
+        client: PlatformClient,
+        seeds: tuple[str, ...],
+        local: dict[str, LocalTransport],
+    ):
+        self.spec = spec
+        rng = random.Random(spec.name)
+        core = NodeCore(core_settings(spec, seeds), rng, time.time())
+        router = RequestRouter(
+            RequestSettings(), spec.failure_domain, rng, VersionSplit
+        )
+        self.task = CoreTask(core, router, NodeMetrics())
+        self.transport = LocalTransport(self.task.post, refuse_key, local)
+        self.task.transport = self.transport
+        self.task.reader = LogReader(
+            client, self.task.post, core.recovery.read_after, rng
+        )
+        self.task.appender = LogAppender(
+            client, lambda record: core.outcome(record) is not None, rng
+        )
+
+    async def run(self) -> None:
+        """Listens for peers and runs until it is cancelled."""
+        await self.transport.start(*split_address(self.spec.peers))
+        await asyncio.gather(
+            self.task.run(),
+            self.task.tick(),
+            self.task.reader.run(),
+            self.report(),
+        )
+
+    async def report(self) -> None:
+        """Reports the backend server."""
+        report = ServerReport(
+            address=self.spec.backend,
+            service=self.spec.service,
+            version=self.spec.version,
+        )
+        while True:
+            self.task.post(ServerReported(report))
+            await asyncio.sleep(REPORT_S)
+
+
+def core_settings(spec: InstanceSpec, seeds: tuple[str, ...]) -> CoreSettings:
+    """Returns the settings of a hosted control side."""
+    return CoreSettings(
+        instance=spec.name,
+        region=spec.region,
+        failure_domain=spec.failure_domain,
+        service=spec.service,
+        edge=spec.edge,
+        peer_address=spec.peers,
+        operator_address=spec.operators,
+        holder=f"{spec.name}/{time.time_ns()}",
+        seeds=seeds,
+    )
+
+
+async def refuse_key(message: Message) -> Message:
+    """Answers a question about a key, of which hosted nodes keep none."""
+    return KeyAnswer(KeyState.UNCLEAR)
+
+
+async def main() -> None:
+    """Runs all hosted nodes until the process is stopped."""
+    client = PlatformClient(PlatformSettings(log_url=FLAGS.log_url))
+    await client.open()
+    local: dict[str, LocalTransport] = {}
+    last = FLAGS.first + FLAGS.count
+    specs = target_instances(FLAGS.network)[FLAGS.first : last]
+    seeds = tuple(FLAGS.seed)
+    async with asyncio.TaskGroup() as group:
+        for spec in specs:
+            node = HostedNode(spec, client, seeds, local)
+            local[spec.peers] = node.transport
+            group.create_task(node.run())
+            await asyncio.sleep(START_SPREAD_S)
+        print(f"{len(specs)} control sides run", flush=True)
+
+
+def run() -> None:
+    """Entry point of the command."""
+    parse_flags(FLAGS, sys.argv, __doc__ or "")
+    asyncio.run(main())
+
+
+if __name__ == "__main__":
+    run()
--- a/packages/testing/src/vanillamast_testing/peer_network.py
+++ b/packages/testing/src/vanillamast_testing/peer_network.py
@@ -272,7 +272,7 @@
         if node.paused:
             node.waiting.append(lambda: self._tick(name, life))
             return
-        self.call(name, Mesh.tick)
+        self.call(name, lambda mesh, now: mesh.tick(now))
         self._tick_later(name, life, self.settings.tick_s)
 
     def _carry_out(
