Add the operators' command and its language

Operators had no way to publish, to steer moves or to see what is in force. Adds the binary vanillamast: a lark grammar (operators.lark) whose command rules have the names under which verbs are registered, a client for the node's operator interface, and two output formats.

Every action carries based_on. An action at a prompt is based on what was shown last, so that it loses against a change the operator has not seen. A record is sent to the next node with the same id when an answer is lost; the command ends with status 4 only if its outcome stays unknown, and with status 3 only if no node can have appended it. A publish adds the moves that the mesh knows to those of the file, because leaving a name out is no order to stop a move, and warns of a service version that changes without a move.

The badness kinds are named fails and fails_slowly, as the demo uses them.

--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/execution.py
@@ -0,0 +1,90 @@
+"""Runs one command line."""
+
+import time
+from collections.abc import Callable
+from typing import TextIO
+
+import aiohttp
+import msgspec
+
+# The modules of verbs register them; they are imported for that.
+from vanillamast_cli import (
+    follow_verb,  # noqa: F401
+    help_verb,  # noqa: F401
+    instance_verbs,  # noqa: F401
+    move_verbs,  # noqa: F401
+    publish_verbs,  # noqa: F401
+    route_verbs,  # noqa: F401
+    status_verbs,  # noqa: F401
+)
+from vanillamast_cli.context import Context
+from vanillamast_cli.errors import CliError
+from vanillamast_cli.exit_status import ExitStatus
+from vanillamast_cli.node_client import NodeClient
+from vanillamast_cli.operator_session import OperatorSession
+from vanillamast_cli.operator_syntax import parse_command
+from vanillamast_cli.rendering import output_formats
+from vanillamast_cli.report import Report
+from vanillamast_cli.settings import CliSettings
+
+
+class Executor:
+    """Runs the lines of one prompt or command line.
+
+    Attributes:
+      settings: Settings of the command.
+      out: Where results go.
+      err: Where failures go.
+      wall: Returns the wall time in seconds.
+      session: What stays between the lines.
+    """
+
+    def __init__(
+        self,
+        settings: CliSettings,
+        out: TextIO,
+        err: TextIO,
+        wall: Callable[[], float] = time.time,
+    ):
+        self.settings = settings
+        self.out = out
+        self.err = err
+        self.wall = wall
+        self.session = OperatorSession()
+
+    async def execute(self, text: str, line: int = 1) -> ExitStatus:
+        """Runs a line and prints the result or the failure.
+
+        Args:
+          text: The line.
+          line: Its number, for messages.
+        """
+        try:
+            verb = parse_command(text, line)
+            async with aiohttp.ClientSession() as http:
+                client = NodeClient(http, self.settings, self.session)
+                context = Context(
+                    client, self.session, self.settings, self.wall, self.write
+                )
+                report = await verb.run(context)
+        except CliError as error:
+            self.fail(error)
+            return error.exit_status
+        self.write(report)
+        return report.status
+
+    def write(self, report: Report) -> None:
+        """Prints a report at once."""
+        text = output_formats.get(self.settings.output)(report)
+        self.out.write(text + "\n")
+        self.out.flush()
+
+    def fail(self, error: CliError) -> None:
+        """Prints a failure; programs get it as JSON on standard output."""
+        self.err.write(f"{error}\n")
+        self.err.flush()
+        if self.settings.output == "json":
+            status = error.exit_status
+            data = {"error": type(error).__name__, "detail": str(error)}
+            text = msgspec.json.encode({**data, "exit_status": status})
+            self.out.write(text.decode() + "\n")
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/follow_verb.py
@@ -0,0 +1,74 @@
+"""Command that follows the events of a node."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from vanillamast_cli.context import Context
+from vanillamast_cli.errors import NodeUnreachableError
+from vanillamast_cli.node_answers import EventsAnswer
+from vanillamast_cli.report import Report
+from vanillamast_cli.verb import Verb, verbs
+
+MAX_WAIT_S = 10.0
+RETRY_S = 1.0
+
+
+def event_line(event: dict[str, Any]) -> str:
+    """Returns an event in one line, its kind first."""
+    rest = [f"{k}={v}" for k, v in event.items() if k != "kind"]
+    return " ".join([str(event.get("kind", "event")), *rest])
+
+
+@verbs.register("follow")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follow(Verb):
+    """Prints events as they happen."""
+
+    seconds: float | None = None
+
+    usage = "follow [for DURATION]"
+    summary = "prints the node's recent events and those that follow"
+    example = "vanillamast 'follow for 10m'"
+
+    async def run(self, context: Context) -> Report:
+        """Follows one node until the time is over.
+
+        Events are numbered by each node for itself, so that after a loss of
+        the node the next one is followed from its oldest event.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds if self.seconds is not None else None
+        after, count, node = 0, 0, None
+        address = await self.node(context)
+        while end is None or loop.time() < end:
+            left = MAX_WAIT_S if end is None else end - loop.time()
+            try:
+                if address != node:
+                    after, node = 0, address
+                answer = await context.client.get_from(
+                    address,
+                    "/v1/events",
+                    EventsAnswer,
+                    after=after,
+                    wait_ms=int(max(0.0, min(MAX_WAIT_S, left)) * 1000),
+                )
+            except NodeUnreachableError as error:
+                self.note(context, str(error))
+                await asyncio.sleep(RETRY_S)
+                address, node = await self.node(context), None
+                continue
+            for event in answer.events:
+                context.write(Report(event, [event_line(event)]))
+            after = answer.last(after)
+            count += len(answer.events)
+        return Report({"events": count}, [f"{count} events"])
+
+    async def node(self, context: Context) -> str:
+        """Returns the address of a node that answers."""
+        await context.look()
+        return context.settings.nodes[context.session.preferred]
+
+    def note(self, context: Context, text: str) -> None:
+        """Says that the node is lost."""
+        context.write(Report({"kind": "node_lost", "detail": text}, [text]))
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/node_client.py
@@ -0,0 +1,126 @@
+"""Calls of the nodes' operator interface."""
+
+import asyncio
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from vanillamast_cli.errors import (
+    NodeAnswerError,
+    NodeRefusedError,
+    NodeUnreachableError,
+)
+from vanillamast_cli.operator_session import OperatorSession
+from vanillamast_cli.settings import CliSettings
+
+T = TypeVar("T")
+CONNECTION_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+class NodeClient:
+    """Asks the first node that answers.
+
+    Attributes:
+      http: The HTTP client.
+      settings: Nodes and time limits.
+      session: Which node answered last.
+    """
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        settings: CliSettings,
+        session: OperatorSession,
+    ):
+        self.http = http
+        self.settings = settings
+        self.session = session
+
+    def order(self) -> list[int]:
+        """Returns the indices of the nodes, the preferred one first."""
+        count = len(self.settings.nodes)
+        first = self.session.preferred
+        return [(first + index) % count for index in range(count)]
+
+    async def get(self, path: str, kind: type[T], **query: Any) -> T:
+        """Returns the answer of the first node that can be reached.
+
+        Args:
+          path: Path of the call.
+          kind: Type of the answer.
+          **query: Query parameters; None leaves one out.
+
+        Raises:
+          NodeUnreachableError: No node answered.
+          NodeRefusedError: The node refused.
+          NodeAnswerError: The answer does not have the type.
+        """
+        failures = []
+        for index in self.order():
+            address = self.settings.nodes[index]
+            try:
+                answer = await self.get_from(address, path, kind, **query)
+            except NodeUnreachableError as error:
+                failures.append(str(error))
+                continue
+            self.session.preferred = index
+            return answer
+        raise NodeUnreachableError("; ".join(failures))
+
+    async def get_from(
+        self, address: str, path: str, kind: type[T], **query: Any
+    ) -> T:
+        """Returns the answer of one node; raises like `get`."""
+        wait_s = query.get("wait_ms", 0) / 1000
+        parameters = {k: str(v) for k, v in query.items() if v is not None}
+        try:
+            async with self.http.get(
+                f"http://{address}{path}",
+                params=parameters,
+                timeout=self.timeout(wait_s),
+            ) as answer:
+                status, data = answer.status, await answer.read()
+        except CONNECTION_ERRORS as error:
+            raise NodeUnreachableError(
+                f"{address}: {failure_text(error)}"
+            ) from error
+        if status != 200:
+            raise NodeRefusedError(f"{address}: {refusal_text(status, data)}")
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except msgspec.MsgspecError as error:
+            raise NodeAnswerError(f"{address}{path}: {error}") from error
+
+    def timeout(self, wait_s: float = 0.0) -> aiohttp.ClientTimeout:
+        """Returns the time limits of one call.
+
+        Args:
+          wait_s: Time for which the node was asked to hold its answer.
+        """
+        return aiohttp.ClientTimeout(
+            total=self.settings.timeout_s + wait_s,
+            sock_connect=self.settings.connect_timeout_s,
+        )
+
+
+def failure_text(error: BaseException) -> str:
+    """Returns why a node did not answer, in a few words."""
+    if isinstance(error, TimeoutError):
+        return "no answer in time"
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return "connection refused"
+    return str(error) or type(error).__name__
+
+
+def refusal_text(status: int, data: bytes) -> str:
+    """Returns what a node's answer with an error status says."""
+    try:
+        body = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        body = None
+    if not isinstance(body, dict):
+        return f"status {status}"
+    words = [body.get("kind"), body.get("detail"), body.get("title")]
+    said = ", ".join(str(word) for word in words if word)
+    return f"status {status}" + (f", {said}" if said else "")
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/operator_syntax.py
@@ -0,0 +1,110 @@
+"""Parser of the operators' language."""
+
+import functools
+import importlib.resources
+import re
+from typing import Any
+
+import lark
+
+from vanillamast_cli.errors import OperatorSyntaxError
+from vanillamast_cli.times import ByTime, InDuration, parse_duration
+from vanillamast_cli.verb import Verb, verbs
+
+GRAMMAR_FILE = "operators.lark"
+ARGUMENT_WORDS = {
+    "$END": "the end of the command",
+    "DURATION": "a duration such as 30m or 1h30m",
+    "FILE": "the name of a file",
+    "HELP_TOPIC": "a command",
+    "INSTANCE": "an instance",
+    "LABEL": "a label",
+    "METHOD": "a method such as GET",
+    "MOVE_NAME": "the name of a move",
+    "ON_DEADLINE": "hold or finish",
+    "PATH": "a path that starts with /",
+    "RECORD_ID": "the id of a record",
+    "SERVICE": "a service",
+    "TIME": "a UTC time such as 14:30 or 2026-12-04T14:30",
+    "VERSION": "a backend server version",
+}
+
+
+@functools.cache
+def operator_parser() -> lark.Lark:
+    """Returns the parser; it is built at the first use."""
+    files = importlib.resources.files("vanillamast_cli")
+    grammar = (files / GRAMMAR_FILE).read_text()
+    return lark.Lark(grammar, parser="lalr", maybe_placeholders=True)
+
+
+class _VerbBuilder(lark.Transformer):
+    """Turns the rule of a command into the verb of the same name."""
+
+    def __default__(self, data: Any, children: list[Any], meta: Any) -> Verb:
+        return verbs.get(str(data))(*children)
+
+    def __default_token__(self, token: lark.Token) -> str:
+        return str(token).strip('"')
+
+    def start(self, children: list[Verb]) -> Verb:
+        return children[0]
+
+    def by_time(self, children: list[str]) -> ByTime:
+        return ByTime(children[0])
+
+    def in_duration(self, children: list[float]) -> InDuration:
+        return InDuration(children[0])
+
+    def DURATION(self, token: lark.Token) -> float:  # noqa: N802
+        return parse_duration(token)
+
+    def METHOD(self, token: lark.Token) -> str:  # noqa: N802
+        return token.upper()
+
+
+def parse_command(text: str, line: int = 1) -> Verb:
+    """Returns the command that a line holds.
+
+    Args:
+      text: The line.
+      line: Its number, for messages.
+
+    Raises:
+      OperatorSyntaxError: It is not a command.
+    """
+    try:
+        return _VerbBuilder().transform(operator_parser().parse(text))
+    except lark.UnexpectedInput as error:
+        raise OperatorSyntaxError(describe(text, line, error)) from error
+
+
+def describe(text: str, line: int, error: lark.UnexpectedInput) -> str:
+    """Returns the place of an error and what was expected there."""
+    column = max(1, error.column)
+    token = getattr(error, "token", None)
+    if token is not None and token.type == "$END":
+        column = len(text.rstrip()) + 1
+    match = re.match(r'"[^"]*"?|\S+', text[column - 1 :])
+    found = match[0] if match else "the end"
+    return (
+        f"line {line}, column {column}: found {found}\n"
+        f"  {text}\n"
+        f"  {' ' * (column - 1)}^\n"
+        f"expected {expected_words(error)}"
+    )
+
+
+def expected_words(error: lark.UnexpectedInput) -> str:
+    """Returns what may stand at the place of an error, in words."""
+    names = set(getattr(error, "accepts", None) or ())
+    names |= set(getattr(error, "expected", None) or ())
+    names |= set(getattr(error, "allowed", None) or ())
+    keywords = sorted(n[1:].lower() for n in names if n.startswith("_"))
+    arguments = sorted(
+        ARGUMENT_WORDS[name] for name in names if name in ARGUMENT_WORDS
+    )
+    words = keywords + arguments
+    if len(words) < 2:
+        return "".join(words)
+    return ", ".join(words[:-1]) + f" or {words[-1]}"
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/prompt.py
@@ -0,0 +1,52 @@
+"""Reads commands line by line."""
+
+import asyncio
+from typing import TextIO
+
+from vanillamast_cli.execution import Executor
+from vanillamast_cli.exit_status import ExitStatus
+
+PROMPT = "vanillamast> "
+END_WORDS = frozenset({"quit", "exit"})
+
+
+def run_prompt(executor: Executor, source: TextIO) -> ExitStatus:
+    """Runs lines until the source ends.
+
+    At a terminal a failure is shown and the prompt goes on. Without one the
+    lines are a script, whose later lines may depend on the earlier ones: it
+    ends at the first failure.
+
+    Args:
+      executor: Runs the lines.
+      source: Where the lines come from.
+
+    Returns:
+      The status of the last line that ran.
+    """
+    interactive = source.isatty()
+    status = ExitStatus.DONE
+    number = 0
+    while True:
+        if interactive:
+            executor.out.write(PROMPT)
+            executor.out.flush()
+        text = source.readline()
+        number += 1
+        words = text.partition("#")[0].split()
+        if not text or (words[:1] and words[0] in END_WORDS):
+            return status
+        if not words:
+            continue
+        status = run_line(executor, text.rstrip("\n"), number)
+        if status is not ExitStatus.DONE and not interactive:
+            return status
+
+
+def run_line(executor: Executor, text: str, number: int) -> ExitStatus:
+    """Runs one line; an interrupt ends the line and not the prompt."""
+    try:
+        return asyncio.run(executor.execute(text, number))
+    except KeyboardInterrupt:
+        executor.out.write("\n")
+        return ExitStatus.DONE
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/publishing.py
@@ -0,0 +1,125 @@
+"""Shared steps of the commands that publish a configuration version."""
+
+import uuid
+from typing import Any
+
+import msgspec
+from vanillamast_core.configuration import (
+    Change,
+    Configuration,
+    Remove,
+    apply_changes,
+    change_target,
+    validate,
+)
+from vanillamast_core.journal import Publish
+from vanillamast_core.moves import MoveState
+
+from vanillamast_cli.context import Context
+from vanillamast_cli.errors import InvalidFileError
+from vanillamast_cli.node_answers import ConfigurationAnswer, MovesAnswer
+from vanillamast_cli.record_sender import RecordSender
+from vanillamast_cli.report import Report
+
+
+def new_id() -> str:
+    """Returns an id for a record."""
+    return str(uuid.uuid4())
+
+
+async def current_configuration(context: Context) -> ConfigurationAnswer:
+    """Returns the node's configuration, as of an offset."""
+    return await context.client.get("/v1/configuration", ConfigurationAnswer)
+
+
+async def ended_moves(
+    context: Context, configuration: Configuration
+) -> frozenset[str]:
+    """Returns the names of the configuration's moves that have ended."""
+    answer = await context.client.get("/v1/moves", MovesAnswer)
+    live = {
+        move.name for move in answer.moves if not MoveState(move.state).final
+    }
+    return frozenset(configuration.moves.keys() - live)
+
+
+def require_valid(
+    configuration: Configuration, ended: frozenset[str] = frozenset()
+) -> None:
+    """Checks a configuration as a whole.
+
+    Raises:
+      InvalidFileError: It has problems; the message holds one a line.
+    """
+    problems = validate(configuration, ended)
+    if problems:
+        raise InvalidFileError("\n".join(str(p) for p in problems))
+
+
+def describe_change(old: Configuration, change: Change) -> str:
+    """Returns a change in one line, with the values that differ."""
+    kind, name = change_target(change)
+    before = getattr(old, kind).get(name)
+    if isinstance(change, Remove):
+        return f"- {kind}.{name}"
+    if before is None:
+        return f"+ {kind}.{name}: {_fields(msgspec.to_builtins(change.value))}"
+    return f"~ {kind}.{name}: {_differences(before, change.value)}"
+
+
+async def publish_changes(
+    context: Context,
+    current: ConfigurationAnswer,
+    changes: list[Change],
+    label: str,
+) -> Report:
+    """Publishes changes of the configuration that a node has.
+
+    Raises:
+      CliError: They were refused, or the outcome is not known.
+    """
+    lines = [describe_change(current.configuration, c) for c in changes]
+    lines += warnings(current.configuration, changes)
+    record = Publish(
+        id=new_id(),
+        based_on=current.offset,
+        changes=tuple(changes),
+        label=label,
+    )
+    context.write(
+        Report(
+            {"changes": lines, "based_on": current.offset, "id": record.id},
+            [f"based on offset {current.offset}:", *lines],
+        )
+    )
+    outcome = await RecordSender(context.client, record).send()
+    context.session.seen_offset = outcome.offset
+    return Report(
+        {"version": outcome.offset, "label": label, "id": record.id},
+        [f"accepted: version {outcome.offset}"],
+    )
+
+
+def warnings(old: Configuration, changes: list[Change]) -> list[str]:
+    """Returns what an operator may not have meant."""
+    new = apply_changes(old, changes)
+    return [
+        f"! services.{name}: all traffic goes from {service.version} to "
+        f"{new.services[name].version} at once, without a move"
+        for name, service in old.services.items()
+        if name in new.services
+        and new.services[name].version != service.version
+    ]
+
+
+def _fields(values: dict[str, Any]) -> str:
+    return ", ".join(f"{name}={value}" for name, value in values.items())
+
+
+def _differences(before: Any, after: Any) -> str:
+    old, new = msgspec.to_builtins(before), msgspec.to_builtins(after)
+    return ", ".join(
+        f"{name} {old[name]} -> {new[name]}"
+        for name in new
+        if old[name] != new[name]
+    )
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/record_sender.py
@@ -0,0 +1,156 @@
+"""Appends records and finds out what became of them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+from vanillamast_core.journal import Outcome, Record, record_codec
+
+from vanillamast_cli.errors import (
+    NodeRefusedError,
+    NodeUnreachableError,
+    OutcomeUnknownError,
+    RefusedError,
+)
+from vanillamast_cli.node_client import (
+    CONNECTION_ERRORS,
+    NodeClient,
+    failure_text,
+    refusal_text,
+)
+
+OUTCOME_POLL_S = 0.3
+NEVER_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+RECORD_TYPE = "application/x-msgpack"
+
+
+class RecordSender:
+    """Sends one record until its outcome is known.
+
+    Sending a record to several nodes is harmless, because its id counts once.
+
+    Attributes:
+      client: Nodes and time limits.
+      record: The record.
+      sent: Whether some node may have appended it.
+      failures: Why nodes did not take it.
+    """
+
+    def __init__(self, client: NodeClient, record: Record):
+        self.client = client
+        self.record = record
+        self.sent = False
+        self.failures: list[str] = []
+
+    async def send(self) -> Outcome:
+        """Returns the outcome of the accepted record.
+
+        Raises:
+          RefusedError: The fold refused it.
+          NodeRefusedError: A node refused to append it.
+          NodeUnreachableError: No node can have appended it.
+          OutcomeUnknownError: It may or may not take effect.
+        """
+        outcome = await self._on_each_node(self._post)
+        if outcome is None and not self.sent:
+            raise NodeUnreachableError("; ".join(self.failures))
+        if outcome is None:
+            outcome = await self._wait_for_outcome()
+        if not outcome.accepted:
+            raise RefusedError(outcome, self.record.based_on)
+        return outcome
+
+    async def _on_each_node(
+        self, ask: Callable[[str], Awaitable[Outcome | None]]
+    ) -> Outcome | None:
+        for index in self.client.order():
+            outcome = await ask(self.client.settings.nodes[index])
+            if outcome is not None:
+                self.client.session.preferred = index
+                return outcome
+        return None
+
+    async def _post(self, address: str) -> Outcome | None:
+        try:
+            async with self.client.http.post(
+                f"http://{address}/v1/records",
+                data=record_codec.encode(self.record),
+                headers={"content-type": RECORD_TYPE},
+                timeout=self.client.timeout(),
+            ) as answer:
+                return self._judge(answer.status, await answer.read())
+        except CONNECTION_ERRORS as error:
+            # Only a connection that was never made excludes an append.
+            self.sent = self.sent or not isinstance(error, NEVER_CONNECTED)
+            self.failures.append(f"{address}: {failure_text(error)}")
+            return None
+
+    def _judge(self, status: int, data: bytes) -> Outcome | None:
+        if status == 200:
+            self.sent = True
+            return decode_outcome(data)
+        if 400 <= status < 500 or says_not_run(data):
+            if self.sent:
+                return None
+            raise NodeRefusedError(refusal_text(status, data))
+        self.sent = True
+        return None
+
+    async def _wait_for_outcome(self) -> Outcome:
+        """Asks the nodes for the outcome until the time is over."""
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self.client.settings.timeout_s
+        while True:
+            outcome = await self._on_each_node(self._ask)
+            if outcome is not None:
+                return outcome
+            if loop.time() > limit:
+                raise OutcomeUnknownError(self.record.id)
+            await asyncio.sleep(OUTCOME_POLL_S)
+
+    async def _ask(self, address: str) -> Outcome | None:
+        return await ask_outcome(self.client, address, self.record.id)
+
+
+async def ask_outcome(
+    client: NodeClient, address: str, record_id: str
+) -> Outcome | None:
+    """Returns a record's outcome if a node answers and knows it."""
+    try:
+        async with client.http.get(
+            f"http://{address}/v1/outcomes/{record_id}",
+            timeout=client.timeout(),
+        ) as answer:
+            data = await answer.read()
+            return decode_outcome(data) if answer.status == 200 else None
+    except CONNECTION_ERRORS:
+        return None
+
+
+def decode_outcome(data: bytes) -> Outcome | None:
+    """Returns the outcome in an answer, None if it holds none.
+
+    An outcome is an array in the log's coding; both that form and an object
+    with the same names are understood.
+    """
+    try:
+        value = msgspec.json.decode(data)
+        if isinstance(value, dict):
+            value = [value.get(name) for name in Outcome.__struct_fields__]
+            value[3:] = [value[3] or 0, value[4] or ""]
+        return msgspec.convert(value, Outcome)
+    except msgspec.MsgspecError:
+        return None
+
+
+def says_not_run(data: bytes) -> bool:
+    """Returns whether a refusal says that nothing was done."""
+    try:
+        body = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        return False
+    return isinstance(body, dict) and body.get("not_run") is True
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/status_verbs.py
@@ -0,0 +1,179 @@
+"""Commands that show a node and what is in force where."""
+
+import asyncio
+import collections
+import dataclasses
+from typing import Any
+
+import msgspec
+import yaml
+
+from vanillamast_cli.context import Context
+from vanillamast_cli.errors import CliError
+from vanillamast_cli.node_answers import (
+    ConfigurationAnswer,
+    InstanceAnswer,
+    InstancesAnswer,
+    NodeStatus,
+)
+from vanillamast_cli.report import Report, Table
+from vanillamast_cli.verb import Verb, verbs
+
+
+def name_value_table(data: dict[str, Any]) -> Table:
+    """Returns a table with one row for each name."""
+    return Table(("name", "value"), list(data.items()))
+
+
+@verbs.register("show_status")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowStatus(Verb):
+    """Shows the node that answers."""
+
+    usage = "show status"
+    summary = "shows the node that answers: its offset, version and state"
+    example = "vanillamast 'show status'"
+
+    async def run(self, context: Context) -> Report:
+        """Shows the status."""
+        data = await context.client.get("/v1/status", dict[str, Any])
+        context.session.seen_offset = int(data.get("offset", 0))
+        return Report(data, [name_value_table(data)])
+
+
+@verbs.register("show_configuration")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowConfiguration(Verb):
+    """Shows the configuration in the form in which it is published."""
+
+    usage = "show configuration"
+    summary = "prints the configuration as a file that can be published"
+    example = "vanillamast 'show configuration' > mesh.yaml"
+
+    async def run(self, context: Context) -> Report:
+        """Shows the configuration."""
+        answer = await context.client.get(
+            "/v1/configuration", ConfigurationAnswer
+        )
+        context.session.seen_offset = answer.offset
+        data = msgspec.to_builtins(answer)
+        header = f"# version {answer.version} {answer.label}".rstrip()
+        text = yaml.safe_dump(data["configuration"], sort_keys=True)
+        return Report(data, [header, text.rstrip()])
+
+
+@verbs.register("show_metrics")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowMetrics(Verb):
+    """Shows the node's metrics."""
+
+    usage = "show metrics"
+    summary = "shows added latency, counters and control bytes of the node"
+    example = "vanillamast --output=json 'show metrics'"
+
+    async def run(self, context: Context) -> Report:
+        """Shows the metrics."""
+        data = await context.client.get("/v1/metrics", dict[str, Any])
+        return Report(data, [name_value_table(dict(flatten("", data)))])
+
+
+def flatten(prefix: str, value: Any) -> list[tuple[str, Any]]:
+    """Returns nested values under dotted names."""
+    if not isinstance(value, dict):
+        return [(prefix, value)]
+    rows = []
+    for name, inner in value.items():
+        rows.extend(flatten(f"{prefix}.{name}" if prefix else name, inner))
+    return rows
+
+
+@dataclasses.dataclass(slots=True)
+class InForce:
+    """What one instance answered, or why it did not."""
+
+    instance: InstanceAnswer
+    status: NodeStatus | None = None
+    failure: str = ""
+
+    def data(self) -> dict[str, Any]:
+        """Returns the plain form."""
+        return {
+            "instance": self.instance.instance,
+            "failure_domain": self.instance.failure_domain,
+            "answered": self.status is not None,
+            "failure": self.failure,
+            "status": msgspec.to_builtins(self.status),
+        }
+
+    def row(self) -> tuple[Any, ...]:
+        """Returns the row of the table."""
+        known = (self.instance.instance, self.instance.failure_domain)
+        if self.status is None:
+            return (*known, None, None, None, f"no answer: {self.failure}")
+        status = self.status
+        version = status.applied_version
+        return (*known, version, status.version, status.offset, status.state)
+
+
+@verbs.register("show_versions")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowVersions(Verb):
+    """Asks every known instance which version is in force on it."""
+
+    usage = "show versions"
+    summary = "asks every instance what is in force there"
+    example = "vanillamast 'show versions'"
+
+    async def run(self, context: Context) -> Report:
+        """Shows all answers and counts, and who did not answer."""
+        answer = await context.client.get("/v1/instances", InstancesAnswer)
+        limit = asyncio.Semaphore(context.settings.concurrency)
+        results = await asyncio.gather(
+            *(ask(context, limit, item) for item in answer.instances)
+        )
+        results.sort(key=lambda result: result.instance.instance)
+        columns = (
+            "instance",
+            "failure domain",
+            "in force",
+            "known",
+            "offset",
+            "state",
+        )
+        rows = [result.row() for result in results]
+        data = [result.data() for result in results]
+        return Report(data, [Table(columns, rows), *summary_lines(results)])
+
+
+async def ask(
+    context: Context, limit: asyncio.Semaphore, instance: InstanceAnswer
+) -> InForce:
+    """Asks one instance; a failure is part of the result."""
+    if not instance.operator_address:
+        return InForce(instance, failure="no operator address announced")
+    async with limit:
+        try:
+            status = await context.client.get_from(
+                instance.operator_address, "/v1/status", NodeStatus
+            )
+        except CliError as error:
+            return InForce(instance, failure=str(error))
+    if status.instance != instance.instance:
+        failure = f"{instance.operator_address} is {status.instance} now"
+        return InForce(instance, failure=failure)
+    return InForce(instance, status)
+
+
+def summary_lines(results: list[InForce]) -> list[str]:
+    """Returns how many instances have which version in force."""
+    answered = [r.status for r in results if r.status is not None]
+    counts = collections.Counter(s.applied_version for s in answered)
+    in_force = ", ".join(
+        f"version {version} on {count}"
+        for version, count in sorted(counts.items(), reverse=True)
+    )
+    lines = [f"{len(answered)} of {len(results)} answered: {in_force or '-'}"]
+    silent = [r.instance.instance for r in results if r.status is None]
+    if silent:
+        lines.append(f"no answer from: {', '.join(silent)}")
+    return lines
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/times.py
@@ -0,0 +1,80 @@
+"""Times and durations of the operators' language."""
+
+import dataclasses
+import datetime
+import re
+from typing import Protocol
+
+from vanillamast_cli.errors import UsageError
+
+UNIT_S = {"d": 86_400, "h": 3_600, "m": 60, "s": 1}
+
+
+class Deadline(Protocol):
+    """A moment that a command names."""
+
+    def wall(self, now: float) -> float:
+        """Returns the moment in seconds since the epoch."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ByTime:
+    """A deadline as a time of day or a date and time."""
+
+    text: str
+
+    def wall(self, now: float) -> float:
+        """Returns the moment in seconds since the epoch."""
+        return parse_time(self.text, now)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InDuration:
+    """A deadline as a duration from now."""
+
+    seconds: float
+
+    def wall(self, now: float) -> float:
+        """Returns the moment in seconds since the epoch."""
+        return now + self.seconds
+
+
+def parse_duration(text: str) -> float:
+    """Returns the seconds of a duration such as "1h30m"."""
+    parts = re.findall(r"(\d+)([dhms])", text)
+    return float(sum(int(count) * UNIT_S[unit] for count, unit in parts))
+
+
+def parse_time(text: str, now: float) -> float:
+    """Returns a time in seconds since the epoch.
+
+    Args:
+      text: "14:30" is the next such time; "2026-12-04T14:30" may end in
+        seconds and an offset. Without an offset times are UTC.
+      now: Wall time in seconds.
+
+    Raises:
+      UsageError: There is no such time.
+    """
+    current = datetime.datetime.fromtimestamp(now, datetime.UTC)
+    try:
+        if "T" in text:
+            moment = datetime.datetime.fromisoformat(text)
+            if moment.tzinfo is None:
+                moment = moment.replace(tzinfo=datetime.UTC)
+            return moment.timestamp()
+        hour, minute = map(int, text.split(":"))
+        moment = current.replace(
+            hour=hour, minute=minute, second=0, microsecond=0
+        )
+    except ValueError as error:
+        raise UsageError(f"{text}: {error}") from error
+    if moment <= current:
+        moment += datetime.timedelta(days=1)
+    return moment.timestamp()
+
+
+def time_text(wall: float) -> str:
+    """Returns a time in UTC as people read it."""
+    moment = datetime.datetime.fromtimestamp(wall, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/verb.py
@@ -0,0 +1,37 @@
+"""Commands of the operators' language."""
+
+import abc
+from typing import ClassVar
+
+from vanillamast_core import Registry
+
+from vanillamast_cli.context import Context
+from vanillamast_cli.report import Report
+
+
+class Verb(abc.ABC):
+    """A command with its arguments.
+
+    The fields of a subclass are the arguments, in the order in which the
+    grammar's rule of the same name holds them.
+
+    Attributes:
+      usage: Form of the command.
+      summary: What it does, one line.
+      example: A command line.
+    """
+
+    usage: ClassVar[str]
+    summary: ClassVar[str]
+    example: ClassVar[str]
+
+    @abc.abstractmethod
+    async def run(self, context: Context) -> Report:
+        """Does what the operator asked for.
+
+        Raises:
+          CliError: It was not done.
+        """
+
+
+verbs: Registry[type[Verb]] = Registry("command")
--- a/packages/testing/src/vanillamast_testing/badness.py
+++ b/packages/testing/src/vanillamast_testing/badness.py
@@ -82,7 +82,7 @@
     return NO_HARM
 
 
-@badness_kinds.register("fail")
+@badness_kinds.register("fails")
 def fail(badness: Badness) -> Harm:
     """Answers with 500 after the work was done."""
     return Harm(status=500)
@@ -94,7 +94,7 @@
     return Harm(delay_s=badness.delay_ms / 1000)
 
 
-@badness_kinds.register("fail_slowly")
+@badness_kinds.register("fails_slowly")
 def fail_slowly(badness: Badness) -> Harm:
     """Answers with 500, and late."""
     return Harm(delay_s=badness.delay_ms / 1000, status=500)
--- /dev/null
+++ b/tests/cli/fake_node.py
@@ -0,0 +1,168 @@
+"""A node's operator endpoint over a journal, without a mesh."""
+
+import contextlib
+import io
+import types
+import uuid
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any
+
+import msgspec
+from vanillamast_cli import CliSettings, Executor, ExitStatus
+from vanillamast_core import Announcement
+from vanillamast_core.configuration import Configuration, diff
+from vanillamast_core.control.queries import queries
+from vanillamast_core.journal import (
+    Journal,
+    LogEntry,
+    Outcome,
+    Publish,
+    Record,
+    record_codec,
+)
+from vanillamast_node.operator_listener import operator_app
+from vanillamast_testing import serve
+from vanillamast_testing.connection_control import connection_of
+
+NOW = 1_800_000_000.0
+
+
+class FakeNode:
+    """Folds what operators append and answers queries as a node does.
+
+    Attributes:
+      journal: The fold of the records.
+      before_append: Called before the next record, for races.
+      lose_answers: Number of next appends that are folded, but not answered.
+      pending: Number of next appends that are folded without an outcome.
+      hidden: Calls for outcomes that find none.
+      events: Events to follow.
+      records: Records in order of their arrival.
+    """
+
+    def __init__(self) -> None:
+        self.journal = Journal()
+        self.before_append: Callable[[], None] | None = None
+        self.lose_answers = 0
+        self.pending = 0
+        self.hidden = 0
+        self.events: list[dict[str, Any]] = []
+        self.records: list[Record] = []
+        own = Announcement("a-1", 1, "uy-sur", "a", "127.0.0.1:1")
+        directory = types.SimpleNamespace(
+            records={"a-1": own},
+            dead=set(),
+            drained=set(),
+            get=lambda name: own,
+            known=lambda service: [own],
+            liveness=lambda name: None,
+        )
+        self.mesh = types.SimpleNamespace(
+            own=own,
+            directory=directory,
+            link_count=lambda: 2,
+            reading_log=True,
+            alarms=types.SimpleNamespace(moves={}),
+        )
+        self.table = types.SimpleNamespace(applied_version=0, routes={})
+        self.data_plane = types.SimpleNamespace(
+            table=self.table, servers={}, splits={}
+        )
+        self.stopping = False
+
+    def append(self, record: Record) -> Outcome:
+        """Folds a record."""
+        offset = self.journal.offset + 1
+        data = record_codec.encode(record)
+        outcome = self.journal.apply(LogEntry(offset, data))
+        assert outcome is not None
+        self.table.routes = self.journal.state.configuration.routes
+        self.table.applied_version = self.journal.state.version
+        return outcome
+
+    def publish(self, configuration: Configuration) -> Outcome:
+        """Publishes a configuration past the operators' command."""
+        changes = diff(self.journal.state.configuration, configuration)
+        return self.append(
+            Publish(
+                id=str(uuid.uuid4()),
+                based_on=self.journal.offset,
+                changes=tuple(changes),
+            )
+        )
+
+    def query_names(self) -> Iterable[str]:
+        """Returns the names of the queries."""
+        return [*queries, "metrics"]
+
+    def query(self, name: str, params: dict[str, Any]) -> Any:
+        """Answers a query with the node's own functions."""
+        if name == "metrics":
+            return {"requests": {"served": 3}}
+        return queries.get(name)(self, params, NOW)  # type: ignore[arg-type]
+
+    async def submit(self, record: Record) -> Outcome | None:
+        """Folds a record, after one that races with it."""
+        self.records.append(record)
+        if self.before_append is not None:
+            race, self.before_append = self.before_append, None
+            race()
+        outcome = self.append(record)
+        if self.pending:
+            self.pending -= 1
+            return None
+        return outcome
+
+    def outcome(self, record_id: str) -> Outcome | None:
+        """Returns an outcome unless it is hidden."""
+        if self.hidden:
+            self.hidden -= 1
+            return None
+        return self.journal.state.outcomes.get(record_id)
+
+    async def following(
+        self, after: int, wait_s: float
+    ) -> list[dict[str, Any]]:
+        """Returns events after a sequence number."""
+        return [event for event in self.events if event["sequence"] > after]
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[str]:
+        """Serves the endpoint; yields its address."""
+        inner = operator_app(self)
+
+        async def app(scope: Any, receive: Any, send: Any) -> None:
+            lose = self.lose_answers > 0 and scope["path"] == "/v1/records"
+            if not lose:
+                await inner(scope, receive, send)
+                return
+            self.lose_answers -= 1
+
+            async def swallow(message: Any) -> None:
+                connection_of(scope).abort()
+
+            await inner(scope, receive, swallow)
+
+        async with serve(app, "127.0.0.1:0") as (address,):
+            yield address
+
+
+class Operator:
+    """An operator at a prompt.
+
+    Attributes:
+      executor: Runs the lines.
+    """
+
+    def __init__(self, *nodes: str, timeout_s: float = 15.0):
+        settings = CliSettings(nodes, "json", timeout_s)
+        self.executor = Executor(
+            settings, io.StringIO(), io.StringIO(), lambda: NOW
+        )
+
+    async def run(self, line: str) -> tuple[ExitStatus, list[Any]]:
+        """Runs a line; returns the status and the printed JSON values."""
+        self.executor.out = out = io.StringIO()
+        status = await self.executor.execute(line)
+        lines = out.getvalue().splitlines()
+        return status, [msgspec.json.decode(text) for text in lines]
--- a/tests/testing/test_backend.py
+++ b/tests/testing/test_backend.py
@@ -119,10 +119,10 @@
                 )
                 summary = await LoadGenerator(settings).run()
                 assert getattr(summary, field) == summary.sent == 20
-            backend.badness = Badness("fail", prefix="/other")
+            backend.badness = Badness("fails", prefix="/other")
             summary = await LoadGenerator(settings).run()
             assert summary.served == 20
-            backend.badness = Badness("fail", prefix="/bad")
+            backend.badness = Badness("fails", prefix="/bad")
             summary = await LoadGenerator(settings).run()
             assert summary.failed == {"500": 20}
 
@@ -166,7 +166,7 @@
         self, busy: float, age: float, path: str, expected: bool
     ):
         """Guards against a badness outside its time, load or path."""
-        badness = Badness("fail", after_s=5, under_load=True, prefix="/a")
+        badness = Badness("fails", after_s=5, under_load=True, prefix="/a")
         assert badness.affects(path, age, busy) is expected
 
     async def test_follows_the_drain_order_of_its_node(self):
--- a/tests/testing/test_commands.py
+++ b/tests/testing/test_commands.py
@@ -80,4 +80,4 @@
         )
         _, stderr = await asyncio.wait_for(process.communicate(), WIDE_S)
         assert process.returncode == 2
-        assert b"unknown badness 'sloow'; known: none, fail" in stderr
+        assert b"unknown badness 'sloow'; known: none, fails" in stderr
