Add the bench of the policy for moves; cap buckets after share 1

Cause: a burst of one bucket reached the limit after share 1, because the cap held for each stratum alone. Change: the cap counts over all strata of a bucket; a model of traffic with two timer policies as baselines.

--- a/packages/core/src/vanillamast_core/moves/accusation.py
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 from vanillamast_core.moves.contrast import (
     Contrast,
@@ -18,6 +18,7 @@
 ALL_ROUTES = ""  # Name of the test that pools the routes.
 DONE_SHARE = 0.25  # Part of alpha for the time after share 1.
 POOLED_SHARE = 0.5  # Part of the rest for the tests over all routes.
+MAX_BUDGETS = 256  # Buckets and kinds; far more than stay open to late cells.
 MAX_RATIO = 0.95  # Alternatives to a tolerated ratio stay below 1.
 
 
@@ -47,6 +48,7 @@
       tests: Contrast by kind and route, while the old version has traffic.
       done_tests: Contrast by kind, against the baseline.
       routes: Routes in order of appearance, which gives their weights.
+      budgets: What a bucket may still add to each kind's done test, by ratio.
     """
 
     def __init__(self, settings: JudgeSettings):
@@ -54,6 +56,7 @@
         self.tests: dict[tuple[str, str], Contrast] = {}
         self.done_tests: dict[str, Contrast] = {}
         self.routes: list[str] = []
+        self.budgets: dict[tuple[str, int], list[float]] = {}
 
     def copy(self) -> "Accusation":
         """Returns an independent copy."""
@@ -61,6 +64,7 @@
         copied.tests = {key: c.copy() for key, c in self.tests.items()}
         copied.done_tests = {k: c.copy() for k, c in self.done_tests.items()}
         copied.routes = list(self.routes)
+        copied.budgets = dict(self.budgets)
         return copied
 
     def apply(
@@ -94,7 +98,11 @@
             contrast.apply(counts, log_ratios)
 
     def apply_done(self, kind: str, counts: Counts, move: Move) -> None:
-        """Adds a comparison with the baseline."""
+        """Adds a comparison with the baseline.
+
+        What a bucket adds is capped over all of its strata, which only lowers
+        the likelihood ratio, so that no short disturbance decides alone.
+        """
         if not any(part.total for part in counts.parts):
             return
         contrast = self.done_tests.get(kind)
@@ -102,7 +110,27 @@
             contrast = Contrast(len(self.settings.ratios))
             self.done_tests[kind] = contrast
         tolerated = self.tolerated(kind, move)
-        contrast.apply(counts, baseline_log_ratios(tolerated, self.settings))
+        budget = self.budget(kind, counts.bucket)
+        log_ratios = baseline_log_ratios(tolerated, budget, self.settings)
+        contrast.apply(counts, log_ratios)
+        spent = log_ratios(
+            sum(part.bad for part in counts.parts),
+            sum(part.total for part in counts.parts),
+        )
+        self.budgets[kind, counts.bucket] = [
+            left - max(gain, 0.0)
+            for left, gain in zip(budget, spent, strict=True)
+        ]
+
+    def budget(self, kind: str, bucket: int) -> list[float]:
+        """Returns what a bucket may still add to the done test of a kind."""
+        known = self.budgets.get((kind, bucket))
+        if known is not None:
+            return known
+        if len(self.budgets) >= MAX_BUDGETS:
+            del self.budgets[next(iter(self.budgets))]
+        cap = math.log(self.settings.limit / DONE_SHARE)
+        return [cap / self.settings.done_buckets] * len(self.settings.ratios)
 
     def tolerated(self, kind: str, move: Move) -> float:
         """Returns the ratio of bad outcomes that is tolerated after share 1."""
@@ -177,24 +205,22 @@
 
 
 def baseline_log_ratios(
-    tolerated: float, settings: JudgeSettings
-) -> Callable[[int, int], list[float]]:
+    tolerated: float, budget: list[float], settings: JudgeSettings
+) -> LogRatios:
     """Returns the likelihood ratio against a tolerated ratio.
 
     Its expectation is at most 1 as long as each request is bad with a
-    probability of at most `tolerated`, given the earlier ones. It is capped,
-    which only lowers it, so that no single bucket decides.
+    probability of at most `tolerated`, given the earlier ones.
     """
-    cap = math.log(settings.limit / DONE_SHARE) / settings.done_buckets
 
     def log_ratios(bad: int, total: int) -> list[float]:
         values = []
-        for ratio in settings.ratios:
+        for ratio, left in zip(settings.ratios, budget, strict=True):
             worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
             value = bad * math.log(worse / tolerated) + (
                 (total - bad) * math.log((1.0 - worse) / (1.0 - tolerated))
             )
-            values.append(min(value, cap))
+            values.append(min(value, left))
         return values
 
     return log_ratios
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_moves/report.py
@@ -0,0 +1,45 @@
+"""Tables over the results of trials."""
+
+import statistics
+from collections.abc import Iterable
+
+from vanillamast_testing.bench_moves.trial import Result
+
+HEADER = (
+    f"{'deployment':<10} {'condition':<22} {'policy':<13} {'n':>3} "
+    f"{'taken back':>10} {'done in time':>12} {'done s':>7} "
+    f"{'exposed % med':>13} {'max':>7} {'harmed':>7} {'react s':>8} {'max':>6}"
+)
+
+
+def summarize(results: Iterable[Result]) -> list[str]:
+    """Returns a table with one line for each combination."""
+    groups: dict[tuple[str, str, str], list[Result]] = {}
+    for result in results:
+        key = (result.deployment, result.condition, result.policy)
+        groups.setdefault(key, []).append(result)
+    return [HEADER, *(line(*key, groups[key]) for key in sorted(groups))]
+
+
+def line(
+    deployment: str, condition: str, policy: str, group: list[Result]
+) -> str:
+    """Returns one line of the table."""
+    back = sum(result.back_s is not None for result in group)
+    in_time = sum(result.in_time for result in group)
+    done = [result.done_s for result in group if result.done_s is not None]
+    exposure = [100.0 * result.exposure for result in group]
+    harmed = statistics.median(result.harmed for result in group)
+    reaction = [r.reaction_s for r in group if r.reaction_s is not None]
+    return (
+        f"{deployment:<10} {condition:<22} {policy:<13} {len(group):>3} "
+        f"{back:>10} {in_time:>12} {median(done):>7} "
+        f"{statistics.median(exposure):>13.3f} {max(exposure):>7.3f} "
+        f"{harmed:>7.0f} {median(reaction):>8} "
+        f"{max(reaction, default=0.0):>6.0f}"
+    )
+
+
+def median(values: list[float]) -> str:
+    """Returns the median, "-" if there are no values."""
+    return f"{statistics.median(values):.0f}" if values else "-"
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_moves/world.py
@@ -0,0 +1,80 @@
+"""The state of one trial that policies see and change."""
+
+import msgspec
+from vanillamast_core.configuration import MoveSpec
+from vanillamast_core.journal import AdvanceMove, Record, SettleMove, TakeBack
+from vanillamast_core.moves import Move, MoveState
+
+from vanillamast_testing.bench_moves.deployment import Deployment
+
+START_WALL = 1_000_000.0
+TOKEN = 5
+
+
+class World:
+    """A move, and a fold of the records about it.
+
+    Attributes:
+      deployment: The service.
+      move: The move.
+      offset: Offset of the last record.
+      done_at: Wall time at which share 1 was reached.
+      ended_at: Wall time at which the move reached a final state.
+    """
+
+    def __init__(self, deployment: Deployment):
+        self.deployment = deployment
+        self.offset = 1
+        self.done_at: float | None = None
+        self.ended_at: float | None = None
+        self.move = Move(
+            name="move",
+            started_at=1,
+            spec=MoveSpec(
+                service="service",
+                old="1",
+                new="2",
+                deadline=START_WALL + deployment.deadline_s,
+                watch_s=deployment.watch_s,
+                on_deadline=deployment.on_deadline,
+            ),
+            changed_at=1,
+        )
+
+    def apply(self, record: Record, wall: float) -> None:
+        """Folds a record as the journal does."""
+        if self.move.state.final:
+            return
+        if isinstance(record, TakeBack):
+            self.end(MoveState.TAKEN_BACK, wall, record.reason)
+        elif isinstance(record, SettleMove):
+            if self.move.state is MoveState.DONE:
+                self.end(MoveState.SETTLED, wall, "")
+        elif isinstance(record, AdvanceMove):
+            self.advance(record, wall)
+
+    def advance(self, record: AdvanceMove, wall: float) -> None:
+        """Takes the move to its next step."""
+        move = self.move
+        if record.from_step != move.step or record.token != TOKEN:
+            return
+        self.offset += 1
+        last = move.step + 2 == len(move.spec.steps)
+        self.move = msgspec.structs.replace(
+            move,
+            step=move.step + 1,
+            state=MoveState.DONE if last else MoveState.RUNNING,
+            changed_at=self.offset,
+            baseline_failure_ratio=record.baseline_failure_ratio,
+            baseline_slow_ms=record.baseline_slow_ms,
+        )
+        if last:
+            self.done_at = wall
+
+    def end(self, state: MoveState, wall: float, reason: str) -> None:
+        """Ends the move."""
+        self.offset += 1
+        self.ended_at = wall
+        self.move = msgspec.structs.replace(
+            self.move, state=state, reason=reason, changed_at=self.offset
+        )
