Test the mesh by stateful fuzzing and scenarios of failures

Cause: the overlay had no proof of its invariants.

Change: a state machine fails nodes, links, failure domains and the log in any mix and checks that state is a prefix of the log, that entries and alarms are everywhere within 12 s, and that membership, readers and leaving nodes are right after healing. Found and fixed: leaving nodes that lost their links never came back, nobody noticed the death of a leaving node, and an instance whose suspicion had been refuted was avoided after its real death.

--- a/packages/core/src/vanillamast_core/peers/dialer.py
+++ b/packages/core/src/vanillamast_core/peers/dialer.py
@@ -39,9 +39,10 @@
         attempt.used_at = now
         self._dial_if_due(address, attempt, now)
 
-    def probe(self, address: str, now: float) -> None:
+    def probe(self, address: str, instance: str, now: float) -> None:
         """Dials an address once, without a delay unless it is backed off."""
         attempt = self.attempts.setdefault(address, DialAttempt(now))
+        attempt.instance = instance or attempt.instance
         attempt.used_at = now
         self._dial_if_due(address, attempt, now)
 
--- a/packages/core/src/vanillamast_core/peers/directory.py
+++ b/packages/core/src/vanillamast_core/peers/directory.py
@@ -49,6 +49,7 @@
     Attributes:
       records: Record by instance.
       dead: Instances whose record says dead.
+      leaving: Instances that are leaving and not dead.
       drained: Instances that operators drained.
       changed: Instances that changed since `take_changes`.
       changed_services: Services that changed since `take_changes`.
@@ -58,6 +59,7 @@
         self.dead_retention_s = dead_retention_s
         self.records: dict[str, DirectoryRecord] = {}
         self.dead: set[str] = set()
+        self.leaving: set[str] = set()
         self.drained: frozenset[str] = frozenset()
         self.changed: set[str] = set()
         self.changed_services: set[str] = set()
@@ -128,6 +130,7 @@
             self._deaths.append((now, instance, incarnation))
             if not was_dead:
                 self.dead.add(instance)
+                self.leaving.discard(instance)
                 self._toggle(record)
                 record.fingerprint = 0
                 self._remove_member(instance, record.failure_domain)
@@ -262,6 +265,8 @@
         record = _make_record(announcement, packed)
         self.records[instance] = record
         self._toggle(record)
+        if record.leaving:
+            self.leaving.add(instance)
         self._services.setdefault(record.service, set()).add(instance)
         members = self._domains.setdefault(record.failure_domain, [])
         bisect.insort(members, instance)
@@ -270,6 +275,7 @@
 
     def _forget(self, instance: str, record: DirectoryRecord) -> None:
         self.dead.discard(instance)
+        self.leaving.discard(instance)
         if record.liveness is not LivenessState.DEAD:
             self._toggle(record)
             self._remove_member(instance, record.failure_domain)
--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -202,8 +202,7 @@
         self.membership.tick(now)
         self.catch_up.tick(now)
         self.evidence.tick(now)
-        if not self.own.leaving:
-            self._dial_wanted(now)
+        self._dial_wanted(now)
         return self._finish(now)
 
     def link_up(
@@ -238,6 +237,7 @@
         state = self.links.by_id.get(link)
         if state is not None:
             self._lose(state, now)
+            self._probe_leaver(state.instance, now)
             if state.instance and self.health.link_lost(self.link_count(), now):
                 self._restart_timers(now)
         return self._finish(now)
@@ -404,6 +404,19 @@
         for instance in peers:
             self.membership.accuse(instance, now)
 
+    def _probe_leaver(self, instance: str, now: float) -> None:
+        """Dials a leaving instance once whose link went down.
+
+        It is nobody's dial target, so otherwise no refused dial would tell
+        soon that it is gone.
+        """
+        linked = instance in self.links.by_instance
+        if instance not in self.directory.leaving or linked:
+            return
+        address = self.peer_address(instance)
+        if address:
+            self.dialer.probe(address, instance, now)
+
     def _close_unwanted(self, link: Link, now: float) -> None:
         targets = self._current_targets()
         wanted = (
@@ -503,21 +516,26 @@
             self.dialer.want(address, instance, now)
 
     def _probe(self, now: float) -> None:
-        """Dials one dead instance or unlinked seed, to heal partitions."""
+        """Dials a dead or leaving instance or an unlinked seed.
+
+        This heals partitions, and finds out that an instance is gone which
+        nobody else dials.
+        """
         count = self.directory.member_count(self.own.failure_domain)
         interval = max(
             self.settings.rejoin_min_s, count / self.settings.rejoin_rate
         )
         self._next_probe = now + interval * (0.5 + self.rng.random())
         addresses = [a for a in self.seeds if not self._is_seed_known(a)]
-        dead = sorted(self.directory.dead)
-        choice = self.rng.randrange(len(addresses) + len(dead) or 1)
+        absent = sorted(self.directory.dead | self.directory.leaving)
+        choice = self.rng.randrange(len(addresses) + len(absent) or 1)
         if choice < len(addresses):
-            self.dialer.probe(addresses[choice], now)
-        elif dead:
-            address = self.peer_address(dead[choice - len(addresses)])
-            if address:
-                self.dialer.probe(address, now)
+            self.dialer.probe(addresses[choice], "", now)
+        elif absent:
+            instance = absent[choice - len(addresses)]
+            address = self.peer_address(instance)
+            if address and instance not in self.links.by_instance:
+                self.dialer.probe(address, instance, now)
 
     def _is_seed_known(self, address: str) -> bool:
         instance = self.seed_instances.get(address)
@@ -559,6 +577,7 @@
 
     def _reached(self, link: Link, instance: str, now: float) -> None:
         self.referrals.clear()
+        self.membership.accused.pop(instance, None)
         if self.avoided.pop(instance, None) is not None:
             self._targets = None
         if link.dialed is None:
--- a/packages/testing/src/vanillamast_testing/peer_network.py
+++ b/packages/testing/src/vanillamast_testing/peer_network.py
@@ -57,6 +57,7 @@
       first_retained: Lowest offset that the log still has.
       seeds: Seed addresses of all nodes.
       groups: Group of a node while the network is cut, 0 by default.
+      blocked: Pairs of failure domains that cannot reach each other.
       measure: Whether processor time and bytes are recorded.
     """
 
@@ -75,6 +76,7 @@
         self.first_retained = 1
         self.seeds: list[str] = []
         self.groups: dict[str, int] = {}
+        self.blocked: set[frozenset[str]] = set()
         self.measure = measure
         self.padding = 0
         self.tail_entries = 1024
@@ -212,9 +214,9 @@
         node = self.nodes[name]
         ids = sorted(node.pipes)
         for link in self.rng.sample(ids, min(count, len(ids))):
+            pipe = node.pipes[link]
             for side in (0, 1):
-                self._end_side(node.pipes[link], side)
-            del node.pipes[link]
+                self._end_side(pipe, side)
 
     def call(self, name: str, action: Call) -> None:
         """Calls a mesh and carries out its effects."""
@@ -401,6 +403,11 @@
         return list(found.values())
 
     def _separated(self, first: str, second: str) -> bool:
+        if self.blocked:
+            a = self.nodes[first].announcement.failure_domain
+            b = self.nodes[second].announcement.failure_domain
+            if frozenset({a, b}) in self.blocked:
+                return True
         if not self.groups:
             return False
         return self.groups.get(first, 0) != self.groups.get(second, 0)
--- /dev/null
+++ b/tests/core/peers/test_directory.py
@@ -0,0 +1,124 @@
+"""Tests of the directory against a plain dictionary."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from vanillamast_core import Announcement, ServerState
+from vanillamast_core.peers import Directory, LivenessState
+
+NAMES = ["a", "b", "c"]
+SERVICES = ["browse", "reader"]
+
+announcements = st.builds(
+    Announcement,
+    instance=st.sampled_from(NAMES),
+    incarnation=st.integers(1, 4),
+    region=st.just("r"),
+    failure_domain=st.sampled_from(["x", "y"]),
+    peer_address=st.just("p:1"),
+    service=st.sampled_from(SERVICES),
+    state=st.sampled_from(list(ServerState)),
+    leaving=st.booleans(),
+)
+marks = st.tuples(
+    st.sampled_from(NAMES), st.integers(1, 5), st.sampled_from(LivenessState)
+)
+steps = st.lists(st.one_of(announcements, marks), max_size=30)
+
+
+class Model:
+    """What a directory must know, without indices and digests."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, tuple[Announcement, int, LivenessState]] = {}
+
+    def take(self, step) -> None:
+        """Applies an announcement or a claim."""
+        if isinstance(step, Announcement):
+            old = self.known.get(step.instance)
+            if old is None or step.incarnation > old[1]:
+                entry = step, step.incarnation, LivenessState.ALIVE
+                self.known[step.instance] = entry
+            return
+        name, incarnation, state = step
+        if name not in self.known:
+            return
+        announcement, current, liveness = self.known[name]
+        is_death = incarnation > current and state is LivenessState.DEAD
+        if is_death or (incarnation == current and state > liveness):
+            self.known[name] = announcement, incarnation, state
+
+
+class TestDirectory:
+    """Merging, indices and digests."""
+
+    @settings(max_examples=300)
+    @given(steps=steps)
+    def test_fuzz_matches_plain_model(self, steps):
+        """Guards against indices or digests that drift from the records."""
+        directory, model = Directory(), Model()
+        for step in steps:
+            model.take(step)
+            if isinstance(step, Announcement):
+                directory.merge(step)
+            else:
+                directory.mark(*step, now=0.0)
+            self.compare(directory, model)
+        fresh = Directory()
+        for announcement, incarnation, liveness in model.known.values():
+            if liveness is not LivenessState.DEAD:
+                assert announcement.incarnation == incarnation
+                fresh.merge(announcement)
+        assert fresh.digest() == directory.digest()
+        assert fresh.bucket_digests() == directory.bucket_digests()
+
+    def compare(self, directory: Directory, model: Model) -> None:
+        """Compares every public view."""
+        dead = LivenessState.DEAD
+        for domain in "xy":
+            assert directory.members(domain) == sorted(
+                name
+                for name, (a, _, liveness) in model.known.items()
+                if a.failure_domain == domain and liveness is not dead
+            )
+        for service in SERVICES:
+            known = [
+                (a, liveness)
+                for _, (a, _, liveness) in sorted(model.known.items())
+                if a.service == service
+            ]
+            assert directory.known(service) == [a for a, _ in known]
+            assert directory.usable(service) == [
+                a
+                for a, liveness in known
+                if liveness is LivenessState.ALIVE
+                and a.state is ServerState.SERVING
+                and not a.leaving
+            ]
+        assert directory.dead == {
+            name for name, entry in model.known.items() if entry[2] is dead
+        }
+        assert directory.leaving == {
+            name
+            for name, (a, _, liveness) in model.known.items()
+            if a.leaving and liveness is not dead
+        }
+
+    def test_dead_records_expire_and_drains_apply(self):
+        """Guards against records that stay forever and ignored drains."""
+        directory = Directory(dead_retention_s=300.0)
+        for name in NAMES:
+            directory.merge(
+                Announcement(
+                    name, 1, "r", "x", "p:1", "", "browse", "1", "s:1",
+                    ServerState.SERVING,
+                )
+            )  # fmt: skip
+        directory.set_drained(frozenset({"b"}))
+        assert [a.instance for a in directory.usable("browse")] == ["a", "c"]
+        directory.set_drained(frozenset())
+        assert len(directory.usable("browse")) == 3
+        directory.mark("a", 1, LivenessState.DEAD, now=10.0)
+        directory.expire(309.0)
+        assert len(directory.known("browse")) == 3
+        directory.expire(310.0)
+        assert [a.instance for a in directory.known("browse")] == ["b", "c"]
--- /dev/null
+++ b/tests/core/peers/test_mesh_fuzz.py
@@ -0,0 +1,231 @@
+"""Stateful fuzzing of a small fleet under any mix of failures."""
+
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from vanillamast_testing.peer_fleet import (
+    assert_membership,
+    chain_at,
+    dead_in,
+    make_fleet,
+    offsets,
+)
+
+IN_FORCE_S = 12.0
+LEAVING_S = 3.0
+MEMBERSHIP_S = 40.0  # Detection with doubled timeouts, then repair.
+NAMES = [f"n{domain}{index}" for domain in range(3) for index in range(3)]
+
+names = st.sampled_from(NAMES)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Failures of nodes, links and the log, in any order."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed: int) -> None:
+        """Starts a fleet whose links are up."""
+        self.network = make_fleet(seed)
+        self.seen: dict[tuple[str, int], int] = {}
+        self.alarms: set[int] = set()
+        self.left: set[str] = set()
+
+    @rule(count=st.integers(1, 12))
+    def append(self, count: int) -> None:
+        """Appends records faster or slower than a tail holds."""
+        for _ in range(count):
+            self.network.append(b"%d" % len(self.network.log))
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.5, 4.0, 8.0, 20.0]))
+    def wait(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.network.run(seconds)
+
+    @rule(members=st.sets(names, max_size=5), reset=st.booleans())
+    def cut(self, members: set[str], reset: bool) -> None:
+        """Cuts some nodes off, with resets or with silence."""
+        self.network.heal()
+        self.network.cut(dict.fromkeys(members, 1), reset)
+
+    @rule(domain=st.integers(0, 2), reset=st.booleans())
+    def cut_domain(self, domain: int, reset: bool) -> None:
+        """Cuts a whole failure domain off."""
+        self.network.heal()
+        members = [name for name in NAMES if name[1] == str(domain)]
+        self.network.cut(dict.fromkeys(members, 1), reset)
+
+    @rule()
+    def heal(self) -> None:
+        """Ends the cut."""
+        self.network.heal()
+
+    @rule(name=names)
+    def pause(self, name: str) -> None:
+        """Stops a process for a while."""
+        if self.network.nodes[name].mesh is not None:
+            self.network.pause(name)
+
+    @rule(name=names)
+    def resume(self, name: str) -> None:
+        """Continues a process."""
+        self.network.resume(name)
+
+    @rule(name=names, machine=st.booleans())
+    def kill(self, name: str, machine: bool) -> None:
+        """Ends a process or its machine."""
+        if len(self.network.live()) > 2:
+            self.network.kill(name, machine)
+            self.left.discard(name)
+
+    @rule(name=names)
+    def restart(self, name: str) -> None:
+        """Starts a process with an empty state."""
+        if self.network.nodes[name].mesh is None:
+            self.network.start(name)
+
+    @rule(name=names, count=st.integers(1, 8))
+    def break_links(self, name: str, count: int) -> None:
+        """Resets links at any point."""
+        self.network.break_links(name, count)
+
+    @rule(up=st.booleans())
+    def switch_log(self, up: bool) -> None:
+        """Starts or ends an outage of the log."""
+        self.network.set_log(up)
+
+    @rule(name=names, started_at=st.integers(1, 5))
+    def raise_alarm(self, name: str, started_at: int) -> None:
+        """Takes a move back somewhere."""
+        node = self.network.nodes[name]
+        if node.mesh is not None and not node.paused:
+            self.network.call(
+                name, lambda mesh, now: mesh.raise_alarm(started_at, "", now)
+            )
+
+    @precondition(lambda self: len(self.left) < 2)
+    @rule(name=names)
+    def leave(self, name: str) -> None:
+        """Starts a planned stop while failures may be going on."""
+        node = self.network.nodes[name]
+        if node.mesh is not None and not node.paused:
+            self.left.add(name)
+            self.network.call(name, lambda mesh, now: mesh.leave(now))
+
+    @rule()
+    def settle(self) -> None:
+        """Ends all failures and checks what must then hold in time."""
+        network = self.network
+        network.heal()
+        for name in NAMES:
+            network.resume(name)
+        highest = max(offsets(network).values())
+        known = self.live_alarms()
+        network.run(LEAVING_S)
+        network.run(IN_FORCE_S - LEAVING_S)
+        for name, offset in offsets(network).items():
+            assert offset >= highest, (name, offset, highest)
+            assert known <= set(network.mesh(name).alarms.moves), name
+        network.run(MEMBERSHIP_S)
+        assert_membership(network)
+        self.check_leaving()
+        self.check_readers()
+
+    def live_alarms(self) -> set[int]:
+        """Returns the marks that at least one running node has."""
+        moves: set[int] = set()
+        for name in self.network.live():
+            moves |= set(self.network.mesh(name).alarms.moves)
+        return moves
+
+    def check_leaving(self) -> None:
+        """Checks that a leaving node is usable nowhere, and leaves at once."""
+        network = self.network
+        staying = sorted(set(network.live()) - self.left)
+        if len(staying) > 3:
+            name = staying[0]
+            self.left.add(name)
+            network.call(name, lambda mesh, now: mesh.leave(now))
+            network.run(LEAVING_S)
+        for name in network.live():
+            usable = network.mesh(name).directory.usable("browse")
+            assert not {a.instance for a in usable} & self.left, name
+
+    def check_readers(self) -> None:
+        """Checks that each failure domain has its readers, and no more."""
+        network = self.network
+        staying = set(network.live()) - self.left
+        for domain in "012":
+            members = {name for name in staying if name[1] == domain}
+            reading = {n for n in members if network.nodes[n].reading}
+            assert len(reading) == min(2, len(members)), domain
+        if network.log_up and staying:
+            network.append(b"after")
+            network.run(IN_FORCE_S)
+            assert set(offsets(network).values()) == {len(network.log)}
+
+    @invariant()
+    def offsets_never_go_back(self) -> None:
+        """Checks each node's state against the log's prefix."""
+        for name in self.network.live():
+            node = self.network.nodes[name]
+            key = name, node.life
+            assert node.store.offset >= self.seen.get(key, 0), name
+            self.seen[key] = node.store.offset
+            expected = chain_at(self.network, node.store.offset)
+            assert node.store.chain == expected, name
+
+
+class PausedNodeMachine(RuleBasedStateMachine):
+    """One node is paused or overloaded; nobody else fails."""
+
+    @initialize(seed=st.integers(0, 2**32), name=names)
+    def start(self, seed: int, name: str) -> None:
+        """Starts a fleet and chooses the node."""
+        self.network = make_fleet(seed)
+        self.name = name
+
+    @rule(seconds=st.sampled_from([0.5, 1.4, 3.0, 7.0, 11.0, 30.0]))
+    def pause(self, seconds: float) -> None:
+        """Pauses the node."""
+        self.network.pause(self.name)
+        self.network.run(seconds)
+        self.network.resume(self.name)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, 12.0]))
+    def wait(self, seconds: float) -> None:
+        """Lets the node run, in steps so that no death goes unseen."""
+        for _ in range(10):
+            self.network.run(seconds / 10)
+            self.nobody_is_declared_dead()
+
+    @invariant()
+    def nobody_is_declared_dead(self) -> None:
+        """Checks the node's peers; the node itself may well be suspected."""
+        for name in self.network.live():
+            assert dead_in(self.network, name) <= {self.name}
+        assert not dead_in(self.network, self.name)
+
+
+LONG = bool(os.environ.get("VANILLAMAST_FUZZ"))
+EXAMPLES = 400 if LONG else 60
+STEPS = 40 if LONG else 20
+
+
+class TestFuzzFleet(FleetMachine.TestCase):
+    """Guards against lost entries, rollbacks, wrong deaths, lost alarms."""
+
+    settings = settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
+
+
+class TestFuzzPausedNode(PausedNodeMachine.TestCase):
+    """Guards against a slow node that declares its healthy peers dead."""
+
+    settings = settings(max_examples=EXAMPLES, stateful_step_count=10)
--- /dev/null
+++ b/tests/core/peers/test_mesh_scenarios.py
@@ -0,0 +1,289 @@
+"""Scenarios of failures that the design names."""
+
+import random
+
+import pytest
+from vanillamast_core.journal import LogEntry, SnapshotChunk, record_codec
+from vanillamast_core.moves import EvidenceCell, Side
+from vanillamast_core.peers import (
+    Busy,
+    CloseLink,
+    Entries,
+    Hello,
+    LivenessState,
+    Mesh,
+    PeerSettings,
+    Send,
+    StateRequest,
+    pack_announcement,
+    strip,
+)
+from vanillamast_testing.memory_entry_store import MemoryEntryStore
+from vanillamast_testing.peer_fleet import (
+    SETTINGS,
+    assert_membership,
+    dead_in,
+    make_fleet,
+    offsets,
+)
+from vanillamast_testing.peer_network import PeerNetwork
+
+IN_FORCE_S = 12.0
+
+
+def readers(network: PeerNetwork, domain: str) -> set[str]:
+    """Returns the nodes of a failure domain that read the log."""
+    return {
+        name
+        for name in network.live()
+        if name[1] == domain and network.nodes[name].reading
+    }
+
+
+def cell(requests: int, move: int = 7) -> EvidenceCell:
+    """Returns evidence about one move."""
+    return EvidenceCell(
+        move=move,
+        route="r",
+        failure_domain="d0",
+        bucket=1,
+        side=Side.NEW,
+        requests=requests,
+        latency={3: requests},
+    )
+
+
+class TestFailureDomains:
+    """Loss of readers and of whole failure domains."""
+
+    def test_all_readers_of_a_domain_die(self):
+        """Guards against a failure domain that stays without readers."""
+        network = make_fleet(1, domains=3, size=6)
+        before = readers(network, "0")
+        assert len(before) == 2
+        for name in before:
+            network.kill(name, machine=True)
+        network.append(b"while the readers are dead")
+        network.run(IN_FORCE_S)
+        assert set(offsets(network).values()) == {1}
+        network.run(IN_FORCE_S)
+        after = readers(network, "0")
+        assert len(after) == 2
+        assert not after & before
+
+    def test_all_nodes_but_one_domain_lose_the_log(self):
+        """Guards against entries that do not cross failure domains."""
+        network = make_fleet(2)
+        for name, node in network.nodes.items():
+            node.log_cut = name[1] != "2"
+        network.append(b"read in one failure domain")
+        network.run(IN_FORCE_S)
+        assert set(offsets(network).values()) == {1}
+
+    def test_domain_restarts_while_the_log_is_down(self):
+        """Guards against restarted nodes that wait for the log."""
+        network = make_fleet(3, domains=3, size=8, padding=20_000)
+        for index in range(40):
+            network.append(b"%d" % index)
+        network.run(4)
+        network.set_log(False)
+        members = [name for name in network.nodes if name[1] == "1"]
+        for name in members:
+            network.kill(name)
+        network.run(1)
+        for name in members:
+            network.start(name)
+        network.run(IN_FORCE_S)
+        assert set(offsets(network).values()) == {40}
+        network.run(30)
+        assert_membership(network)
+
+    def test_region_cut_for_longer_than_dead_records_live(self):
+        """Guards against halves that forget each other and never rejoin."""
+        network = make_fleet(4)
+        island = {name: 1 for name in network.nodes if name[1] == "1"}
+        for name in island:
+            network.nodes[name].log_cut = True
+        network.cut(island, reset=False)
+        network.run(SETTINGS.dead_retention_s + 60)
+        outside = next(name for name in network.nodes if name not in island)
+        assert not set(island) & set(network.mesh(outside).directory.records)
+        network.append(b"outside only")
+        network.run(5)
+        network.heal()
+        network.run(IN_FORCE_S)
+        assert set(offsets(network).values()) == {1}
+        network.run(30)
+        assert_membership(network)
+
+
+class TestMembership:
+    """Deaths, refutations and planned stops."""
+
+    def test_machine_failure_is_known_in_time(self):
+        """Guards against dead instances that stay usable."""
+        network = make_fleet(5, size=5)
+        network.kill("n03", machine=True)
+        network.run(12)
+        for name in network.live():
+            assert dead_in(network, name) == {"n03"}
+
+    def test_leaving_is_known_during_a_cut(self):
+        """Guards against new work for a leaving server, within its part."""
+        network = make_fleet(6)
+        members = [name for name in network.nodes if name[1] != "2"]
+        network.cut(dict.fromkeys(members, 1), reset=True)
+        network.call("n01", lambda mesh, now: mesh.leave(now))
+        network.run(3)
+        for name in members:
+            usable = network.mesh(name).directory.usable("browse")
+            assert "n01" not in {a.instance for a in usable}, name
+
+    def test_partial_partition_does_not_flap(self):
+        """Guards against endless suspicion between two live domains.
+
+        Nodes of two failure domains cannot reach each other but both reach
+        a third one, so every suspicion is refuted.
+        """
+        network = make_fleet(7)
+        network.blocked = {frozenset({"d0", "d1"})}
+        network.run(30)
+        before = {n: network.mesh(n).own.incarnation for n in network.live()}
+        network.run(60)
+        raised = sum(
+            network.mesh(name).own.incarnation - incarnation
+            for name, incarnation in before.items()
+        )
+        assert raised <= 2 * len(before)
+        network.append(b"x")
+        network.run(IN_FORCE_S)
+        assert set(offsets(network).values()) == {1}
+
+    def test_overloaded_node_accuses_nobody(self):
+        """Guards against deaths declared by a node whose ticks are late."""
+        network = make_fleet(8)
+        for _ in range(30):
+            network.pause("n11")
+            network.run(1.6)
+            network.resume("n11")
+            network.run(0.1)
+            for name in network.live():
+                assert dead_in(network, name) <= {"n11"}
+
+    def test_loss_of_own_network_accuses_nobody(self):
+        """Guards against a node that blames others for its own cut."""
+        network = make_fleet(9)
+        network.cut({"n11": 1}, reset=True)
+        network.run(8)
+        directory = network.mesh("n11").directory
+        for record in directory.records.values():
+            assert record.liveness is LivenessState.ALIVE
+
+
+class TestSnapshots:
+    """Admission of snapshot transfers."""
+
+    def make_server(self) -> tuple[Mesh, list[int]]:
+        """Returns a mesh with a state and three links."""
+        network = PeerNetwork(1, SETTINGS)
+        announcements = [
+            network.add(f"n{i}", "r", "d").announcement for i in range(4)
+        ]
+        store = MemoryEntryStore(tail_entries=1, padding=5000)
+        mesh = Mesh(SETTINGS, announcements[0], random.Random(1), store)
+        entries = [LogEntry(i, b"x") for i in (1, 2, 3)]
+        mesh.records_read(entries, 0.0)
+        for link in (1, 2, 3):
+            mesh.link_up(link, 0.0)
+            hello = Hello(pack_announcement(announcements[link]), 0, 0)
+            mesh.receive(link, hello, 0.0)
+        return mesh, [1, 2, 3]
+
+    def test_third_snapshot_is_refused(self):
+        """Guards against reconnect storms that exhaust a node."""
+        mesh, links = self.make_server()
+        kinds = []
+        for link in links:
+            effects = mesh.receive(link, StateRequest(0), 0.0)
+            kinds.append({type(e.message) for e in effects})
+        assert Busy not in kinds[0] | kinds[1]
+        assert kinds[2] == {Busy}
+
+    def test_slot_is_freed_when_the_link_is_lost(self):
+        """Guards against slots that leak with their links."""
+        mesh, links = self.make_server()
+        for link in links:
+            mesh.receive(link, StateRequest(0), 0.0)
+        mesh.link_down(1, 0.1)
+        mesh.tick(0.2)
+        effects = mesh.receive(3, StateRequest(0), 0.2)
+        assert Busy not in {type(e.message) for e in effects}
+
+    def test_full_node_refers_to_others(self):
+        """Guards against nodes that wait for the same few full seeds."""
+        settings = PeerSettings(max_links=1)
+        network = PeerNetwork(1, settings)
+        own = network.add("n0", "r", "d").announcement
+        peer = network.add("n1", "r", "d").announcement
+        mesh = Mesh(settings, own, random.Random(1), MemoryEntryStore())
+        mesh.link_up(1, 0.0)
+        mesh.receive(1, Hello(pack_announcement(peer), 0, 0), 0.0)
+        busy, close = mesh.link_up(2, 0.0)
+        assert isinstance(busy, Send)
+        assert busy.message == Busy(1.0, (peer.peer_address,))
+        assert close == CloseLink(2)
+
+
+class TestEntries:
+    """Relaying of entries."""
+
+    def test_snapshot_payload_is_not_relayed(self):
+        """Guards against 48 KB chunks that flood the overlay."""
+        chunk = SnapshotChunk(
+            id="a", based_on=1, offset=1, index=0, count=1,
+            data=bytes(48_000), digest=b"d",
+        )  # fmt: skip
+        entry = LogEntry(5, record_codec.encode(chunk))
+        bare = strip(entry)
+        assert bare.offset == 5
+        decoded = record_codec.decode(bare.data)
+        assert isinstance(decoded, SnapshotChunk)
+        assert (decoded.id, decoded.index, decoded.data) == ("a", 0, b"")
+        garbage = LogEntry(6, b"\xc1" * 5000)
+        assert strip(garbage) is garbage
+
+    @pytest.mark.parametrize("order", [(3, 2, 1), (2, 2, 1, 3), (3, 1, 2, 1)])
+    def test_any_order_applies_in_order(self, order: tuple[int, ...]):
+        """Guards against entries applied out of order or twice."""
+        network = make_fleet(10, domains=1, size=2)
+        link = next(iter(network.nodes["n00"].pipes))
+        for offset in order:
+            message = Entries((LogEntry(offset, b"%d" % offset),))
+            network.call(
+                "n00", lambda mesh, now, m=message: mesh.receive(link, m, now)
+            )
+        assert network.nodes["n00"].store.offset == 3
+
+
+class TestEvidence:
+    """The evidence tree."""
+
+    def test_each_cell_reaches_judge_and_driver_once(self):
+        """Guards against lost or doubled evidence in a quiet mesh."""
+        network = make_fleet(11, domains=3, size=12)
+        for name in network.live():
+            network.mesh(name).set_driver(0, "n25", [7])
+        for _ in range(3):
+            for name in network.live():
+                network.call(
+                    name, lambda m, now: m.send_evidence([cell(1)], now)
+                )
+            network.run(2)
+        network.run(20)
+        received = {
+            name: sum(c.requests for c in node.evidence)
+            for name, node in network.nodes.items()
+            if node.evidence
+        }
+        # The roots are the first of the sorted members.
+        assert received == {"n00": 36, "n10": 36, "n20": 36, "n25": 108}
