Fuzz the request path against an oracle and add its bench

Cause: nothing checked routing, retries, slots and refusals together, and no figure existed for the latency that a node adds. Change: seeded fuzzing of router, exchange, queue, limits, budget and ejection against an oracle that knows which server ran what. It found three faults, fixed here: a retry budget that began full, a version of which only ejected servers were left, and an attempt after the deadline when a key's claim was late. The bench runs node, backend servers and load as separate processes.

--- a/packages/core/src/vanillamast_core/requests/exchange.py
+++ b/packages/core/src/vanillamast_core/requests/exchange.py
@@ -150,6 +150,8 @@
     # Admission.
 
     def _seek_slot(self, now: float) -> list[ExchangeEffect]:
+        if self.deadline.expired(now):
+            return self._refuse("deadline_exceeded", now)
         refused = self.pool.refusal_before_start(self, now)
         if refused:
             return self._refuse(refused, now)
--- a/packages/core/src/vanillamast_core/requests/key_ledger.py
+++ b/packages/core/src/vanillamast_core/requests/key_ledger.py
@@ -94,9 +94,14 @@
             previous = self.epochs[-1].members
             if current == previous:
                 return
-        hold = now + self.settings.key_hold_s if vanished else 0.0
+        settings = self.settings
+        hold = 0.0
+        if vanished:
+            # After a partition ends, others may still use the previous view
+            # for the margin.
+            hold = now + settings.key_hold_s + settings.key_margin_s
         self.epochs.append(MemberEpoch(current, now, wall, hold, previous))
-        horizon = now - self.settings.key_retention_s
+        horizon = now - settings.key_retention_s - settings.key_margin_s
         while len(self.epochs) > 1 and self.epochs[1].since <= horizon:
             self.epochs.popleft()
 
@@ -167,12 +172,14 @@
         home_since = self._home_since(claim.key, now)
         if home_since is None:
             return False
-        if now - home_since.since >= self.settings.key_retention_s:
+        margin = self.settings.key_margin_s
+        # The previous home may have granted keys until the margin ended.
+        retention = self.settings.key_retention_s + margin
+        if now - home_since.since >= retention:
             return True
         made = key_time(claim.key)
         if made is None:
             return False
-        margin = self.settings.key_margin_s
         return home_since.since_wall + margin < made <= wall + margin
 
     def _home_since(self, key: str, now: float) -> MemberEpoch | None:
--- a/packages/core/src/vanillamast_core/requests/outlier_detector.py
+++ b/packages/core/src/vanillamast_core/requests/outlier_detector.py
@@ -24,6 +24,17 @@
         share = math.floor(self.settings.ejection_share * servers)
         return min(servers - 1, max(1, share))
 
+    def readmit(self, servers: list[ServerView], now: float) -> None:
+        """Ends ejections that exceed the allowance.
+
+        The allowance shrinks when other servers of the version go away.
+        """
+        ejected = [s for s in servers if s.ejected_until > now]
+        ejected.sort(key=_ejection_end)
+        excess = max(0, len(ejected) - self.allowance(len(servers)))
+        for server in ejected[:excess]:
+            server.ejected_until = now
+
     def succeeded(self, server: ServerView) -> None:
         """Records a success, which ends a run of failures."""
         server.failures = 0
@@ -55,3 +66,7 @@
         server.ejections += 1
         server.failures = 0
         return True
+
+
+def _ejection_end(server: ServerView) -> float:
+    return server.ejected_until
--- a/packages/core/src/vanillamast_core/requests/retry_budget.py
+++ b/packages/core/src/vanillamast_core/requests/retry_budget.py
@@ -13,13 +13,14 @@
       settings: Settings of the request path.
       ratio: Retries allowed as a share of first attempts.
       tokens: Retries that are allowed now.
-      updated: Monotonic time, in seconds, of the last update.
+      updated: Monotonic time, in seconds, of the last update; None before
+        the first one.
     """
 
     settings: RequestSettings
     ratio: float = 0.1
     tokens: float = 1.0
-    updated: float = 0.0
+    updated: float | None = None
 
     def first_attempt(self, now: float) -> None:
         """Counts a first attempt."""
@@ -34,6 +35,8 @@
         return True
 
     def _floor(self, now: float) -> float:
+        if self.updated is None:
+            return 0.0
         elapsed = max(0.0, now - self.updated)
         return elapsed * self.settings.retry_floor_per_s
 
--- a/packages/core/src/vanillamast_core/requests/service_pool.py
+++ b/packages/core/src/vanillamast_core/requests/service_pool.py
@@ -93,6 +93,8 @@
         for view in views.values():
             version = view.announcement.version
             self.by_version.setdefault(version, []).append(view)
+        for servers in self.by_version.values():
+            self.outliers.readmit(servers, now)
 
     def _view(
         self, announcement: Announcement, now: float, wall: float
--- a/packages/core/src/vanillamast_core/requests/settings.py
+++ b/packages/core/src/vanillamast_core/requests/settings.py
@@ -31,8 +31,9 @@
       retry_after_s: Hint to callers of refusals that may succeed later.
       key_retention_s: Seconds for which a key is kept after its last claim.
       key_capacity: Keys kept by one node.
-      key_hold_s: Seconds for which a node refuses keys taken over from an
-        instance that vanished.
+      key_hold_s: Longest partition, in seconds, under which a key runs once.
+        A node refuses keys taken over from an instance that vanished for
+        this time and the margin.
       key_margin_s: Seconds by which the time in a UUIDv7 must be later than
         the takeover. Covers clock differences and the time in which other
         nodes may still use the previous home.
--- /dev/null
+++ b/packages/node/src/vanillamast_node/process_tuning.py
@@ -0,0 +1,19 @@
+"""Settings of the interpreter for a node's process."""
+
+import gc
+
+# A request leaves little cyclic garbage, so young collections can be rare;
+# the default of 700 objects starts one every few requests.
+YOUNG_THRESHOLD = 20_000
+MIDDLE_THRESHOLD = 20
+OLD_THRESHOLD = 50
+
+
+def tune_garbage_collection() -> None:
+    """Keeps start-up objects out of collections and makes those rarer.
+
+    To be called once, after the listeners are open.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_requests/bench_node.py
@@ -0,0 +1,101 @@
+"""The node's process of the bench."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+from vanillamast_core import Announcement, ServerState
+from vanillamast_core.configuration import Route, Service
+from vanillamast_core.peers import ClaimKey, KeyAnswer, KeyState, SettleKey
+from vanillamast_core.requests import (
+    Observation,
+    RequestRouter,
+    RequestSettings,
+)
+from vanillamast_node import (
+    CallerListener,
+    Forwarder,
+    ForwardingSettings,
+    UpstreamPool,
+)
+from vanillamast_node.process_tuning import tune_garbage_collection
+
+from vanillamast_testing.bench_requests.bench_split import NoSplit
+from vanillamast_testing.bench_requests.decision_writer import DecisionWriter
+
+SERVING_SINCE_MS = 1000
+WARM_WALL_S = 1e6
+TIMEOUT_MS = 1000
+
+
+def announce(address: str, index: int, slots: int) -> Announcement:
+    """Returns a warm backend server in the node's failure domain."""
+    return Announcement(
+        f"server-{index}",
+        1,
+        "bench",
+        "a",
+        "",
+        service="pages",
+        version="v1",
+        server_address=address,
+        state=ServerState.SERVING,
+        slots=slots,
+        serving_since_ms=SERVING_SINCE_MS,
+    )
+
+
+async def run_node(
+    pipe: Any, servers: Sequence[tuple[str, int]], policy: str, log: str
+) -> None:
+    """Runs a node until the pipe says stop, then sends its counters.
+
+    Args:
+      pipe: Connection to the bench.
+      servers: Address and slots of each backend server.
+      policy: Name of the balancing policy.
+      log: Path of the decision log.
+    """
+    settings = ForwardingSettings()
+    router = RequestRouter(
+        RequestSettings(policy=policy), "a", random.Random(1), NoSplit
+    )
+    route = Route("/", "pages", timeout_ms=TIMEOUT_MS)
+    router.set_routes({"pages": route}, {}, {"pages": Service("v1")})
+    now = asyncio.get_running_loop().time()
+    announcements = [
+        announce(address, index, slots)
+        for index, (address, slots) in enumerate(servers)
+    ]
+    router.set_servers("pages", announcements, False, now, WARM_WALL_S)
+    writer = DecisionWriter(log)
+    async with UpstreamPool(settings) as upstream:
+        forwarder = Forwarder(
+            settings,
+            router,
+            upstream,
+            _ignore_observation,
+            writer.write,
+            _grant,
+            _ignore_settlement,
+        )
+        listener = CallerListener(forwarder, "127.0.0.1:0")
+        await listener.start()
+        tune_garbage_collection()
+        pipe.send(listener.address)
+        await asyncio.to_thread(pipe.recv)
+        pipe.send((writer.first, writer.retries, writer.refused))
+        await listener.stop()
+
+
+def _ignore_observation(observation: Observation) -> None:
+    return None
+
+
+async def _grant(claim: ClaimKey) -> KeyAnswer:
+    return KeyAnswer(KeyState.GRANTED)
+
+
+async def _ignore_settlement(settle: SettleKey) -> None:
+    return None
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_requests/decision_writer.py
@@ -0,0 +1,45 @@
+"""Writes one JSON line for each routing decision without blocking."""
+
+import asyncio
+import os
+
+import msgspec
+from vanillamast_core.requests import Decision
+
+FLUSH_S = 0.05
+
+
+class DecisionWriter:
+    """Stands in for the node's log writer.
+
+    Attributes:
+      first: Decisions that were first attempts.
+      retries: Decisions that were retries.
+      refused: Decisions that were refusals.
+    """
+
+    def __init__(self, path: str):
+        self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+        self.lines: list[bytes] = []
+        self.encoder = msgspec.json.Encoder()
+        self.first = 0
+        self.retries = 0
+        self.refused = 0
+
+    def write(self, decision: Decision) -> None:
+        """Formats a decision and queues its line."""
+        if decision.attempt == 1:
+            self.first += 1
+        elif decision.attempt:
+            self.retries += 1
+        else:
+            self.refused += 1
+        if not self.lines:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_S, self.flush)
+        self.lines.append(self.encoder.encode(decision))
+
+    def flush(self) -> None:
+        """Writes the queued lines at once."""
+        os.write(self.file, b"\n".join(self.lines) + b"\n")
+        self.lines.clear()
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_requests/load.py
@@ -0,0 +1,131 @@
+"""A load generator with pooled raw connections."""
+
+import asyncio
+import collections
+import random
+
+_REQUEST = b"GET /page HTTP/1.1\r\nhost: bench\r\naccept: */*\r\n\r\n"
+_REFUSAL = b"vanillamast-refusal: "
+
+
+class LoadConnection(asyncio.Protocol):
+    """One keep-alive connection with at most one request on it."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+        self.missing = -1
+        self.done: asyncio.Future[tuple[int, str]]
+        self.transport: asyncio.Transport
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails a call that has no answer."""
+        self.lost = True
+        if not self.done.done():
+            self.done.set_result((0, "lost"))
+
+    def call(self) -> "asyncio.Future[tuple[int, str]]":
+        """Sends a request; the result is the status and kind of refusal."""
+        self.done = asyncio.get_running_loop().create_future()
+        self.buffer = b""
+        self.transport.write(_REQUEST)
+        return self.done
+
+    def data_received(self, data: bytes) -> None:
+        """Ends the call once the response is complete."""
+        self.buffer += data
+        head, separator, body = self.buffer.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        low = head.lower()
+        start = low.index(b"content-length: ") + 16
+        length = int(low[start:].split(b"\r\n", 1)[0])
+        if len(body) < length or self.done.done():
+            return
+        kind = ""
+        if _REFUSAL in low:
+            start = low.index(_REFUSAL) + len(_REFUSAL)
+            kind = low[start:].split(b"\r\n", 1)[0].decode()
+        self.done.set_result((int(head[9:12]), kind))
+
+
+class Load:
+    """Calls one address and collects times and outcomes.
+
+    Attributes:
+      latencies: Seconds of the answered calls.
+      outcomes: Calls by status and kind of refusal.
+    """
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.idle: list[LoadConnection] = []
+        self.latencies: list[float] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def call(self) -> None:
+        """Makes one call."""
+        loop = asyncio.get_running_loop()
+        connection = await self._connection(loop)
+        started = loop.time()
+        status, kind = await connection.call()
+        elapsed = loop.time() - started
+        self.outcomes[kind or str(status)] += 1
+        if status == 200:
+            self.latencies.append(elapsed)
+        if not connection.lost:
+            self.idle.append(connection)
+
+    async def _connection(
+        self, loop: asyncio.AbstractEventLoop
+    ) -> LoadConnection:
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.lost:
+                return connection
+        connected = await loop.create_connection(
+            LoadConnection, self.host, self.port
+        )
+        return connected[1]
+
+    async def warm_up(self, connections: int) -> None:
+        """Opens connections and forgets what the first calls took."""
+        for _ in range(3):
+            await asyncio.gather(*(self.call() for _ in range(connections)))
+        self.latencies.clear()
+        self.outcomes.clear()
+
+    async def open_loop(
+        self, rate: float, seconds: float, rng: random.Random
+    ) -> None:
+        """Makes calls with exponential gaps, whatever the answers take."""
+        loop = asyncio.get_running_loop()
+        at = loop.time()
+        end = at + seconds
+        while at < end:
+            await asyncio.sleep(max(0.0, at - loop.time()))
+            task = loop.create_task(self.call())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            at += rng.expovariate(rate)
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+
+    async def closed_loop(self, connections: int, seconds: float) -> None:
+        """Makes calls back to back on some connections."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+
+        async def repeat() -> None:
+            while loop.time() < end:
+                await self.call()
+
+        await asyncio.gather(*(repeat() for _ in range(connections)))
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_requests/processes.py
@@ -0,0 +1,102 @@
+"""Starts the processes of a bench and stops them again."""
+
+import asyncio
+import contextlib
+import multiprocessing
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from typing import Any
+
+import psutil
+
+from vanillamast_testing.bench_requests.bench_node import run_node
+from vanillamast_testing.bench_requests.timed_backend import TimedBackend
+
+READY_S = 20.0
+_CONTEXT = multiprocessing.get_context("spawn")
+
+
+class Worker:
+    """A process of the bench.
+
+    Attributes:
+      pipe: Connection to it.
+      process: The process.
+    """
+
+    def __init__(
+        self, main: Callable[..., Coroutine[Any, Any, None]], *arguments: Any
+    ):
+        self.pipe, other = _CONTEXT.Pipe()
+        self.process = _CONTEXT.Process(
+            target=_run, args=(main, other, *arguments), daemon=True
+        )
+        self.process.start()
+        self.ready = self.receive()
+
+    def receive(self) -> Any:
+        """Returns the next message.
+
+        Raises:
+          TimeoutError: The process does not answer.
+        """
+        if not self.pipe.poll(READY_S):
+            raise TimeoutError("a bench process does not answer")
+        return self.pipe.recv()
+
+    def stop(self) -> Any:
+        """Stops the process and returns its counters."""
+        self.pipe.send("stop")
+        counters = self.receive()
+        self.process.join(READY_S)
+        return counters
+
+    def cpu_s(self) -> float:
+        """Returns the processor time that the process used, in seconds."""
+        times = psutil.Process(self.process.pid).cpu_times()
+        return times.user + times.system
+
+
+@contextlib.contextmanager
+def backends(
+    servers: Sequence[tuple[float, int]],
+) -> Iterator[tuple[Worker, list[str]]]:
+    """Runs backend servers in one process.
+
+    Args:
+      servers: Service time in seconds and slots of each.
+    """
+    worker = Worker(run_backends, servers)
+    try:
+        yield worker, worker.ready
+    finally:
+        worker.process.kill()
+
+
+@contextlib.contextmanager
+def node(
+    servers: Sequence[tuple[str, int]], policy: str, log: str
+) -> Iterator[tuple[Worker, str]]:
+    """Runs a node in front of backend servers."""
+    worker = Worker(run_node, servers, policy, log)
+    try:
+        yield worker, worker.ready
+    finally:
+        worker.process.kill()
+
+
+async def run_backends(pipe: Any, servers: Sequence[tuple[float, int]]) -> None:
+    """Runs backend servers until the pipe says stop."""
+    running = [TimedBackend(service_s, slots) for service_s, slots in servers]
+    for server in running:
+        await server.start()
+    pipe.send([server.address for server in running])
+    await asyncio.to_thread(pipe.recv)
+    pipe.send([(server.served, server.shed) for server in running])
+
+
+def _run(
+    main: Callable[..., Coroutine[Any, Any, None]],
+    pipe: Any,
+    *arguments: Any,
+) -> None:
+    asyncio.run(main(pipe, *arguments))
--- /dev/null
+++ b/tests/core/requests/test_router_fuzz.py
@@ -0,0 +1,474 @@
+"""Stateful fuzzing of the request path against a simple oracle."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from vanillamast_core import Announcement, ServerState
+from vanillamast_core.configuration import CallerClass, Route, Service
+from vanillamast_core.peers import KeyAnswer, KeyState
+from vanillamast_core.requests import (
+    Answer,
+    Attempt,
+    BodyCut,
+    BodyEnded,
+    BodyRejected,
+    BytesSent,
+    CallerGone,
+    Cancel,
+    Claim,
+    CloseConnection,
+    ConnectFailed,
+    Disconnected,
+    Exchange,
+    ExchangeEvent,
+    HeadersReceived,
+    KeyAnswered,
+    NotRun,
+    Observed,
+    Refusal,
+    Refuse,
+    RequestInputs,
+    RequestRouter,
+    RequestSettings,
+    ServerView,
+    Settle,
+    TimedOut,
+    Wait,
+    balancing_policies,
+)
+
+START = 1000.0
+STEPS_S = (0.001, 0.001, 0.02, 0.05, 0.05, 0.1, 0.3, 2.0)
+DEADLINES_MS = (None, None, None, None, 0.0, 100.0, 800.0, 5000.0)
+SETTINGS = RequestSettings()
+CLASSES = {
+    "interactive": CallerClass(queue_limit=3),
+    "background": CallerClass(priority=5, max_share=0.5, queue_limit=2),
+}
+ROUTES = {
+    "pages": Route("/", "pages", methods=("GET",), timeout_ms=1000),
+    "posts": Route("/", "pages", methods=("POST",), timeout_ms=1000),
+    "audit": Route(
+        "/audit", "pages", caller_class="background", timeout_ms=3000
+    ),
+}
+SERVERS = [
+    Announcement(
+        f"i{index}",
+        1,
+        "r",
+        "a" if index < 3 else "b",
+        "",
+        service="pages",
+        version="v2" if index % 3 == 2 else "v1",
+        server_address=f"127.0.0.1:{index + 1}",
+        state=ServerState.SERVING,
+        slots=2,
+        connections=3,
+    )
+    for index in range(6)
+]
+
+
+class Diffusion:
+    """Stands in for the version split of the moves package."""
+
+    def __init__(self, share: float, rng: random.Random):
+        self.share = share
+        self.total = rng.random()
+
+    def choose(self) -> bool:
+        """Returns whether the next request goes to the new version."""
+        self.total += self.share
+        chosen = self.total >= 1.0
+        self.total -= chosen
+        return chosen
+
+
+@dataclasses.dataclass(eq=False)
+class Wire:
+    """One attempt as the network and the backend server see it."""
+
+    server: ServerView
+    number: int
+    sent: bool = False
+    ran: bool = False
+    dead: bool = False  # No more events reach the node from here.
+    open: bool = True  # The node counts it as running.
+
+
+@dataclasses.dataclass(eq=False)
+class Call:
+    """One request as its caller and the oracle see it."""
+
+    exchange: Exchange
+    wires: list[Wire] = dataclasses.field(default_factory=list)
+    told: object = None
+    left: bool = False
+    claimed: bool = False
+    settled: list[int] = dataclasses.field(default_factory=list)
+    answers: int = 0
+
+    @property
+    def runs(self) -> int:
+        """How many backend servers ran the request."""
+        return sum(wire.ran for wire in self.wires)
+
+
+class World:
+    """Requests, servers, moves and time in any order.
+
+    Each operation takes two bytes that decide what it does.
+    """
+
+    def __init__(self, policy: str, seed: int):
+        chosen = msgspec.structs.replace(SETTINGS, policy=policy)
+        self.router = RequestRouter(chosen, "a", random.Random(seed), Diffusion)
+        self.now = START
+        self.all_calls: list[Call] = []
+        self.usable: set[str] = set()
+        self.share = 0.0
+        self.split = False
+        self.first_attempts = 0
+        self.retries = 0
+        self.router.set_routes(ROUTES, CLASSES, {"pages": Service("v1")})
+        self.set_servers(0, 0)
+
+    # The control side.
+
+    def set_servers(self, absent: int, draining: int) -> None:
+        """Changes the usable servers; the bits name the servers."""
+        announcements = []
+        self.usable = set()
+        for index, server in enumerate(SERVERS):
+            if absent >> index & 1:
+                continue
+            if draining >> index & 1:
+                state = ServerState.DRAINING
+                server = msgspec.structs.replace(server, state=state)
+            else:
+                self.usable.add(server.instance)
+            announcements.append(server)
+        self.carry_out(
+            self.router.set_servers(
+                "pages", announcements, absent > 128, self.now, self.now
+            )
+        )
+
+    def set_split(self, share: int, on: int) -> None:
+        """Changes the move's share during requests."""
+        self.split, self.share = on % 4 != 0, (0.0, 0.01, 0.5, 1.0)[share % 4]
+        if self.split:
+            self.router.set_split("pages", "v1", "v2", self.share)
+        else:
+            self.router.clear_split("pages")
+
+    def set_routes(self, gone: int, _: int) -> None:
+        """Removes or restores the routes during requests."""
+        routes = {} if gone % 4 == 0 else ROUTES
+        self.router.set_routes(routes, CLASSES, {"pages": Service("v1")})
+
+    def advance(self, seconds: int, late: int) -> None:
+        """Lets time pass; the due timers fire, sometimes only later."""
+        self.now += STEPS_S[seconds % len(STEPS_S)]
+        if late % 4:
+            self.fire_timers()
+
+    def fire_timers(self) -> None:
+        """Fires the due timers."""
+        for call in self.all_calls:
+            exchange = call.exchange
+            while not exchange.ended and self.now >= exchange.timer_at:
+                self.tell(call, TimedOut())
+
+    # Callers.
+
+    def request(self, kind: int, count: int) -> None:
+        """Callers send requests."""
+        method = ("GET", "POST")[kind & 1]
+        path = ("/", "/x", "/", "/audit")[kind >> 1 & 3]
+        deadline = DEADLINES_MS[count >> 2 & 7]
+        attempt = 2 if kind >> 3 & 7 == 0 else 1
+        inputs = RequestInputs(deadline, attempt, "k" * (kind >> 6 & 1))
+        for _ in range(1 + count % 4):
+            found = self.router.route(method, path, inputs, self.now)
+            if isinstance(found, Refusal):
+                assert found.not_run
+                return
+            call = Call(found)
+            found.owner = call
+            found.replayable = method == "GET" or count < 128
+            self.all_calls.append(call)
+            self.carry_out(self.router.start(found, self.now))
+
+    def misbehave(self, pick: int, too_much: int) -> None:
+        """A caller leaves or its body turns out to be over the limit."""
+        calls = self.live_calls()
+        if not calls:
+            return
+        call = calls[-1 - pick % len(calls)]
+        if too_much % 2 and call.wires:
+            self.tell(call, BodyRejected("body_too_large"))
+        else:
+            call.left = True
+            self.tell(call, CallerGone())
+
+    def answer_claim(self, pick: int, choice: int) -> None:
+        """The home node answers a claim, or does not; perhaps late."""
+        calls = self.claiming()
+        if not calls:
+            return
+        call = calls[-1 - pick % len(calls)]
+        states = [*KeyState, None, *[KeyState.GRANTED] * 5]
+        state = states[choice % len(states)]
+        answer = None if state is None else KeyAnswer(state, 200)
+        self.tell(call, KeyAnswered(answer))
+
+    # The network and the backend servers.
+
+    def network(self, pick: int, choice: int) -> None:
+        """Something happens to an attempt, maybe to one given up."""
+        wires = self.live_wires()
+        if wires:
+            call, wire = wires[-1 - pick % len(wires)]
+            possible = self.possible(call, wire)
+            possible[choice % len(possible)](call, wire)
+
+    def live_calls(self) -> list[Call]:
+        """Returns the requests under way."""
+        return [c for c in self.all_calls if not c.exchange.ended]
+
+    def claiming(self) -> list[Call]:
+        """Returns the requests with a claim but no attempt."""
+        return [c for c in self.all_calls if c.claimed and not c.wires]
+
+    def live_wires(self) -> list[tuple[Call, Wire]]:
+        """Returns the attempts to which something can happen."""
+        return [
+            (call, wire)
+            for call in self.all_calls
+            for wire in call.wires
+            if not wire.dead and (wire.sent or wire.open)
+        ]
+
+    def possible(
+        self, call: Call, wire: Wire
+    ) -> list[Callable[[Call, Wire], None]]:
+        """Returns what can happen to an attempt."""
+        if not wire.sent:
+            return [self.connect, self.connect, self.fail_to_connect]
+        if wire.ran and call.told is Answer and wire.open:
+            return [self.end_body, self.lose_connection]
+        if wire.ran:
+            return [self.answer, self.answer_badly, self.lose_connection]
+        return [self.run, self.run, self.shed, self.lose_connection]
+
+    def connect(self, call: Call, wire: Wire) -> None:
+        """The attempt gets a connection and sends the request."""
+        wire.sent = True
+        self.tell(call, BytesSent(wire.number))
+
+    def fail_to_connect(self, call: Call, wire: Wire) -> None:
+        """The attempt gets no connection."""
+        wire.dead = True
+        self.tell(call, ConnectFailed(wire.number))
+
+    def run(self, call: Call, wire: Wire) -> None:
+        """The server runs the request, even after the node gave up."""
+        wire.ran = True
+
+    def shed(self, call: Call, wire: Wire) -> None:
+        """The server states that it does not run the request."""
+        wire.dead = True
+        self.tell(call, NotRun(wire.number))
+
+    def answer(self, call: Call, wire: Wire, status: int = 200) -> None:
+        """The response header arrives, possibly late."""
+        before = call.answers
+        was_open = wire.open
+        self.tell(call, HeadersReceived(wire.number, status))
+        if call.answers > before:
+            assert wire is call.wires[-1]
+            assert was_open
+
+    def answer_badly(self, call: Call, wire: Wire) -> None:
+        """The response is an error."""
+        self.answer(call, wire, 503)
+
+    def lose_connection(self, call: Call, wire: Wire) -> None:
+        """The connection fails; a sent request may still run later."""
+        event = BodyCut if wire.ran else Disconnected
+        self.tell(call, event(wire.number))
+        wire.dead = wire.ran
+
+    def end_body(self, call: Call, wire: Wire) -> None:
+        """The whole body was passed on."""
+        wire.dead = True
+        self.tell(call, BodyEnded(wire.number))
+
+    # The oracle.
+
+    def tell(self, call: Call, event: ExchangeEvent) -> None:
+        """Passes an event to the router and checks its effects."""
+        was_ended = call.exchange.ended
+        effects = self.router.handle(call.exchange, event, self.now)
+        if was_ended:
+            assert not any(e.exchange is call.exchange for e in effects)
+        self.carry_out(effects)
+
+    def carry_out(self, effects: list) -> None:
+        """Records effects and checks what must hold at that moment."""
+        for effect in effects:
+            call: Call = effect.exchange.owner
+            if isinstance(effect, Attempt):
+                self.check_attempt(call, effect)
+            elif isinstance(effect, Observed):
+                assert call.wires[-1].open
+                call.wires[-1].open = False
+            elif isinstance(effect, Answer):
+                assert call.told is None
+                call.told = Answer
+                call.answers += 1
+            elif isinstance(effect, Refuse):
+                assert call.told is None
+                call.told = effect.refusal
+            elif isinstance(effect, CloseConnection):
+                assert call.told is Answer
+                call.told = CloseConnection
+            elif isinstance(effect, Claim):
+                assert effect.exchange.method == "POST"
+                call.claimed = True
+            elif isinstance(effect, Settle):
+                call.settled.append(effect.status)
+            else:
+                assert isinstance(effect, (Cancel, Wait))
+
+    def check_attempt(self, call: Call, attempt: Attempt) -> None:
+        """Checks a new attempt against the rules for choosing it."""
+        exchange = call.exchange
+        server = attempt.server
+        assert call.told is None
+        assert not call.left
+        assert server.announcement.instance in self.usable
+        assert server.ejected_until <= self.now
+        assert self.now < exchange.deadline.at
+        assert server not in [wire.server for wire in call.wires]
+        assert not any(wire.open for wire in call.wires)
+        assert attempt.number == len(call.wires) + 1
+        assert attempt.number <= SETTINGS.max_attempts
+        if not self.split or self.share == 0.0:
+            assert server.announcement.version == "v1"
+        name = exchange.route.caller_class
+        limit = max(1.0, server.limiter.limit)
+        assert server.outstanding <= limit <= 3
+        share = CLASSES[name].max_share
+        assert server.by_class[name] <= max(1.0, limit * share)
+        if call.wires:
+            self.retries += 1
+            assert exchange.inputs.attempt == 1
+        else:
+            self.first_attempts += 1
+        call.wires.append(Wire(server, attempt.number))
+
+    def callers_are_told_the_truth(self) -> None:
+        """Honest refusals and at most one run of a post."""
+        for call in self.all_calls:
+            if isinstance(call.told, Refusal) and call.told.not_run:
+                assert call.runs == 0
+            if not call.exchange.idempotent:
+                assert call.runs <= 1
+
+    def keys_are_settled_once(self) -> None:
+        """A settled key tells what happened, and only once."""
+        for call in self.all_calls:
+            assert len(call.settled) <= 1
+            if call.settled == [0]:
+                assert call.runs == 0
+            if call.settled and call.settled[0] > 0:
+                assert call.runs == 1
+            if call.exchange.ended and call.wires and call.claimed:
+                assert call.settled
+
+    def slots_are_counted(self) -> None:
+        """Slots held equal attempts under way; nothing leaks."""
+        wires = [wire for call in self.all_calls for wire in call.wires]
+        for server in {id(wire.server): wire.server for wire in wires}.values():
+            held = sum(w.open for w in wires if w.server is server)
+            assert server.outstanding == held
+            assert sum(server.by_class.values()) == held
+
+    def retries_stay_in_the_budget(self) -> None:
+        """Retries are bounded by first attempts and time."""
+        allowed = 1 + 0.1 * self.first_attempts + self.now - START
+        assert self.retries <= allowed + 1e-6
+
+    def ejections_and_queues_are_bounded(self) -> None:
+        """A share of the servers stays in use; queues stay short."""
+        pool = self.router.pool("pages")
+        for servers in pool.by_version.values():
+            assert any(s.ejected_until <= self.now for s in servers)
+        for name, queue in pool.queue.waiting.items():
+            assert len(queue) <= CLASSES[name].queue_limit
+            assert not any(exchange.ended for exchange in queue)
+        queues = pool.queue.waiting.values()
+        assert pool.queue.size == sum(len(queue) for queue in queues)
+
+    def check(self) -> None:
+        """Checks what holds after every operation."""
+        self.callers_are_told_the_truth()
+        self.keys_are_settled_once()
+        self.slots_are_counted()
+        self.retries_stay_in_the_budget()
+        self.ejections_and_queues_are_bounded()
+
+    def finish(self) -> None:
+        """Every request ends by its deadline and frees what it held."""
+        self.now += 100.0
+        self.fire_timers()
+        for call in self.all_calls:
+            assert call.exchange.ended
+            assert call.left or call.told is not None
+            assert not any(wire.open for wire in call.wires)
+        self.check()
+
+
+OPERATIONS = [
+    *[World.network] * 12,
+    *[World.request] * 4,
+    *[World.advance] * 2,
+    *[World.answer_claim] * 2,
+    World.set_servers,
+    World.set_split,
+    World.set_routes,
+    World.misbehave,
+]
+
+
+def run_program(world: World, program: bytes) -> None:
+    """Runs three bytes for each operation and checks after each."""
+    for index in range(0, len(program) - 2, 3):
+        operation, first, second = program[index : index + 3]
+        OPERATIONS[operation % len(OPERATIONS)](world, first, second)
+        world.check()
+    world.finish()
+
+
+class TestRouter:
+    """The request path as a whole."""
+
+    # Seeds give far deeper runs than generated bytes, which are often equal;
+    # the length still shrinks a failure to its shortest prefix.
+    @settings(max_examples=max(300, settings().max_examples))
+    @given(
+        policy=st.sampled_from(sorted(balancing_policies)),
+        seed=st.integers(0, 2**32 - 1),
+        length=st.integers(300, 900),
+    )
+    def test_router_fuzz(self, policy: str, seed: int, length: int) -> None:
+        """Guards against untrue refusals, double posts and lost slots."""
+        program = random.Random(seed).randbytes(length)
+        run_program(World(policy, seed), program)
