Count strata once for kinds that do not heed deaths

Change: only connect failures wait for membership; the other kinds are folded when a stratum closes.

--- a/packages/core/src/vanillamast_core/moves/__init__.py
+++ b/packages/core/src/vanillamast_core/moves/__init__.py
@@ -24,6 +24,7 @@
 from vanillamast_core.moves.verdict_tests import (
     BadCount,
     VerdictTest,
+    verdict_test,
     verdict_tests,
 )
 from vanillamast_core.moves.version_split import VersionSplit
@@ -54,5 +55,6 @@
     "VersionSplit",
     "local_alarms",
     "merge_cells",
+    "verdict_test",
     "verdict_tests",
 ]
--- a/packages/core/src/vanillamast_core/moves/accusation.py
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -59,21 +59,44 @@
         self.budgets: dict[tuple[str, int], list[float]] = {}
 
     def copy(self) -> "Accusation":
-        """Returns an independent copy."""
+        """Returns a copy that further strata of some kinds can be added to.
+
+        Contrasts of kinds that do not heed deaths are shared.
+        """
         copied = Accusation(self.settings)
-        copied.tests = {key: c.copy() for key, c in self.tests.items()}
-        copied.done_tests = {k: c.copy() for k, c in self.done_tests.items()}
+        copied.tests = {
+            key: contrast.copy() if heeds_deaths(key[0]) else contrast
+            for key, contrast in self.tests.items()
+        }
+        copied.done_tests = {
+            kind: contrast.copy() if heeds_deaths(kind) else contrast
+            for kind, contrast in self.done_tests.items()
+        }
         copied.routes = list(self.routes)
         copied.budgets = dict(self.budgets)
         return copied
 
     def apply(
-        self, stratum: Stratum, move: Move, dead: Collection[str]
+        self,
+        stratum: Stratum,
+        move: Move,
+        dead: Collection[str],
+        heeding: bool,
     ) -> None:
-        """Adds the evidence of a closed stratum."""
+        """Adds a closed stratum.
+
+        Args:
+          stratum: The stratum.
+          move: The move, for its baseline.
+          dead: Instances whose connect failures do not count.
+          heeding: Whether to add it to the kinds that heed deaths, or to the
+            others.
+        """
         if stratum.route not in self.routes:
             self.routes.append(stratum.route)
         for kind, test in verdict_tests.entries.items():
+            if test.heeds_deaths is not heeding:
+                continue
             counts = count_stratum(stratum, test, dead)
             if stratum.after_done:
                 self.apply_done(kind, counts, move)
@@ -165,18 +188,23 @@
         return kind_share * (1.0 - POOLED_SHARE) / (place * (place + 1))
 
 
+def heeds_deaths(kind: str) -> bool:
+    """Returns whether a kind's count depends on which instances are dead."""
+    return verdict_tests.get(kind).heeds_deaths
+
+
 def count_stratum(
     stratum: Stratum, test: VerdictTest, dead: Collection[str]
 ) -> Counts:
     """Returns the counts of one kind in a stratum."""
     old_bad, old_total = 0, 0
     if stratum.old is not None:
-        old_bad, old_total = test(stratum.old, stratum.slow_bin, False)
+        old_bad, old_total = test.count(stratum.old, stratum.slow_bin, False)
     parts = [
         PartCount(
             name,
             cell.server_domain,
-            *test(cell, stratum.slow_bin, name in dead),
+            *test.count(cell, stratum.slow_bin, name in dead),
         )
         for name, cell in stratum.new.items()
     ]
--- a/packages/core/src/vanillamast_core/moves/change_mixture.py
+++ b/packages/core/src/vanillamast_core/moves/change_mixture.py
@@ -6,6 +6,7 @@
 # Normalizes the sum over n >= 2 of 1 / ((n + 1) ln^2(n + 1)), which is 1.07.
 LATER_WEIGHT = (1.0 - START_WEIGHT) / 1.08
 MAX_MASS = 1e200  # Keeps products finite.
+MAX_LOG = 230.0  # Largest logarithm of a factor, with the same purpose.
 
 
 def onset_weight(index: int) -> float:
@@ -18,6 +19,11 @@
     return LATER_WEIGHT / ((index + 1) * math.log(index + 1) ** 2)
 
 
+def to_factors(log_ratios: list[float]) -> list[float]:
+    """Returns likelihood ratios, kept finite."""
+    return [math.exp(min(value, MAX_LOG)) for value in log_ratios]
+
+
 class ChangeMixture:
     """Mixture of likelihood ratios over ratios and times of change.
 
@@ -44,11 +50,11 @@
         part = weight / len(self.masses)
         self.masses = [mass + part for mass in self.masses]
 
-    def multiply(self, log_ratios: list[float]) -> None:
-        """Applies one stratum's log likelihood ratio for each ratio."""
+    def multiply(self, factors: list[float]) -> None:
+        """Applies one stratum's likelihood ratio for each ratio."""
         self.masses = [
-            min(mass * math.exp(min(log_ratio, 400.0)), MAX_MASS)
-            for mass, log_ratio in zip(self.masses, log_ratios, strict=True)
+            min(mass * factor, MAX_MASS)
+            for mass, factor in zip(self.masses, factors, strict=True)
         ]
 
     def total(self) -> float:
--- a/packages/core/src/vanillamast_core/moves/contrast.py
+++ b/packages/core/src/vanillamast_core/moves/contrast.py
@@ -5,7 +5,11 @@
 from typing import NamedTuple
 
 from vanillamast_core.moves.cell_merge import OTHERS
-from vanillamast_core.moves.change_mixture import ChangeMixture, onset_weight
+from vanillamast_core.moves.change_mixture import (
+    ChangeMixture,
+    onset_weight,
+    to_factors,
+)
 
 
 class PartCount(NamedTuple):
@@ -71,29 +75,27 @@
         if counts.bucket > self.last_bucket:
             self.last_bucket = counts.bucket
             self.open_period()
-        bad = sum(part.bad for part in counts.parts)
-        total = sum(part.total for part in counts.parts)
-        self.everything.multiply(log_ratios(bad, total))
-        named = [p for p in counts.parts if p.instance != OTHERS]
-        bad = sum(part.bad for part in named)
-        total = sum(part.total for part in named)
-        base = log_ratios(bad, total)
-        self.named.multiply(base)
-        by_instance = {p.instance: (p.bad, p.total) for p in named}
-        by_domain: dict[str, tuple[int, int]] = {}
-        for part in named:
-            x, n = by_domain.get(part.domain, (0, 0))
-            by_domain[part.domain] = (x + part.bad, n + part.total)
+        everything = sums(counts.parts)
+        self.everything.multiply(to_factors(log_ratios(*everything)))
+        parts = [p for p in counts.parts if p.instance != OTHERS]
+        bad, total = sums(parts)
+        unchanged = to_factors(log_ratios(bad, total))
+        self.named.multiply(unchanged)
+        by_instance: dict[str, list[PartCount]] = {}
+        by_domain: dict[str, list[PartCount]] = {}
+        for part in parts:
+            by_instance.setdefault(part.instance, []).append(part)
+            by_domain.setdefault(part.domain, []).append(part)
         for mixtures, removed in (
             (self.instances, by_instance),
             (self.domains, by_domain),
         ):
             for name, mixture in mixtures.items():
+                factors = unchanged
                 if name in removed:
-                    x, n = removed[name]
-                    mixture.multiply(log_ratios(bad - x, total - n))
-                else:
-                    mixture.multiply(base)
+                    x, n = sums(removed[name])
+                    factors = to_factors(log_ratios(bad - x, total - n))
+                mixture.multiply(factors)
 
     def know(self, parts: list[PartCount]) -> None:
         """Starts to leave out parts that are new.
@@ -139,3 +141,8 @@
                 left_out += self.domains.values()
             total = min(mixture.total() for mixture in left_out)
         return self.unspent + total
+
+
+def sums(parts: list[PartCount]) -> tuple[int, int]:
+    """Returns the bad outcomes and all outcomes of the parts."""
+    return sum(p.bad for p in parts), sum(p.total for p in parts)
--- a/packages/core/src/vanillamast_core/moves/move_evidence.py
+++ b/packages/core/src/vanillamast_core/moves/move_evidence.py
@@ -26,14 +26,16 @@
     A stratum is open until its bucket is over and late cells had time to
     arrive. Then it is closed: when that happens depends on request counts and
     time only, never on outcomes, so each stratum is one fair bet. Cells that
-    come later form a stratum of their own. Closed strata stay countable by
-    instance for `dead_window_s`, because membership learns late of deaths;
-    then they are folded into the accusation.
+    come later form a stratum of their own. Closed strata count at once for the
+    kinds that do not heed deaths; for the others they are kept for
+    `dead_window_s`, because membership learns late of deaths, and counted
+    anew at each verdict until then.
 
     Attributes:
       settings: The settings of the judge.
       open: Open strata by key.
-      recent: Closed strata that are not folded yet, in order of closing.
+      recent: Closed strata that are not folded into the kinds that heed
+        deaths yet, in order of closing.
       accusation: Tests over the folded strata.
       clearances: Evidence for the version at this step, by kind.
       step: Step that the clearances are about.
@@ -44,6 +46,7 @@
       named: Instances that are told apart.
       routes: Routes that are told apart.
       caller_domains: Failure domains of the callers' nodes seen.
+      server_domains: Failure domains of servers that are told apart.
       dead_seen: Wall time at which an instance was last considered dead.
       new_requests: Requests of the new version in closed strata.
     """
@@ -102,7 +105,9 @@
             or len(self.recent) > self.settings.max_strata
         ):
             stratum = self.recent.popleft()
-            self.accusation.apply(stratum, move, self.dead_in(stratum))
+            self.accusation.apply(
+                stratum, move, self.dead_in(stratum), heeding=True
+            )
 
     def note(self, move: Move, wall: float, dead: frozenset[str]) -> None:
         """Keeps track of the move's step and of dead instances."""
@@ -154,6 +159,7 @@
         self.new_requests += stratum.new_requests()
         if stratum.bucket >= self.step_bucket:
             self.clear(stratum)
+        self.accusation.apply(stratum, move, (), heeding=False)
         self.recent.append(stratum)
 
     def done_slow_bin(self, move: Move) -> int | None:
@@ -185,7 +191,8 @@
         """Returns the evidence against the new version."""
         accusation = self.accusation.copy()
         for stratum in self.recent:
-            accusation.apply(stratum, move, self.dead_in(stratum))
+            dead = self.dead_in(stratum)
+            accusation.apply(stratum, move, dead, heeding=True)
         return accusation.suspicion(self.sole_instance(instances))
 
     def sole_instance(self, instances: int | None) -> bool:
--- a/packages/core/src/vanillamast_core/moves/verdict_tests.py
+++ b/packages/core/src/vanillamast_core/moves/verdict_tests.py
@@ -1,5 +1,6 @@
 """Kinds of bad outcomes that a verdict compares."""
 
+import dataclasses
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,12 +18,47 @@
 
 # Takes a cell, the first slow latency bin (None if it is not known) and
 # whether membership considers the cell's instance dead.
-VerdictTest = Callable[[EvidenceCell, int | None, bool], BadCount]
+Count = Callable[[EvidenceCell, int | None, bool], BadCount]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VerdictTest:
+    """A kind of bad outcome.
+
+    Attributes:
+      count: Counts it in a cell.
+      heeds_deaths: Whether the count depends on which instances are dead;
+        it is then open to change until membership knows.
+    """
+
+    count: Count
+    heeds_deaths: bool = False
+
 
 verdict_tests: Registry[VerdictTest] = Registry("verdict test")
 
 
-@verdict_tests.register("failures")
+def verdict_test(
+    name: str, heeds_deaths: bool = False
+) -> Callable[[Count], Count]:
+    """Returns a decorator that registers a count as a verdict test.
+
+    Args:
+      name: Kind of bad outcome, part of the reason of a take-back.
+      heeds_deaths: See `VerdictTest`.
+
+    Raises:
+      DuplicateEntryError: The name is taken.
+    """
+
+    def decorate(count: Count) -> Count:
+        verdict_tests.register(name)(VerdictTest(count, heeds_deaths))
+        return count
+
+    return decorate
+
+
+@verdict_test("failures")
 def count_failures(
     cell: EvidenceCell, slow_bin: int | None, dead: bool
 ) -> BadCount:
@@ -30,7 +66,7 @@
     return BadCount(cell.failures, cell.requests - cell.connect_failures)
 
 
-@verdict_tests.register("connect_failures")
+@verdict_test("connect_failures", heeds_deaths=True)
 def count_connect_failures(
     cell: EvidenceCell, slow_bin: int | None, dead: bool
 ) -> BadCount:
@@ -40,7 +76,7 @@
     return BadCount(cell.connect_failures, cell.requests)
 
 
-@verdict_tests.register("slow_answers")
+@verdict_test("slow_answers")
 def count_slow_answers(
     cell: EvidenceCell, slow_bin: int | None, dead: bool
 ) -> BadCount:
