--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_capacity.py
@@ -0,0 +1,339 @@
+"""Bench: what real nodes cost in a mesh of the target size.
+
+Run as `python -m vanillamast_testing.bench_capacity --fill=1176`. A few dozen
+real nodes run among control sides that share one process (`core_host`), so
+that each real node holds the directory of the target size, links to others
+over sockets and folds the same log. Prints JSON lines and a table.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import statistics
+import sys
+import tempfile
+import uuid
+
+import msgspec
+import psutil
+from absl import flags
+from vanillamast_core.configuration import Configuration, diff
+from vanillamast_core.journal import Publish, record_codec
+
+from vanillamast_testing.command_flags import parse_flags
+from vanillamast_testing.fleet import Fleet, choose_seeds
+from vanillamast_testing.fleet_settings import FleetSettings
+from vanillamast_testing.instance_spec import InstanceSpec
+from vanillamast_testing.managed_process import ManagedProcess
+from vanillamast_testing.target_mesh import (
+    INSTANCES,
+    target_configuration,
+    target_instances,
+)
+
+NETWORK = "127.41"
+PLATFORM_NETWORK = "127.40.1"
+JOIN_TIMEOUT_S = 180.0
+# Ten times 830 changes a day.
+CHANGE_PERIOD_S = 86_400 / 8_300
+MB = 1_000_000
+FLAGS = flags.FlagValues()
+flags.DEFINE_integer("nodes", 24, "Real nodes.", 1, 100, flag_values=FLAGS)
+flags.DEFINE_multi_integer(
+    "fill", [0, 276, 576, 1176], "Control sides beside them.", flag_values=FLAGS
+)
+flags.DEFINE_float("seconds", 30.0, "Length of a phase.", 1, flag_values=FLAGS)
+flags.DEFINE_string(
+    "out", "out/capacity.jsonl", "File for the JSON lines.", flag_values=FLAGS
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeCost:
+    """What one node used during a phase.
+
+    Attributes:
+      processor_share: Share of a core.
+      resident_bytes: Resident memory at the end.
+      control_bytes_per_s: Control bytes, both ways, all headers included.
+    """
+
+    processor_share: float
+    resident_bytes: int
+    control_bytes_per_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PhaseCost:
+    """Costs of all real nodes during a phase.
+
+    Attributes:
+      phase: "rest" or "changes".
+      instances: Instances of the mesh.
+      services: Services in the configuration.
+      convergence_s: Longest time of a change to all real nodes, 0 at rest.
+      processor_mean: Mean share of a core.
+      processor_worst: Largest share of a core.
+      resident_mean: Mean resident memory in bytes.
+      resident_worst: Largest resident memory in bytes.
+      bytes_mean: Mean control bytes a second.
+      bytes_worst: Largest control bytes a second.
+    """
+
+    phase: str
+    instances: int
+    services: int
+    convergence_s: float
+    processor_mean: float
+    processor_worst: float
+    resident_mean: float
+    resident_worst: float
+    bytes_mean: float
+    bytes_worst: float
+
+
+class CapacityBench:
+    """Runs one size of the mesh.
+
+    Attributes:
+      fleet: The real nodes and the platform's log.
+      fill: Number of hosted control sides.
+    """
+
+    def __init__(self, fleet: Fleet, fill: int):
+        self.fleet = fleet
+        self.fill = fill
+
+    async def run(self, seconds: float) -> list[PhaseCost]:
+        """Starts everything and measures both phases."""
+        specs = target_instances(NETWORK)[: FLAGS.nodes]
+        await self.fleet.platform.start()
+        await asyncio.sleep(1.0)
+        self.fleet.add(specs, choose_seeds(specs))
+        names = [spec.name for spec in specs]
+        await self.fleet.start(names)
+        await self.fleet.wait_for(names, lambda s: s["offset"] > 0, 30.0)
+        version = await self.publish(specs[0], target_configuration())
+        host = self.host(specs)
+        if self.fill:
+            await host.start()
+        try:
+            wanted = len(specs) + self.fill
+            await self.fleet.wait_for(
+                names,
+                lambda s: (
+                    s["instances"] >= wanted
+                    and s["applied_version"] >= version
+                    and not s["dead"]
+                ),
+                JOIN_TIMEOUT_S,
+            )
+            # The evidence of the join, such as redials and repairs, ends.
+            await asyncio.sleep(seconds)
+            rest = await self.phase("rest", names, seconds)
+            changes = await self.phase("changes", names, seconds)
+        finally:
+            await host.kill()
+        return [rest, changes]
+
+    def host(self, specs: list[InstanceSpec]) -> ManagedProcess:
+        """Returns the process of the hosted control sides."""
+        return ManagedProcess(
+            "core host",
+            [
+                sys.executable,
+                "-m",
+                "vanillamast_testing.core_host",
+                f"--first={FLAGS.nodes}",
+                f"--count={max(1, self.fill)}",
+                f"--network={NETWORK}",
+                f"--log_url=http://{self.fleet.platform_address}",
+                *(f"--seed={seed}" for seed in choose_seeds(specs)),
+            ],
+            self.fleet.settings.directory / "host.out",
+        )
+
+    async def phase(
+        self, name: str, names: list[str], seconds: float
+    ) -> PhaseCost:
+        """Measures all real nodes for a while."""
+        before = await self.usage(names)
+        convergence_s = 0.0
+        if name == "changes":
+            convergence_s = await self.change_for(names, seconds)
+        else:
+            await asyncio.sleep(seconds)
+        after = await self.usage(names)
+        costs = [cost(before[n], after[n]) for n in names]
+        return summarize(name, len(names) + self.fill, convergence_s, costs)
+
+    async def change_for(self, names: list[str], seconds: float) -> float:
+        """Publishes changes at ten times the target's rate.
+
+        Returns:
+          The longest time from acceptance to all real nodes.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        longest = 0.0
+        number = 1
+        while loop.time() < end:
+            started = loop.time()
+            number += 1
+            spec = self.fleet.instances[names[0]].spec
+            version = await self.publish(spec, changed_configuration(number))
+            longest = max(
+                longest,
+                await self.fleet.wait_for(
+                    names,
+                    lambda s, v=version: s["applied_version"] >= v,
+                    JOIN_TIMEOUT_S,
+                ),
+            )
+            pause = CHANGE_PERIOD_S - (loop.time() - started)
+            await asyncio.sleep(max(0.0, min(pause, end - loop.time())))
+        return longest
+
+    async def publish(self, spec: InstanceSpec, wanted: Configuration) -> int:
+        """Publishes a configuration through a node; returns its version."""
+        answer = await self.fleet.client.get(
+            spec.operators, "/v1/configuration"
+        )
+        assert answer is not None
+        current = msgspec.convert(answer["configuration"], Configuration)
+        record = Publish(
+            id=str(uuid.uuid4()),
+            based_on=answer["offset"],
+            changes=tuple(diff(current, wanted)),
+        )
+        async with self.fleet.client.session.post(
+            f"http://{spec.operators}/v1/records",
+            data=record_codec.encode(record),
+        ) as response:
+            outcome = await response.json()
+        if outcome["reason"] != "accepted":
+            raise RuntimeError(f"the configuration was refused: {outcome}")
+        return outcome["offset"]
+
+    async def usage(self, names: list[str]) -> dict[str, "Usage"]:
+        """Reads what each node has used so far."""
+        loop = asyncio.get_running_loop()
+        result = {}
+        for name in names:
+            instance = self.fleet.instances[name]
+            assert instance.node.process is not None
+            process = psutil.Process(instance.node.process.pid)
+            times = process.cpu_times()
+            metrics = await self.fleet.client.get(
+                instance.spec.operators, "/v1/metrics"
+            )
+            assert metrics is not None
+            result[name] = Usage(
+                loop.time(),
+                times.user + times.system,
+                process.memory_info().rss,
+                metrics["peer_bytes"] + metrics["platform_bytes"],
+            )
+        return result
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Usage:
+    """What a node had used at a time.
+
+    Attributes:
+      time: Monotonic time in seconds.
+      processor_s: Processor time in seconds.
+      resident_bytes: Resident memory.
+      control_bytes: Control bytes so far.
+    """
+
+    time: float
+    processor_s: float
+    resident_bytes: int
+    control_bytes: float
+
+
+def changed_configuration(number: int) -> Configuration:
+    """Returns the target's configuration with one route changed."""
+    configuration = target_configuration()
+    name = sorted(configuration.routes)[number % len(configuration.routes)]
+    route = msgspec.structs.replace(
+        configuration.routes[name], timeout_ms=2000 + number
+    )
+    return msgspec.structs.replace(
+        configuration, routes={**configuration.routes, name: route}
+    )
+
+
+def cost(before: Usage, after: Usage) -> NodeCost:
+    """Returns what a node used between two times."""
+    seconds = after.time - before.time
+    return NodeCost(
+        (after.processor_s - before.processor_s) / seconds,
+        after.resident_bytes,
+        (after.control_bytes - before.control_bytes) / seconds,
+    )
+
+
+def summarize(
+    phase: str, instances: int, convergence_s: float, costs: list[NodeCost]
+) -> PhaseCost:
+    """Returns the means and worst cases of all nodes."""
+    processor = [c.processor_share for c in costs]
+    resident = [c.resident_bytes for c in costs]
+    control = [c.control_bytes_per_s for c in costs]
+    return PhaseCost(
+        phase,
+        instances,
+        len(target_configuration().services),
+        round(convergence_s, 3),
+        round(statistics.fmean(processor), 5),
+        round(max(processor), 5),
+        round(statistics.fmean(resident)),
+        max(resident),
+        round(statistics.fmean(control), 1),
+        round(max(control), 1),
+    )
+
+
+async def main() -> list[PhaseCost]:
+    """Measures all sizes, one after the other."""
+    costs: list[PhaseCost] = []
+    for fill in FLAGS.fill:
+        if FLAGS.nodes + fill > INSTANCES:
+            raise ValueError(f"at most {INSTANCES} instances")
+        with tempfile.TemporaryDirectory(prefix="vanillamast-") as directory:
+            settings = FleetSettings(pathlib.Path(directory), PLATFORM_NETWORK)
+            async with Fleet(settings) as fleet:
+                costs += await CapacityBench(fleet, fill).run(FLAGS.seconds)
+        print(table(costs[-2:]), flush=True)
+    return costs
+
+
+def table(costs: list[PhaseCost]) -> str:
+    """Returns readable lines."""
+    return "\n".join(
+        f"{c.instances:5} instances  {c.phase:8}"
+        f"  core {c.processor_mean:.2%} (worst {c.processor_worst:.2%})"
+        f"  memory {c.resident_mean / MB:.1f} MB"
+        f" (worst {c.resident_worst / MB:.1f})"
+        f"  control {c.bytes_mean:.0f} B/s (worst {c.bytes_worst:.0f})"
+        f"  convergence {c.convergence_s:.2f} s"
+        for c in costs
+    )
+
+
+def run() -> None:
+    """Entry point of the command."""
+    parse_flags(FLAGS, sys.argv, __doc__ or "")
+    costs = asyncio.run(main())
+    path = pathlib.Path(FLAGS.out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(
+        b"".join(msgspec.json.encode(cost) + b"\n" for cost in costs)
+    )
+
+
+if __name__ == "__main__":
+    run()
