--- /dev/null
+++ b/tests/core/journal/test_journal.py
@@ -0,0 +1,244 @@
+"""Tests of the fold at its bounds and on hostile records."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from vanillamast_core.configuration import (
+    CallerClass,
+    MoveSpec,
+    Remove,
+    Route,
+    Service,
+    SetClass,
+    SetMove,
+    SetRoute,
+    SetService,
+    validate,
+)
+from vanillamast_core.errors import CodecError
+from vanillamast_core.journal import (
+    AdvanceMove,
+    Beacon,
+    ClaimLease,
+    DrainInstance,
+    HoldMove,
+    Journal,
+    LogEntry,
+    OutcomeReason,
+    Publish,
+    ResumeMove,
+    SettleMove,
+    SnapshotChunk,
+    StopMove,
+    TakeBack,
+    record_codec,
+    record_handlers,
+    record_kinds,
+)
+
+TEXT = st.sampled_from(["", "a", "b", "edge", "/", "/a", "1", "2", "\x00é"])
+INTS = st.sampled_from([0, 1, 2, 3, -1, 2**63, -(2**63)])
+FLOATS = st.sampled_from([0.0, 1.0, 0.5, -1.0, float("nan"), float("inf")])
+TEXTS = st.lists(TEXT, max_size=2).map(tuple)
+WILD_CHANGES = st.one_of(
+    st.builds(SetService, TEXT, st.builds(Service, TEXT, INTS, INTS, FLOATS)),
+    st.builds(SetService, TEXT, st.builds(Service, TEXT)),
+    st.builds(
+        SetRoute, TEXT, st.builds(Route, TEXT, TEXT, TEXTS, TEXTS, TEXT, INTS)
+    ),
+    st.builds(SetRoute, TEXT, st.builds(Route, TEXT, TEXT)),
+    st.builds(SetClass, TEXT, st.builds(CallerClass, INTS, FLOATS, INTS)),
+    st.builds(
+        SetMove,
+        TEXT,
+        st.builds(
+            MoveSpec,
+            *(TEXT, TEXT, TEXT, FLOATS),
+            st.lists(FLOATS, max_size=3).map(tuple),
+            FLOATS,
+        ),
+    ),
+    st.builds(Remove, st.sampled_from(["services", "moves"]), TEXT),
+)
+WILD = st.one_of(
+    *(
+        st.builds(kind, id=TEXT, based_on=INTS, **fields)
+        for kind, fields in [
+            (Publish, {"changes": st.lists(WILD_CHANGES).map(tuple)}),
+            (HoldMove, {"move": TEXT}),
+            (ResumeMove, {"move": TEXT}),
+            (StopMove, {"move": TEXT}),
+            (SettleMove, {"move": TEXT, "token": INTS}),
+            (TakeBack, {"started_at": INTS, "reason": TEXT}),
+            (DrainInstance, {"instance": TEXT, "drained": st.booleans()}),
+            (ClaimLease, {"name": TEXT, "holder": TEXT, "previous": INTS}),
+            (
+                AdvanceMove,
+                {
+                    "move": TEXT,
+                    "from_step": INTS,
+                    "token": INTS,
+                    "baseline_slow_ms": FLOATS,
+                },
+            ),
+            (
+                Beacon,
+                {"failure_domain": TEXT, "instance": TEXT, "address": TEXT},
+            ),
+            (
+                SnapshotChunk,
+                {
+                    "offset": INTS,
+                    "index": INTS,
+                    "count": INTS,
+                    "data": st.binary(max_size=2),
+                    "digest": st.binary(max_size=2),
+                },
+            ),
+        ]
+    )
+)
+
+
+class Log:
+    """A journal, and the offset at which the next record comes."""
+
+    def __init__(self):
+        self.journal = Journal()
+
+    def send(self, kind, **fields):
+        """Appends a record based on the current offset."""
+        offset = self.journal.offset
+        fields = {"id": f"id{offset}", "based_on": offset, **fields}
+        return self.put(record_codec.encode(kind(**fields)))
+
+    def put(self, data):
+        """Appends bytes; returns the reason."""
+        entry = LogEntry(self.journal.offset + 1, data)
+        return self.journal.apply(entry).reason
+
+
+@pytest.fixture(name="log")
+def make_log():
+    """Returns a log that holds one service."""
+    log = Log()
+    change = SetService("s", Service("1"))
+    assert log.send(Publish, changes=(change,)) == "accepted"
+    return log
+
+
+def move(name, new="2"):
+    """Returns the start of a move."""
+    return (SetMove(name, MoveSpec("s", "1", new, 9.0)),)
+
+
+class TestHostileRecords:
+    """Whatever the log holds, the fold goes on."""
+
+    def test_every_kind_of_record_has_a_handler(self):
+        """Guards against a kind that stops the fold of every node."""
+        assert set(record_handlers) == set(record_kinds)
+
+    @given(st.lists(WILD, max_size=30))
+    def test_any_records_fold_fuzz(self, records):
+        """Guards against values that raise out of a handler."""
+        log = Log()
+        for record in records:
+            log.put(record_codec.encode(record))
+            state = log.journal.state
+            assert validate(state.configuration, state.ended_moves()) == []
+        copy = Journal()
+        data = log.journal.snapshot()
+        assert copy.load_snapshot(data) == bool(records)
+        assert copy.snapshot() == data
+
+    @given(WILD, st.integers(0, 200), st.binary(max_size=4))
+    def test_damaged_bytes_fold_fuzz(self, record, at, damage):
+        """Guards against bytes that raise out of the decoder."""
+        data = record_codec.encode(record)
+        log = Log()
+        log.put(data[:at] + damage + data[at + len(damage) :])
+        assert log.journal.offset == 1
+
+    @pytest.mark.parametrize("depth", [500, 2_000, 100_000])
+    def test_nested_arrays_are_unreadable_at_any_depth(self, log, depth):
+        """Guards against results that depend on the decoder's stack."""
+        start = record_codec.encode(HoldMove(id="h", based_on=0, move="m"))
+        surplus = bytes([start[0] + 1]) + start[1:] + b"\x91" * depth + b"\x90"
+        assert log.put(surplus) is OutcomeReason.UNREADABLE
+        assert log.journal.offset == 2
+
+    @pytest.mark.parametrize("data", [b"", b"\x93\x02\x01\x80", b"\x91" * 9999])
+    def test_malformed_snapshot_changes_nothing(self, log, data):
+        """Guards against a peer whose garbage destroys the state."""
+        before = log.journal.snapshot()
+        with pytest.raises(CodecError):
+            log.journal.load_snapshot(data)
+        assert log.journal.snapshot() == before
+
+
+class TestBounds:
+    """What the state forgets never lets something happen twice."""
+
+    def test_a_move_that_was_forgotten_does_not_start_again(self, log):
+        """Guards against a bad version that a full publish revives."""
+        for number in range(66):
+            assert log.send(Publish, changes=move(f"m{number}")) == "accepted"
+            stopped = log.send(StopMove, move=f"m{number}")
+            assert stopped == "accepted"
+        moves = log.journal.state.moves
+        assert len(moves) == 64
+        assert "m1" not in moves
+        assert log.send(Publish, changes=move("m0")) == "accepted"
+        assert log.send(Publish, changes=move("m0", "3")) == "invalid"
+        assert "m0" not in log.journal.state.moves
+
+    def test_late_repeat_of_a_forgotten_publish_is_refused(self, log):
+        """Guards against an old version that returns with a late repeat."""
+        changes = (SetService("t", Service("1")),)
+        first = record_codec.encode(
+            Publish(id="first", based_on=1, changes=changes)
+        )
+        assert log.put(first) == "accepted"
+        copy = Journal()
+        for number in range(1_030):
+            log.send(Publish, changes=())
+            if number == 1_020:
+                copy.load_snapshot(log.journal.snapshot())
+        assert len(log.journal.state.outcomes) == 1_024
+        assert log.put(first) is OutcomeReason.CONFLICT
+        for entry in log.journal.tail(copy.offset, 100_000):
+            copy.apply(entry)
+        assert copy.snapshot() == log.journal.snapshot()
+
+    def test_repeat_after_forgotten_removals_is_refused(self, log):
+        """Guards against a removed object that a late repeat revives."""
+        for number in range(1_030):
+            change = SetClass(f"c{number}", CallerClass())
+            log.send(Publish, changes=(change,))
+            log.send(Publish, changes=(Remove("classes", f"c{number}"),))
+        state = log.journal.state
+        assert len(state.removed_at) == 1_024
+        stale = log.send(
+            Publish, based_on=1, changes=(SetClass("c0", CallerClass()),)
+        )
+        assert stale is OutcomeReason.CONFLICT
+
+    def test_tail_keeps_its_bounds_and_asks_for_a_snapshot(self, log):
+        """Guards against a tail that grows, or that leaves a gap."""
+        for _ in range(1_100):
+            log.send(Publish, changes=(), label="x" * 400)
+        journal = log.journal
+        assert journal.entries_bytes <= 262_144
+        first = journal.entries[0].offset
+        assert journal.tail(first - 2, 10**9) is None
+        assert len(journal.tail(first - 1, 10**9)) == len(journal.entries)
+        assert journal.tail(journal.offset, 1) == []
+
+    def test_two_moves_cannot_share_an_identity(self, log):
+        """Guards against an alarm on one move that takes back another."""
+        log.send(Publish, changes=(SetService("t", Service("1")),))
+        other = SetMove("n", MoveSpec("t", "1", "2", 9.0))
+        both = (*move("m"), other)
+        assert log.send(Publish, changes=both) == "invalid"
+        assert log.send(Publish, changes=(other,)) == "accepted"
