Tell the version of a settled move while a node waits for endpoints

SettleMove changes the service's version in the state at once, but the routing table names the old one until it has switched, up to 6 s later if a publish waits for endpoints. Traffic would go back to the old backend servers for that time. MeshState.settled_version gives callers the version that has settled since the applied one.

--- a/packages/core/src/vanillamast_core/journal/mesh_state.py
+++ b/packages/core/src/vanillamast_core/journal/mesh_state.py
@@ -6,7 +6,7 @@
 from vanillamast_core.journal.lease import Lease
 from vanillamast_core.journal.outcome import Outcome
 from vanillamast_core.journal.records import Beacon
-from vanillamast_core.moves.move import Move
+from vanillamast_core.moves.move import Move, MoveState
 
 MAX_FINAL_MOVES = 64
 # Repeated appends follow within minutes; at 830 changes a day and 4 steps a
@@ -92,6 +92,28 @@
                 return move
         return None
 
+    def settled_version(self, service: str, applied_version: int) -> str | None:
+        """Returns the version that a move gave a service lately, if any.
+
+        While a node waits for the endpoints of a version, its routing table
+        still names the service's old version, although its move is settled;
+        the traffic must not go back.
+
+        Args:
+          service: Name of a service.
+          applied_version: Configuration version in use on the node.
+        """
+        settled = [
+            move
+            for move in self.moves.values()
+            if move.spec.service == service
+            and move.state is MoveState.SETTLED
+            and move.changed_at > applied_version
+        ]
+        if not settled:
+            return None
+        return max(settled, key=lambda move: move.changed_at).spec.new
+
     def set_move(self, move: Move) -> None:
         """Replaces a move and forgets the oldest of too many final ones."""
         self.moves[move.name] = move
--- a/tests/core/journal/test_journal.py
+++ b/tests/core/journal/test_journal.py
@@ -1,10 +1,13 @@
 """Tests of the fold at its bounds and on hostile records."""
 
+import typing
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from vanillamast_core.configuration import (
     CallerClass,
+    Change,
     MoveSpec,
     Remove,
     Route,
@@ -18,19 +21,15 @@
 from vanillamast_core.errors import CodecError
 from vanillamast_core.journal import (
     AdvanceMove,
-    Beacon,
     ClaimLease,
-    DrainInstance,
     HoldMove,
     Journal,
     LogEntry,
     OutcomeReason,
     Publish,
-    ResumeMove,
     SettleMove,
-    SnapshotChunk,
     StopMove,
-    TakeBack,
+    driver_lease,
     record_codec,
     record_handlers,
     record_kinds,
@@ -60,43 +59,19 @@
     ),
     st.builds(Remove, st.sampled_from(["services", "moves"]), TEXT),
 )
+VALUES = {str: TEXT, int: INTS, float: FLOATS, bool: st.booleans()}
+VALUES |= {bytes: st.binary(max_size=2)}
+VALUES |= {tuple[Change, ...]: st.lists(WILD_CHANGES).map(tuple)}
 WILD = st.one_of(
-    *(
-        st.builds(kind, id=TEXT, based_on=INTS, **fields)
-        for kind, fields in [
-            (Publish, {"changes": st.lists(WILD_CHANGES).map(tuple)}),
-            (HoldMove, {"move": TEXT}),
-            (ResumeMove, {"move": TEXT}),
-            (StopMove, {"move": TEXT}),
-            (SettleMove, {"move": TEXT, "token": INTS}),
-            (TakeBack, {"started_at": INTS, "reason": TEXT}),
-            (DrainInstance, {"instance": TEXT, "drained": st.booleans()}),
-            (ClaimLease, {"name": TEXT, "holder": TEXT, "previous": INTS}),
-            (
-                AdvanceMove,
-                {
-                    "move": TEXT,
-                    "from_step": INTS,
-                    "token": INTS,
-                    "baseline_slow_ms": FLOATS,
-                },
-            ),
-            (
-                Beacon,
-                {"failure_domain": TEXT, "instance": TEXT, "address": TEXT},
-            ),
-            (
-                SnapshotChunk,
-                {
-                    "offset": INTS,
-                    "index": INTS,
-                    "count": INTS,
-                    "data": st.binary(max_size=2),
-                    "digest": st.binary(max_size=2),
-                },
-            ),
-        ]
+    st.builds(
+        kind,
+        **{
+            name: VALUES[annotation]
+            for name, annotation in typing.get_type_hints(kind).items()
+            if name in kind.__struct_fields__
+        },
     )
+    for kind in record_kinds.entries.values()
 )
 
 
@@ -235,6 +210,20 @@
         assert len(journal.tail(first - 1, 10**9)) == len(journal.entries)
         assert journal.tail(journal.offset, 1) == []
 
+    def test_settled_version_stands_until_the_node_applies_it(self, log):
+        """Guards against traffic that goes back while a node waits."""
+        log.send(Publish, changes=move("m"))
+        claim = {"name": driver_lease("s"), "holder": "h", "previous": 0}
+        log.send(ClaimLease, **claim)
+        token = log.journal.offset
+        for step in range(-1, 4):
+            log.send(AdvanceMove, move="m", from_step=step, token=token)
+        state = log.journal.state
+        assert state.settled_version("s", 2) is None
+        assert log.send(SettleMove, move="m", token=token) == "accepted"
+        assert state.settled_version("s", 2) == "2"
+        assert state.settled_version("s", state.version) is None
+
     def test_two_moves_cannot_share_an_identity(self, log):
         """Guards against an alarm on one move that takes back another."""
         log.send(Publish, changes=(SetService("t", Service("1")),))
