Keep error messages on configurations short

The message of ConfigurationError held the whole value. A YAML text of 40 nested aliases stands for 9**39 elements; the repr of it did not end within 60 s. Values are now cut at two levels and 120 characters.

--- a/packages/core/src/vanillamast_core/configuration/configuration_error.py
+++ b/packages/core/src/vanillamast_core/configuration/configuration_error.py
@@ -1,7 +1,14 @@
 """The error for a configuration that cannot be read or changed."""
 
+import reprlib
+
 from vanillamast_core.errors import VanillamastError
 
+# Nested YAML aliases can stand for data that is larger than the memory.
+_short = reprlib.Repr()
+_short.maxstring = _short.maxother = 120  # characters
+_short.maxlevel = 2
+
 
 class ConfigurationError(VanillamastError):
     """A configuration, or a change of one, is malformed.
@@ -13,7 +20,7 @@
     """
 
     def __init__(self, path: str, value: object, allowed: str):
-        super().__init__(f"{path}: {value!r}; allowed: {allowed}")
+        super().__init__(f"{path}: {_short.repr(value)}; allowed: {allowed}")
         self.path = path
         self.value = value
         self.allowed = allowed
--- a/packages/core/src/vanillamast_core/journal/__init__.py
+++ b/packages/core/src/vanillamast_core/journal/__init__.py
@@ -35,10 +35,14 @@
 from vanillamast_core.journal.shard import SHARDS, driver_lease, shard_of
 from vanillamast_core.journal.snapshot import strip_chunk
 from vanillamast_core.journal.snapshot_settings import SnapshotSettings
-from vanillamast_core.journal.snapshot_writer import SnapshotWriter
+from vanillamast_core.journal.snapshot_writer import (
+    SNAPSHOT_LEASE,
+    SnapshotWriter,
+)
 
 __all__ = [
     "SHARDS",
+    "SNAPSHOT_LEASE",
     "AdvanceMove",
     "Beacon",
     "ClaimLease",
--- a/packages/core/src/vanillamast_core/journal/snapshot_writer.py
+++ b/packages/core/src/vanillamast_core/journal/snapshot_writer.py
@@ -5,11 +5,13 @@
 from vanillamast_core.journal.snapshot import split_snapshot
 from vanillamast_core.journal.snapshot_settings import SnapshotSettings
 
+SNAPSHOT_LEASE = "snapshot"  # Name of the lease that a writer should hold.
+
 
 class SnapshotWriter:
     """Watches the snapshots in the log, and writes one when it is due.
 
-    Every node watches; only the holder of the lease `snapshot` asks
+    Every node watches; only the holder of `SNAPSHOT_LEASE` asks
     `decide`. Two writers at once only cost space in the log.
 
     Attributes:
--- a/tests/core/configuration/test_load.py
+++ b/tests/core/configuration/test_load.py
@@ -57,6 +57,13 @@
         text = dump_configuration(configuration)
         assert load_configuration(text) == configuration
 
+    def test_nested_aliases_cost_no_memory(self):
+        """Guards against a short text whose error message fills memory."""
+        lists = [f"&x{n} [{f'*x{n - 1}, ' * 9}]" for n in range(1, 40)]
+        with pytest.raises(ConfigurationError) as caught:
+            load_configuration(f"services: [&x0 [1], {', '.join(lists)}]")
+        assert len(str(caught.value)) < 2_000
+
     @pytest.mark.parametrize(
         "deadline", ["2026-12-04T06:00:00Z", "2026-12-04 06:00:00+00:00"]
     )
