Judge silent links together and cover surviving mutations

Cause: a node cut off without resets found its links silent one by one and accused the first peers before it knew that most links were silent. Mutations of the code showed rules without a test.

Change: the first silent link counts the others that missed a heartbeat; silence closes a link always and accuses only while the node trusts itself. New tests cover gaps shown by heartbeats, duplicate links, suspects on new links, final leaving and refused dials.

--- a/packages/core/src/vanillamast_core/peers/local_health.py
+++ b/packages/core/src/vanillamast_core/peers/local_health.py
@@ -42,7 +42,7 @@
             return False
         self.last_tick = now
         self.lag_ms = int(late * 1000)
-        self.impaired_until = now + self.settings.impaired_s
+        self.impair(now)
         return True
 
     def tick(self, now: float) -> None:
@@ -69,9 +69,13 @@
             self.losses.popleft()
         if len(self.losses) <= remaining:
             return False
-        self.impaired_until = now + self.settings.impaired_s
+        self.impair(now)
         return True
 
+    def impair(self, now: float) -> None:
+        """Distrusts this node's own timers for a while."""
+        self.impaired_until = now + self.settings.impaired_s
+
     def impaired(self, now: float) -> bool:
         """Returns whether the node distrusts its own timers."""
         return now < self.impaired_until
--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -57,6 +57,7 @@
 from vanillamast_core.peers.settings import PeerSettings
 
 CHECK_S = 1.0  # Interval of the check for silent and unneeded links.
+MISSED_HEARTBEATS = 1.5  # Silence in heartbeats that means one is missing.
 SEEDS_AT_ONCE = 2  # Seeds dialed at a time by a node without links.
 MAX_SEEDS = 64
 BUSY_DIALS = 3  # Refusals for too many links after which a peer is avoided.
@@ -109,7 +110,9 @@
         self.rng = rng
         self.store = journal
         self.directory = Directory(settings.dead_retention_s)
-        self.links = LinkTable(own.instance, 1.5 * settings.heartbeat_s)
+        self.links = LinkTable(
+            own.instance, MISSED_HEARTBEATS * settings.heartbeat_s
+        )
         self.alarms = AlarmSet()
         self.health = LocalHealth(settings)
         self.membership = Membership(
@@ -368,12 +371,11 @@
 
     def _check_links(self, now: float) -> None:
         silent = []
-        limit = self.settings.silence_s * self.health.factor(now)
         for link in list(self.links.by_id.values()):
             quiet = now - link.heard_at
             if not link.instance and quiet >= self.settings.hello_timeout_s:
                 self._drop_unnamed(link, now)
-            elif quiet >= limit:
+            elif quiet >= self.settings.silence_s:
                 silent.append(link)
             elif link.dialed is not None:
                 self._close_unwanted(link, now)
@@ -387,22 +389,24 @@
     def _close_silent(self, silent: list[Link], now: float) -> None:
         """Closes silent links and suspects their peers.
 
-        If most links fell silent at once, the fault is more likely here.
+        If most links missed a heartbeat, the fault is more likely here. They
+        reach the limit at different times, so the first one must count the
+        others.
         """
-        peers = []
-        impaired = self.health.impaired(now)
+        if silent and self._are_most_quiet(now):
+            self.health.impair(now)
         for link in silent:
             self.links.close(link)
             self._lose(link, now)
-            if link.instance in self.links.by_instance or not link.instance:
-                continue
-            peers.append(link.instance)
-        for _ in peers:
-            impaired |= self.health.link_lost(self.link_count(), now)
-        if impaired:
-            return
-        for instance in peers:
-            self.membership.accuse(instance, now)
+            gone = link.instance not in self.links.by_instance
+            if gone and not self.health.impaired(now):
+                self.membership.accuse(link.instance, now)
+
+    def _are_most_quiet(self, now: float) -> bool:
+        links = self.links.by_instance.values()
+        limit = MISSED_HEARTBEATS * self.settings.heartbeat_s
+        quiet = sum(now - link.heard_at >= limit for link in links)
+        return 2 * quiet > len(links)
 
     def _probe_leaver(self, instance: str, now: float) -> None:
         """Dials a leaving instance once whose link went down.
--- a/tests/core/peers/test_mesh_fuzz.py
+++ b/tests/core/peers/test_mesh_fuzz.py
@@ -135,9 +135,17 @@
             assert known <= set(network.mesh(name).alarms.moves), name
         network.run(MEMBERSHIP_S)
         assert_membership(network)
+        self.check_links()
         self.check_leaving()
         self.check_readers()
 
+    def check_links(self) -> None:
+        """Checks that no two nodes keep more than one link."""
+        for name in self.network.live():
+            pipes = self.network.nodes[name].pipes.values()
+            pairs = [frozenset(pipe.ends) for pipe in pipes]
+            assert len(pairs) == len(set(pairs)), name
+
     def live_alarms(self) -> set[int]:
         """Returns the marks that at least one running node has."""
         moves: set[int] = set()
--- a/tests/core/peers/test_mesh_scenarios.py
+++ b/tests/core/peers/test_mesh_scenarios.py
@@ -3,15 +3,22 @@
 import random
 
 import pytest
+from vanillamast_core import Announcement
 from vanillamast_core.journal import LogEntry, SnapshotChunk, record_codec
 from vanillamast_core.moves import EvidenceCell, Side
 from vanillamast_core.peers import (
     Busy,
     CloseLink,
     Entries,
+    Graft,
+    Heartbeat,
     Hello,
+    Liveness,
+    LivenessClaim,
     LivenessState,
     Mesh,
+    Message,
+    PeerEffect,
     PeerSettings,
     Send,
     StateRequest,
@@ -40,6 +47,29 @@
     }
 
 
+def make_mesh() -> tuple[Mesh, list[Announcement]]:
+    """Returns a mesh with links 1 to 3, and the peers on them."""
+    network = PeerNetwork(1, SETTINGS)
+    own, *peers = (
+        network.add(f"n{i}", "r", "d").announcement for i in range(4)
+    )
+    store = MemoryEntryStore(tail_entries=1, padding=5000)
+    mesh = Mesh(SETTINGS, own, random.Random(1), store)
+    for link, peer in enumerate(peers, start=1):
+        mesh.link_up(link, 0.0)
+        mesh.receive(link, Hello(pack_announcement(peer), 0, 0), 0.0)
+    return mesh, peers
+
+
+def sent(effects: list[PeerEffect], kind: type[Message]) -> list[Send]:
+    """Returns the sends of one kind of message."""
+    return [
+        effect
+        for effect in effects
+        if isinstance(effect, Send) and isinstance(effect.message, kind)
+    ]
+
+
 def cell(requests: int, move: int = 7) -> EvidenceCell:
     """Returns evidence about one move."""
     return EvidenceCell(
@@ -170,33 +200,63 @@
             for name in network.live():
                 assert dead_in(network, name) <= {"n11"}
 
-    def test_loss_of_own_network_accuses_nobody(self):
+    @pytest.mark.parametrize(("reset", "seconds"), [(True, 9), (False, 14)])
+    def test_loss_of_own_network_accuses_nobody(
+        self, reset: bool, seconds: float
+    ):
         """Guards against a node that blames others for its own cut."""
         network = make_fleet(9)
-        network.cut({"n11": 1}, reset=True)
-        network.run(8)
+        network.cut({"n11": 1}, reset)
+        network.run(seconds)
         directory = network.mesh("n11").directory
         for record in directory.records.values():
             assert record.liveness is LivenessState.ALIVE
 
+    @pytest.mark.parametrize(
+        ("lost", "liveness"),
+        [((1,), LivenessState.SUSPECT), ((1, 2), LivenessState.ALIVE)],
+    )
+    def test_refused_dial(self, lost: tuple[int, ...], liveness: LivenessState):
+        """Guards against unseen deaths, and deaths after a loss of links."""
+        mesh, _ = make_mesh()
+        mesh.tick(0.25)
+        for link in lost:
+            mesh.link_down(link, 0.3)
+        mesh.tick(0.5)
+        mesh.dial_failed("n1:1", True, 0.6)
+        assert mesh.directory.liveness("n1") is liveness
+
+    def test_suspect_is_told_on_a_new_link(self):
+        """Guards against a suspect that cannot refute what it never heard."""
+        mesh, peers = make_mesh()
+        mesh.membership.accuse("n1", 0.0)
+        hello = Hello(pack_announcement(peers[0]), 0, 0)
+        mesh.link_up(9, 1.0)
+        effects = mesh.receive(9, hello, 1.0)
+        claim = LivenessClaim("n1", 1, LivenessState.SUSPECT)
+        assert Send(9, Liveness((claim,))) in effects
+
+    def test_leaving_is_final(self):
+        """Guards against a renewed lease that cancels a planned stop."""
+        mesh, _ = make_mesh()
+        serving = mesh.own
+        mesh.leave(0.0)
+        mesh.announce(serving, 0.1)
+        assert mesh.own.leaving
+        assert (
+            mesh.directory.usable("browse")
+            == mesh.directory.known("browse")[1:]
+        )
+
 
 class TestSnapshots:
     """Admission of snapshot transfers."""
 
     def make_server(self) -> tuple[Mesh, list[int]]:
         """Returns a mesh with a state and three links."""
-        network = PeerNetwork(1, SETTINGS)
-        announcements = [
-            network.add(f"n{i}", "r", "d").announcement for i in range(4)
-        ]
-        store = MemoryEntryStore(tail_entries=1, padding=5000)
-        mesh = Mesh(SETTINGS, announcements[0], random.Random(1), store)
+        mesh, _ = make_mesh()
         entries = [LogEntry(i, b"x") for i in (1, 2, 3)]
         mesh.records_read(entries, 0.0)
-        for link in (1, 2, 3):
-            mesh.link_up(link, 0.0)
-            hello = Hello(pack_announcement(announcements[link]), 0, 0)
-            mesh.receive(link, hello, 0.0)
         return mesh, [1, 2, 3]
 
     def test_third_snapshot_is_refused(self):
@@ -237,6 +297,17 @@
 class TestEntries:
     """Relaying of entries."""
 
+    def test_gap_shown_by_a_heartbeat_is_closed(self):
+        """Guards against a node that nobody pushes to any more."""
+        mesh, _ = make_mesh()
+        mesh.receive(2, Heartbeat(3, mesh.repair.digest()), 0.1)
+        assert sent(mesh.tick(0.4), Graft) == []
+        assert sent(mesh.tick(0.7), Graft) == [Send(2, Graft(0))]
+        assert sent(mesh.tick(1.0), Graft) == []
+        # No answer: asked again after a timeout and a backoff.
+        later = [mesh.tick(1.0 + 0.25 * step) for step in range(1, 13)]
+        assert sum(len(sent(effects, Graft)) for effects in later) == 1
+
     def test_snapshot_payload_is_not_relayed(self):
         """Guards against 48 KB chunks that flood the overlay."""
         chunk = SnapshotChunk(
