Add the bench of dissemination

Cause: convergence time and control bytes are stated targets and need measured figures beside a baseline.

Change: bench_dissemination runs fleets on the in-memory network with and without failures, and the same appends against nodes that poll.

--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/bench_dissemination.py
@@ -0,0 +1,367 @@
+"""Bench of dissemination on the in-memory network.
+
+Measures how long entries need to reach all nodes, with and without failures,
+and what the overlay costs; beside it, in the same run, a baseline in which
+every node polls the log. Times are those of the simulated clock, processor
+time and memory are real.
+
+Usage: python -m vanillamast_testing.bench_dissemination --nodes=75,300
+"""
+
+import dataclasses
+import gc
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TextIO
+
+import msgspec
+from absl import flags
+from vanillamast_core.peers import Mesh, PeerSettings, pack_announcement
+
+from vanillamast_testing.memory_entry_store import MemoryEntryStore
+from vanillamast_testing.peer_network import (
+    FRAME_BYTES,
+    LOG_READ_S,
+    PeerNetwork,
+)
+
+NODE_COUNTS = (75, 300, 1200)
+DOMAINS = 8
+REGIONS = 2
+SERVICES = 83
+SETTLE_S = 25.0  # Links are up and unneeded ones are closed.
+ENTRY_BYTES = 200
+DAY_S = 86_400
+CHANGES_PER_DAY = 830
+RECORDS_PER_CHANGE = 5  # The change and four steps of its move.
+BEACONS_PER_S = DOMAINS / 30
+TARGET_PER_S = CHANGES_PER_DAY * RECORDS_PER_CHANGE / DAY_S
+OVERLOAD_FACTOR = 10
+COST_S = 60.0  # Length of a cost measurement.
+ENTRIES = 60  # Entries of a convergence measurement.
+SPACING_S = 0.5
+CUT_S = 30.0
+DRAIN_S = 15.0  # More than the bound of 12 s, so that late ones are seen.
+POLL_S = 2.0
+POLL_BYTES = 500  # Headers of one HTTP request and its answer.
+
+_FLAGS = flags.FlagValues()  # Apart from the flags of other modules.
+_NODES = flags.DEFINE_list(
+    "nodes",
+    [str(count) for count in NODE_COUNTS],
+    "Numbers of nodes.",
+    flag_values=_FLAGS,
+)
+_SEED = flags.DEFINE_integer(
+    "seed", 1, "Seed of the simulation.", flag_values=_FLAGS
+)
+_OUT = flags.DEFINE_string(
+    "out", "", "File for the JSON lines.", flag_values=_FLAGS
+)
+
+
+class Figure(msgspec.Struct, frozen=True, kw_only=True):
+    """One measured figure.
+
+    Attributes:
+      nodes: Number of nodes.
+      seed: Seed of the run.
+      system: "mesh" or "polling".
+      phase: What was going on.
+      metric: What was measured, with its unit.
+      value: The figure.
+    """
+
+    nodes: int
+    seed: int
+    system: str
+    phase: str
+    metric: str
+    value: float
+
+
+@dataclasses.dataclass(slots=True)
+class Bench:
+    """One run with a number of nodes.
+
+    Attributes:
+      nodes: Number of nodes.
+      seed: Seed of the run.
+      rng: Random source of failures and of the baseline.
+      network: The meshes.
+      phases: Poll phase of each node in the baseline.
+    """
+
+    nodes: int
+    seed: int
+    rng: random.Random
+    network: PeerNetwork
+    phases: dict[str, float]
+
+    def figures(self) -> Iterator[Figure]:
+        """Runs all phases."""
+        yield from self.cost("rest", BEACONS_PER_S)
+        rate = BEACONS_PER_S + OVERLOAD_FACTOR * TARGET_PER_S
+        yield from self.cost("ten times the changes", rate)
+        yield from self.converge("no failure", set(self.network.nodes))
+        yield from self.frozen_readers()
+        yield from self.cut_domain()
+        yield from self.killed_tenth()
+        yield from self.memory()
+
+    def cost(self, phase: str, rate: float) -> Iterator[Figure]:
+        """Measures bytes and processor time at a rate of records."""
+        nodes = self.network.nodes.values()
+        for node in nodes:
+            node.cpu_s, node.sent_bytes = 0.0, 0
+        end = self.network.now + COST_S
+        count = 0
+        while (gap := self.rng.expovariate(rate)) < end - self.network.now:
+            self.network.run(gap)
+            self.append()
+            count += 1
+        self.network.run(end - self.network.now)
+        per_node = len(nodes) * COST_S
+        sent = sum(node.sent_bytes for node in nodes) / per_node
+        worst = max(node.sent_bytes for node in nodes) / COST_S
+        cpu = sum(node.cpu_s for node in nodes) / per_node
+        yield self.figure(phase, "bytes sent /node/s", sent)
+        yield self.figure(phase, "bytes sent /worst node/s", worst)
+        yield self.figure(phase, "bytes sent+received /node/s", 2 * sent)
+        yield self.figure(phase, "cpu us/node/s", cpu * 1e6)
+        polling = (POLL_BYTES + 2 * FRAME_BYTES) / POLL_S
+        polling += count / COST_S * ENTRY_BYTES
+        metric = "bytes sent+received /node/s"
+        yield self.figure(phase, metric, polling, "polling")
+        polls = len(nodes) / POLL_S
+        yield self.figure(phase, "log requests /s", polls, "polling")
+        readers = sum(node.reading for node in nodes)
+        yield self.figure(phase, "log readers", readers)
+
+    def frozen_readers(self) -> Iterator[Figure]:
+        """Freezes both readers of one failure domain."""
+        network = self.network
+        frozen = [
+            name
+            for name, node in network.nodes.items()
+            if node.reading and node.announcement.failure_domain == "d0"
+        ]
+        for name in frozen:
+            network.pause(name)
+        live = set(network.nodes) - set(frozen)
+        yield from self.converge("2 readers frozen", live)
+        for name in frozen:
+            network.resume(name)
+        network.run(SETTLE_S)
+
+    def cut_domain(self) -> Iterator[Figure]:
+        """Cuts one failure domain from all others and from the log."""
+        network = self.network
+        island = {
+            name
+            for name, node in network.nodes.items()
+            if node.announcement.failure_domain == "d1"
+        }
+        for name in island:
+            network.nodes[name].log_cut = True
+        network.cut(dict.fromkeys(island, 1), reset=False)
+        cut_at = network.now
+        rest = set(network.nodes) - island
+        yield from self.converge("domain cut, outside", rest)
+        network.run(max(0.0, cut_at + CUT_S - network.now))
+        network.heal()
+        for name in island:
+            network.nodes[name].log_cut = False
+        healed_at = network.now
+        last = len(network.log)
+        network.run(DRAIN_S)
+        samples = [
+            network.nodes[name].applied_at.get(last, float("inf")) - healed_at
+            for name in island
+        ]
+        yield from self.times("domain healed, inside", samples)
+        polls = [self.rng.random() * POLL_S + LOG_READ_S for _ in island]
+        yield from self.times("domain healed, inside", polls, "polling")
+        network.run(SETTLE_S)
+
+    def killed_tenth(self) -> Iterator[Figure]:
+        """Kills a tenth of the machines at once."""
+        names = sorted(self.network.nodes)
+        for name in self.rng.sample(names, len(names) // 10):
+            self.network.kill(name, machine=True)
+        yield from self.converge("10% killed", set(self.network.live()))
+
+    def converge(self, phase: str, live: set[str]) -> Iterator[Figure]:
+        """Appends entries and measures their times to each live node."""
+        network = self.network
+        appended: dict[int, float] = {}
+        for _ in range(ENTRIES):
+            appended[self.append()] = network.now
+            network.run(SPACING_S)
+        network.run(DRAIN_S)
+        samples = [
+            network.nodes[name].applied_at.get(offset, float("inf")) - at
+            for offset, at in appended.items()
+            for name in live
+        ]
+        yield from self.times(phase, samples)
+        polled = [
+            (self.phases[name] - at) % POLL_S
+            + LOG_READ_S * (0.5 + self.rng.random())
+            for at in appended.values()
+            for name in live
+        ]
+        yield from self.times(phase, polled, "polling")
+
+    def memory(self) -> Iterator[Figure]:
+        """Measures the memory of one node's directory and overlay."""
+        any_node = next(iter(self.network.nodes.values()))
+        packed = [
+            pack_announcement(node.announcement)
+            for node in self.network.nodes.values()
+        ]
+        gc.collect()
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        mesh = Mesh(
+            self.network.settings,
+            any_node.announcement,
+            random.Random(self.seed),
+            MemoryEntryStore(),
+        )
+        for item in packed:
+            mesh.directory.merge_packed(bytes(bytearray(item)))
+        mesh.tick(0.0)
+        after, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        size = (after - before) / 1024
+        yield self.figure("rest", "directory and overlay KiB", size)
+
+    def append(self) -> int:
+        """Appends a record and returns its offset."""
+        data = self.rng.randbytes(ENTRY_BYTES)
+        return self.network.append(data).offset
+
+    def times(
+        self, phase: str, samples: Iterable[float], system: str = "mesh"
+    ) -> Iterator[Figure]:
+        """Returns the percentiles of convergence times."""
+        ordered = sorted(samples)
+        count = len(ordered)
+        median, high = ordered[count // 2], ordered[int(count * 0.99)]
+        yield self.figure(phase, "median ms", median * 1e3, system)
+        yield self.figure(phase, "99th ms", high * 1e3, system)
+        yield self.figure(phase, "worst ms", ordered[-1] * 1e3, system)
+
+    def figure(
+        self, phase: str, metric: str, value: float, system: str = "mesh"
+    ) -> Figure:
+        """Returns one figure of this run."""
+        return Figure(
+            nodes=self.nodes,
+            seed=self.seed,
+            system=system,
+            phase=phase,
+            metric=metric,
+            value=round(value, 3),
+        )
+
+
+def make_bench(
+    nodes: int, seed: int, settings: PeerSettings | None = None
+) -> Bench:
+    """Starts a fleet whose nodes know each other, and lets it link up."""
+    network = PeerNetwork(seed, settings, measure=True)
+    for index in range(nodes):
+        domain = index % DOMAINS
+        network.add(
+            f"n{index:05}",
+            f"r{domain * REGIONS // DOMAINS}",
+            f"d{domain}",
+            f"s{index % SERVICES}",
+        )
+    network.seeds = [f"n{index:05}:1" for index in range(DOMAINS)]
+    for name in network.nodes:
+        network.start(name)
+    packed = [
+        pack_announcement(node.announcement) for node in network.nodes.values()
+    ]
+    for name in network.nodes:
+        directory = network.mesh(name).directory
+        for item in packed:
+            directory.merge_packed(item)
+    network.run(SETTLE_S)
+    rng = random.Random(seed)
+    phases = {name: rng.random() * POLL_S for name in network.nodes}
+    return Bench(nodes, seed, rng, network, phases)
+
+
+def run(
+    out: TextIO,
+    nodes: Sequence[int] = NODE_COUNTS,
+    seed: int = 1,
+    settings: PeerSettings | None = None,
+) -> list[Figure]:
+    """Runs the bench and writes one JSON line for each figure.
+
+    Args:
+      out: Receives the JSON lines.
+      nodes: Numbers of nodes, one run each.
+      seed: Seed of the simulations.
+      settings: Settings of the meshes, the defaults if None.
+
+    Returns:
+      All figures.
+    """
+    figures = []
+    for count in nodes:
+        bench = make_bench(count, seed, settings)
+        for figure in bench.figures():
+            figures.append(figure)
+            out.write(msgspec.json.encode(figure).decode() + "\n")
+            out.flush()
+    return figures
+
+
+def table(figures: Iterable[Figure]) -> str:
+    """Returns the figures as a table, a column for each number of nodes."""
+    values: dict[tuple[str, str, str], dict[int, float]] = {}
+    counts: set[int] = set()
+    for figure in figures:
+        key = figure.phase, figure.metric, figure.system
+        values.setdefault(key, {})[figure.nodes] = figure.value
+        counts.add(figure.nodes)
+    columns = sorted(counts)
+    head = f"{'phase':24}{'metric':30}{'system':9}"
+    lines = [head + "".join(f"{count:>12}" for count in columns)]
+    for (phase, metric, system), row in values.items():
+        cells = "".join(
+            f"{row.get(count, float('nan')):12.1f}" for count in columns
+        )
+        lines.append(f"{phase:24}{metric:30}{system:9}{cells}")
+    return "\n".join(lines) + "\n"
+
+
+def main(argv: list[str]) -> None:
+    """Runs the bench from the command line."""
+    _FLAGS(argv)
+    nodes = [int(count) for count in _NODES.value]
+    started = time.perf_counter()
+    if _OUT.value:
+        with open(_OUT.value, "w", encoding="utf-8") as out:
+            figures = run(out, nodes, _SEED.value)
+    else:
+        figures = run(sys.stdout, nodes, _SEED.value)
+    sys.stdout.write(table(figures))
+    wall = time.perf_counter() - started
+    sys.stdout.write(f"framing: {FRAME_BYTES} B per frame; run {wall:.0f} s\n")
+
+
+if __name__ == "__main__":
+    try:
+        main(sys.argv)
+    except flags.Error as error:
+        sys.exit(f"bench_dissemination: {error}")
