--- a/packages/core/src/vanillamast_core/peers/directory.py
+++ b/packages/core/src/vanillamast_core/peers/directory.py
@@ -171,7 +171,10 @@
         return None
 
     def usable(self, service: str) -> list[Announcement]:
-        """Returns who can get requests: alive, serving, staying, undrained."""
+        """Returns who can get requests: alive, serving, staying, undrained.
+
+        The list is cached until the service changes; do not modify it.
+        """
         found = self._usable.get(service)
         if found is None:
             found = [
--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -283,6 +283,18 @@
             self.catch_up.advanced(now)
         return self._finish(now)
 
+    def state_replaced(self, now: float) -> list[PeerEffect]:
+        """Tells peers the new offset after the caller replaced the state.
+
+        To be called when the store was restored from the log itself.
+        """
+        self._begin(now)
+        self.spreader.discard_old()
+        self.spreader.apply_pending(None)
+        self.catch_up.advanced(now)
+        self._send_heartbeats()
+        return self._finish(now)
+
     def announce(self, own: Announcement, now: float) -> list[PeerEffect]:
         """Spreads a changed announcement of this instance at once.
 
