Join the writes of a response and start with a full retry budget

Cause: uvicorn writes header and body with one system call each, and a budget that starts with one retry left a post unanswered when a server was down at the start.

--- a/packages/core/src/vanillamast_core/requests/retry_budget.py
+++ b/packages/core/src/vanillamast_core/requests/retry_budget.py
@@ -19,8 +19,11 @@
 
     settings: RequestSettings
     ratio: float = 0.1
-    tokens: float = 1.0
     updated: float | None = None
+    tokens: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.tokens = self.settings.retry_burst
 
     def first_attempt(self, now: float) -> None:
         """Counts a first attempt."""
--- a/packages/node/src/vanillamast_node/caller_protocol.py
+++ b/packages/node/src/vanillamast_node/caller_protocol.py
@@ -11,6 +11,7 @@
 from vanillamast_core.requests import Refusal, refuse
 
 from vanillamast_node.header_fields import REFUSAL_FIELD
+from vanillamast_node.joined_writes import JoinedWrites
 
 CONNECTION_KEY = "vanillamast.connection"
 _REASONS = {400: b"Bad Request", 431: b"Request Header Fields Too Large"}
@@ -26,6 +27,7 @@
       on_malformed: Called when the rest of its body is malformed; returns
         whether the request can still be refused.
       running: The request that is being answered.
+      writes: The connection's transport.
     """
 
     header_limit = 16_384
@@ -40,12 +42,14 @@
         self.header_size = 0
         self.header_timer: asyncio.TimerHandle | None = None
         self.broken = False
+        self.writes: JoinedWrites
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         """Starts the time for the first header section."""
-        super().connection_made(transport)
+        self.writes = JoinedWrites(transport, self.loop)
+        super().connection_made(self.writes)  # type: ignore[arg-type]
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -106,6 +110,11 @@
         if not self.broken:
             super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Sends what is pending of a complete response."""
+        self.writes.flush()
+        super().on_response_complete()
+
     def send_400_response(self, msg: str) -> None:
         """Refuses malformed bytes without touching a response under way."""
         self._refuse_connection(refuse("bad_request", msg))
--- /dev/null
+++ b/packages/node/src/vanillamast_node/joined_writes.py
@@ -0,0 +1,69 @@
+"""A transport that joins the writes of one event loop step."""
+
+import asyncio
+from typing import Any
+
+
+class JoinedWrites:
+    """Passes writes on together, at the latest in the next loop step.
+
+    uvicorn writes the header and each part of the body separately. A system
+    call for each costs more than the copy that joining needs.
+
+    Attributes:
+      transport: The connection's transport.
+      loop: The event loop.
+      pending: Writes not passed on yet.
+    """
+
+    __slots__ = ("loop", "pending", "transport")
+
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ):
+        self.transport = transport
+        self.loop = loop
+        self.pending: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        """Passes data on with the other writes of this step."""
+        if not data:
+            return
+        if not self.pending:
+            self.loop.call_soon(self.flush)
+        self.pending.append(data)
+
+    def flush(self) -> None:
+        """Passes pending writes on."""
+        pending = self.pending
+        if not pending:
+            return
+        self.pending = []
+        data = pending[0] if len(pending) == 1 else b"".join(pending)
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """Closes the connection after the pending writes."""
+        self.flush()
+        self.transport.close()
+
+    def abort(self) -> None:
+        """Resets the connection and drops the pending writes."""
+        self.pending.clear()
+        self.transport.abort()
+
+    def is_closing(self) -> bool:
+        """Returns whether the connection is closed or being closed."""
+        return self.transport.is_closing()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Returns information about the connection."""
+        return self.transport.get_extra_info(name, default)
+
+    def pause_reading(self) -> None:
+        """Stops the receiving of data."""
+        self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Goes on receiving data."""
+        self.transport.resume_reading()
