--- a/packages/core/src/vanillamast_core/moves/driver.py
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -160,12 +160,16 @@
         """Returns whether the move goes to its next step."""
         if move.step < 0:
             return True
+        last = move.step + 2 >= len(move.spec.steps)
         dwell = progress.dwell(now)
-        if dwell < move.spec.min_dwell_s:
+        shortest = move.spec.min_dwell_s
+        if last:
+            pace = self.settings.last_pace * progress.slot_s
+            shortest = max(shortest, pace)
+        if dwell < shortest:
             return False
         if verdict.e_value < self.settings.caution:
             return isinstance(verdict, Good) or dwell >= progress.slot_s
-        last = move.step + 2 >= len(move.spec.steps)
         if last and move.spec.on_deadline == "hold":
             return False
         return now >= progress.latest
--- a/packages/core/src/vanillamast_core/moves/driver_settings.py
+++ b/packages/core/src/vanillamast_core/moves/driver_settings.py
@@ -10,6 +10,9 @@
       caution: e-value from which a step waits for longer than its slot.
       caution_slots: Slots that a step waits for at most when evidence is
         doubtful.
+      last_pace: Part of its slot that the step before the last one takes at
+        least. It is the last one with both versions side by side, so it shows
+        what disturbs both and gives a baseline that includes it.
       repeat_s: Time after which a record that is not folded yet is proposed
         again, with the same id.
       finish_margin_s: Time before the deadline at which `on_deadline:
@@ -18,5 +21,6 @@
 
     caution: float = 4.0
     caution_slots: float = 2.0
+    last_pace: float = 0.5
     repeat_s: float = 6.0
     finish_margin_s: float = 6.0
