--- a/packages/core/src/vanillamast_core/moves/accusation.py
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -112,7 +112,8 @@
         bad = counts.old_bad + sum(part.bad for part in counts.parts)
         if not bad or not counts.old_total or not counts.parts:
             return
-        log_ratios = split_log_ratios(counts, self.settings.ratios)
+        margin = verdict_tests.get(kind).margin
+        log_ratios = split_log_ratios(counts, self.settings.ratios, margin)
         for name in (ALL_ROUTES, route):
             contrast = self.tests.get((kind, name))
             if contrast is None:
@@ -211,21 +212,32 @@
     return Counts(stratum.bucket, old_bad, old_total, parts)
 
 
-def split_log_ratios(counts: Counts, ratios: tuple[float, ...]) -> LogRatios:
+def split_log_ratios(
+    counts: Counts, ratios: tuple[float, ...], margin: float
+) -> LogRatios:
     """Returns the likelihood ratio of the split of the bad outcomes.
 
     Given their number, the new version's part is hypergeometric if both
-    versions are alike, and binomial in the limit of many requests. The
-    binomial ratio has an expectation of at most 1 under both (Hoeffding,
-    1963, theorem 4, because it is convex in the count).
+    versions are alike, and binomial in the limit of many requests. With a
+    margin of 1 the binomial ratio has an expectation of at most 1 under both
+    (Hoeffding, 1963, theorem 4, because it is convex in the count). With a
+    larger margin that holds under the binomial for all rate ratios up to the
+    margin, because the ratio grows with the count.
+
+    Args:
+      counts: The stratum, for the old version's counts.
+      ratios: Rate ratios to bet on, as multiples of the margin.
+      margin: Rate ratio up to which the versions count as alike.
     """
     old_bad, old_total = counts.old_bad, counts.old_total
 
     def log_ratios(bad: int, total: int) -> list[float]:
         share = total / (total + old_total)
+        alike = math.log1p((margin - 1.0) * share)
         return [
             bad * math.log(ratio)
-            - (bad + old_bad) * math.log1p((ratio - 1.0) * share)
+            - (bad + old_bad)
+            * (math.log1p((ratio * margin - 1.0) * share) - alike)
             for ratio in ratios
         ]
 
--- /dev/null
+++ b/tests/core/moves/test_judge.py
@@ -0,0 +1,555 @@
+"""Tests of the verdict on new versions, rule by rule."""
+
+import random
+
+import msgspec
+import pytest
+from vanillamast_core.configuration import MoveSpec
+from vanillamast_core.moves import (
+    OTHERS,
+    Bad,
+    EvidenceCell,
+    Good,
+    Judge,
+    JudgeSettings,
+    Move,
+    MoveState,
+    Side,
+    Undecided,
+    local_alarms,
+)
+from vanillamast_core.moves import accusation as accusation_module
+from vanillamast_core.moves import contrast as contrast_module
+from vanillamast_core.moves.accusation import split_log_ratios
+from vanillamast_core.moves.change_mixture import (
+    ChangeMixture,
+    onset_weight,
+    to_factors,
+)
+from vanillamast_core.moves.contrast import Contrast, Counts, PartCount
+
+SETTINGS = JudgeSettings(judges=1)
+MOVE = Move(
+    name="m",
+    started_at=1,
+    spec=MoveSpec(service="s", old="1", new="2", deadline=1e6),
+    step=2,
+)
+DONE = msgspec.structs.replace(
+    MOVE,
+    step=4,
+    state=MoveState.DONE,
+    baseline_failure_ratio=0.002,
+    baseline_slow_ms=20.0,
+)
+NOBODY = frozenset()
+FAST, SLOW = 13, 18  # Latency bins of about 10 ms and 51 ms.
+
+
+def cell(bucket, side, requests, instance="", domain="", route="a", **counts):
+    """Returns a cell of one caller failure domain."""
+    counts.setdefault("latency", {FAST: requests})
+    return EvidenceCell(
+        move=1,
+        route=route,
+        failure_domain="x",
+        bucket=bucket,
+        side=side,
+        instance=instance,
+        server_domain=domain,
+        requests=requests,
+        **counts,
+    )
+
+
+def new_cells(bucket, bad, kind="failures", requests=20, servers=4):
+    """Returns cells of the new version; `bad` maps server index to count."""
+    return [
+        cell(
+            bucket,
+            Side.NEW,
+            requests,
+            f"n{index}",
+            f"d{index % 3}",
+            **{kind: bad.get(index, 0)},
+        )
+        for index in range(servers)
+    ]
+
+
+def run(judge, batches, move=MOVE, dead=NOBODY, instances=4):
+    """Adds one batch for each bucket; returns the first verdict that is Bad.
+
+    Without one, the last verdict is returned.
+    """
+    verdict = judge.verdict(move, 0.0, dead, instances)
+    for bucket, cells in enumerate(batches, start=1):
+        judge.add(cells)
+        wall = 2.0 * bucket + 6.0
+        verdict = judge.verdict(move, wall, dead, instances)
+        if isinstance(verdict, Bad):
+            return verdict
+    return verdict
+
+
+def batches(count, make_new, old_bad=0, old_requests=200):
+    """Returns buckets with equal counts of the old version."""
+    return [
+        [
+            cell(bucket, Side.OLD, old_requests, failures=old_bad),
+            *make_new(bucket),
+        ]
+        for bucket in range(1, count + 1)
+    ]
+
+
+class TestKinds:
+    """Each kind of bad outcome leads to a take-back."""
+
+    @pytest.mark.parametrize("kind", ["failures", "connect_failures"])
+    def test_failures(self, kind):
+        """Guards against a bad version that is never taken back."""
+        bad = dict.fromkeys(range(4), 4)
+        verdict = run(
+            Judge(SETTINGS), batches(20, lambda b: new_cells(b, bad, kind))
+        )
+        assert isinstance(verdict, Bad)
+        assert verdict.reason == kind
+
+    def test_slow(self):
+        """Guards against a slow version, and against slowness of both."""
+
+        def slow_new(bucket):
+            cells = new_cells(bucket, {})
+            for item in cells:
+                item.latency = {SLOW if bucket > 5 else FAST: 20}
+            return cells
+
+        one = run(Judge(SETTINGS), batches(20, slow_new))
+        assert isinstance(one, Bad)
+        assert one.reason == "slow_answers"
+        both = batches(20, slow_new)
+        for batch in both[5:]:
+            batch[0].latency = {SLOW: 200}
+        assert not isinstance(run(Judge(SETTINGS), both), Bad)
+
+    def test_one_route(self):
+        """Guards against dilution of a bad route by the others."""
+
+        def make(bucket):
+            rare = new_cells(bucket, dict.fromkeys(range(4), 1), requests=2)
+            for item in rare:
+                item.route = "rare"
+            many = new_cells(bucket, dict.fromkeys(range(4), 2), requests=400)
+            return [*rare, cell(bucket, Side.OLD, 10, route="rare"), *many]
+
+        verdict = run(
+            Judge(SETTINGS), batches(30, make, old_bad=20, old_requests=4000)
+        )
+        assert isinstance(verdict, Bad)
+        assert verdict.route == "rare"
+
+    def test_alarm(self):
+        """Guards against a node with evidence that raises no alarm."""
+        judge = Judge(SETTINGS)
+        bad = dict.fromkeys(range(4), 4)
+        run(judge, batches(20, lambda b: new_cells(b, bad)))
+        alarms = local_alarms(judge, [MOVE], 60.0, NOBODY, {1: 4})
+        assert [started_at for started_at, _ in alarms] == [1]
+        ended = msgspec.structs.replace(MOVE, state=MoveState.STOPPED)
+        assert local_alarms(judge, [ended], 60.0, NOBODY, {1: 4}) == []
+        judge.forget(1)
+        assert local_alarms(judge, [MOVE], 60.0, NOBODY, {1: 4}) == []
+
+
+class TestParts:
+    """Parts of a good version may be broken."""
+
+    def broken(self, monkeypatch, variant):
+        """Takes a rule out of the judge."""
+        if variant == "without leave-one-out":
+            monkeypatch.setattr(
+                Contrast,
+                "e_value",
+                lambda self, sole: self.unspent + self.everything.total(),
+            )
+        elif variant == "without domains":
+            whole = Contrast.e_value
+
+            def without(self, sole):
+                self.domains = {}
+                return whole(self, sole)
+
+            monkeypatch.setattr(Contrast, "e_value", without)
+        elif variant == "without deaths":
+            monkeypatch.setattr(
+                "vanillamast_core.moves.move_evidence.MoveEvidence.dead_in",
+                lambda self, stratum: set(),
+            )
+
+    @pytest.mark.parametrize("variant", ["", "without leave-one-out"])
+    def test_bad_instance(self, monkeypatch, variant):
+        """Guards against one bad instance that takes back a good version."""
+        self.broken(monkeypatch, variant)
+        verdict = run(
+            Judge(SETTINGS),
+            batches(60, lambda b: new_cells(b, {1: 20}), old_bad=1),
+        )
+        assert isinstance(verdict, Bad) == bool(variant)
+
+    @pytest.mark.parametrize("kind", ["failures", "connect_failures"])
+    @pytest.mark.parametrize("variant", ["", "without domains"])
+    def test_lost_domain(self, monkeypatch, variant, kind):
+        """Guards against the loss of a failure domain's new servers."""
+        self.broken(monkeypatch, variant)
+        lost = {0: 20, 3: 20}  # Both are in d0.
+        verdict = run(
+            Judge(SETTINGS),
+            batches(20, lambda b: new_cells(b, lost, kind, servers=6)),
+        )
+        assert isinstance(verdict, Bad) == bool(variant)
+
+    @pytest.mark.parametrize("variant", ["", "without deaths"])
+    def test_dead_instances(self, monkeypatch, variant):
+        """Guards against deaths in two domains, known only 8 s later."""
+        self.broken(monkeypatch, variant)
+        judge = Judge(SETTINGS)
+        verdicts = []
+        for bucket in range(1, 30):
+            bad = {1: 1, 2: 1} if 8 <= bucket < 12 else {}
+            judge.add(
+                [
+                    cell(bucket, Side.OLD, 200),
+                    *new_cells(bucket, bad, "connect_failures"),
+                ]
+            )
+            dead = frozenset({"n1", "n2"} if bucket >= 12 else ())
+            verdicts.append(
+                judge.verdict(MOVE, 2.0 * bucket + 6.0, dead, 4).e_value
+            )
+        assert (verdicts[-1] > 4.0) == bool(variant)
+
+    def test_sole_instance(self):
+        """Guards against a version of one instance that is never judged.
+
+        A judge that saw one instance of several must not take it for all.
+        """
+        bad = batches(30, lambda b: new_cells(b, {0: 10}, servers=1))
+        assert isinstance(run(Judge(SETTINGS), bad, instances=1), Bad)
+        assert not isinstance(run(Judge(SETTINGS), bad, instances=4), Bad)
+        assert not isinstance(run(Judge(SETTINGS), bad, instances=None), Bad)
+
+    @pytest.mark.parametrize("variant", ["", "unnamed are one instance"])
+    def test_unnamed_instance(self, monkeypatch, variant):
+        """Guards against a bad instance that only some nodes name."""
+        if variant:
+            monkeypatch.setattr(contrast_module, "OTHERS", "nobody")
+
+        def make(bucket):
+            cells = new_cells(bucket, {3: 10, 4: 10}, servers=5)
+            cells[4].instance = cells[4].server_domain = OTHERS
+            return cells
+
+        verdict = run(
+            Judge(SETTINGS), batches(20, make, old_bad=1), instances=9
+        )
+        assert isinstance(verdict, Bad) == bool(variant)
+
+
+class TestErrorRate:
+    """The probability of a false verdict is as stated."""
+
+    PATHS = 1500
+    STRATA = 60
+    ALPHA = 0.05
+
+    def crossings(self, ratio=1.0, margin=1.0, weight=onset_weight):
+        """Returns how many paths ever reach 1 / ALPHA.
+
+        The common rate differs from stratum to stratum, up to 30%.
+
+        Args:
+          ratio: Rate of the new version divided by the old one's.
+          margin: Margin of the test.
+          weight: Weight of a change at a stratum.
+        """
+        rng = random.Random(1)
+        count = 0
+        for _ in range(self.PATHS):
+            mixture = ChangeMixture([0.0] * 3)
+            unspent = 1.0
+            for stratum in range(1, self.STRATA + 1):
+                rate = rng.choice((0.01, 0.05, 0.3)) / ratio
+                old = sum(rng.random() < rate for _ in range(20))
+                new = sum(rng.random() < rate * ratio for _ in range(8))
+                if not old + new:
+                    continue
+                unspent = max(0.0, unspent - weight(stratum))
+                mixture.open(weight(stratum))
+                counts = Counts(stratum, old, 20, [PartCount("n", "d", new, 8)])
+                ratios = split_log_ratios(counts, SETTINGS.ratios, margin)
+                mixture.multiply(to_factors(ratios(new, 8)))
+                if unspent + mixture.total() >= 1.0 / self.ALPHA:
+                    count += 1
+                    break
+        return count
+
+    def bound(self):
+        """Returns the stated number plus three standard deviations."""
+        expected = self.PATHS * self.ALPHA
+        return expected + 3.0 * expected**0.5
+
+    def test_always_valid(self):
+        """Guards against evidence that grows by looking often enough.
+
+        The variant gives each time of change the full weight, so that the
+        best one is picked afterwards; it must be caught.
+        """
+        assert self.crossings() <= self.bound()
+        assert self.crossings(weight=lambda stratum: 1.0) > self.bound()
+
+    def test_margin(self):
+        """Guards against a margin that does not cover its own ratio."""
+        assert self.crossings(ratio=1.5, margin=1.5) <= self.bound()
+        assert self.crossings(ratio=1.5, margin=1.0) > self.bound()
+
+    @pytest.mark.parametrize("variant", ["", "unconditional"])
+    def test_common_bursts(self, monkeypatch, variant):
+        """Guards against a noisy time that counts against one version.
+
+        Twenty moves stay far inside 20 * alpha = 0.02 expected take-backs.
+        """
+        if variant:
+            monkeypatch.setattr(
+                accusation_module,
+                "split_log_ratios",
+                lambda counts, ratios, margin: (
+                    accusation_module.baseline_log_ratios(
+                        0.01, [9.0] * 3, SETTINGS
+                    )
+                ),
+            )
+        rng = random.Random(7)
+        taken_back = 0
+        for _ in range(20):
+            made = []
+            for bucket in range(1, 60):
+                rate = 0.4 if bucket % 20 > 16 else 0.005
+                draw = [
+                    sum(rng.random() < rate for _ in range(20))
+                    for _ in range(14)
+                ]
+                made.append(
+                    [
+                        cell(bucket, Side.OLD, 200, failures=sum(draw[:10])),
+                        *new_cells(bucket, dict(enumerate(draw[10:]))),
+                    ]
+                )
+            taken_back += isinstance(run(Judge(SETTINGS), made), Bad)
+        assert (taken_back > 0) == bool(variant)
+
+
+class TestTime:
+    """Evidence may come late and in any portions."""
+
+    def test_late_cells(self):
+        """Guards against loss of cells that come up to 14 s late."""
+        judge = Judge(SETTINGS)
+        bad = dict.fromkeys(range(4), 4)
+        verdict = judge.verdict(MOVE, 0.0, NOBODY, 4)
+        made = batches(20, lambda b: new_cells(b, bad))
+        for step in range(1, 30):
+            late = step - 7
+            if late >= 0 and late < 20:
+                judge.add(made[late][1:])
+            if step <= 20:
+                judge.add(made[step - 1][:1])
+            verdict = judge.verdict(MOVE, 2.0 * step + 2.0, NOBODY, 4)
+        assert isinstance(verdict, Bad)
+
+    def test_order_of_batches(self):
+        """Guards against verdicts that depend on how cells are batched."""
+        bad = dict.fromkeys(range(4), 1)
+        made = batches(12, lambda b: new_cells(b, bad), old_bad=3)
+        values = []
+        for seed in range(5):
+            judge = Judge(SETTINGS)
+            judge.verdict(MOVE, 0.0, NOBODY, 4)
+            for batch in made:
+                cells = list(batch)
+                random.Random(seed).shuffle(cells)
+                for item in cells:
+                    judge.add([item])
+                wall = 2.0 * batch[0].bucket + 6.0
+                verdict = judge.verdict(MOVE, wall, NOBODY, 4)
+            values.append(verdict.e_value)
+        assert values == pytest.approx([values[0]] * 5)
+
+    def test_open_bucket(self):
+        """Guards against use of a bucket before its cells are there."""
+        judge = Judge(SETTINGS)
+        judge.add(new_cells(1, dict.fromkeys(range(4), 20)))
+        judge.add([cell(1, Side.OLD, 20)])
+        assert judge.verdict(MOVE, 4.0, NOBODY, 4).e_value == 1.0
+        assert judge.verdict(MOVE, 8.0, NOBODY, 4).e_value > 1.0
+
+    def test_bounded(self):
+        """Guards against memory that grows with names, moves and time."""
+        judge = Judge(SETTINGS)
+        for index in range(400):
+            items = new_cells(index, {0: 1}, servers=20)
+            for item in items:
+                item.route = f"r{index}"
+                item.instance += str(index)
+                item.server_domain = f"d{index}"
+                item.failure_domain = f"f{index}"
+                item.move = 1 + index % 100
+            judge.add(items)
+        for _ in range(3):
+            judge.add(new_cells(5, {}))
+        assert len(judge.moves) <= SETTINGS.max_moves
+        judge = Judge(SETTINGS)
+        for index in range(3000):
+            item = cell(index, Side.NEW, 5, f"n{index}", f"d{index}")
+            judge.add([msgspec.structs.replace(item, route=f"r{index}")])
+            if index % 100 == 0:
+                judge.verdict(MOVE, 2.0 * index, NOBODY)
+        evidence = judge.moves[1]
+        assert len(evidence.open) <= SETTINGS.max_strata
+        assert len(evidence.recent) <= SETTINGS.max_strata
+        assert len(evidence.named) <= SETTINGS.max_instances
+        assert len(evidence.routes) <= SETTINGS.max_routes
+        assert len(evidence.latencies) <= (SETTINGS.max_routes + 1) * (
+            SETTINGS.max_domains + 1
+        )
+
+
+class TestGood:
+    """Good needs evidence from this step."""
+
+    def test_no_bad_outcomes(self):
+        """Guards against a good version that waits for its slots."""
+        made = batches(12, lambda b: new_cells(b, {}))
+        early = run(Judge(SETTINGS), made[:1])
+        assert isinstance(early, Undecided)
+        assert isinstance(run(Judge(SETTINGS), made), Good)
+
+    def test_noisy(self):
+        """Guards against noise on both versions that hides a good one."""
+        bad = dict.fromkeys(range(4), 2)
+        made = batches(60, lambda b: new_cells(b, bad), old_bad=20)
+        assert isinstance(run(Judge(SETTINGS), made), Good)
+
+    def test_new_step(self):
+        """Guards against evidence of a small share that clears a large one."""
+        judge = Judge(SETTINGS)
+        run(judge, batches(40, lambda b: new_cells(b, {})))
+        later = msgspec.structs.replace(MOVE, step=3)
+        verdict = judge.verdict(later, 87.0, NOBODY, 4)
+        assert isinstance(verdict, Undecided)
+
+    def test_wrong_good(self):
+        """Guards against a version with three times the failures as good.
+
+        The stated error is 2 / clear_level = 10% for each kind, at a ratio of
+        2; the bound adds three standard deviations.
+        """
+        rng = random.Random(3)
+        wrong = 0
+        for _ in range(60):
+            judge = Judge(SETTINGS)
+            judge.verdict(MOVE, 0.0, NOBODY, 4)
+            for bucket in range(1, 60):
+                bad = {
+                    i: sum(rng.random() < 0.06 for _ in range(20))
+                    for i in range(4)
+                }
+                old = sum(rng.random() < 0.02 for _ in range(200))
+                judge.add(
+                    [
+                        cell(bucket, Side.OLD, 200, failures=old),
+                        *new_cells(bucket, bad),
+                    ]
+                )
+                wall = 2.0 * bucket + 6.0
+                verdict = judge.verdict(MOVE, wall, NOBODY, 4)
+                wrong += isinstance(verdict, Good)
+                if not isinstance(verdict, Undecided):
+                    break
+        assert wrong <= 6 + 3 * 6**0.5
+
+
+class TestDone:
+    """After share 1 the baseline stands for the old version."""
+
+    def made(self, count, bad, first=1, latency=FAST):
+        """Returns buckets without traffic on the old version."""
+        batch = []
+        for bucket in range(1, count + 1):
+            cells = new_cells(bucket, bad if bucket >= first else {})
+            for item in cells:
+                item.latency = {latency if bucket >= first else FAST: 20}
+            batch.append(cells)
+        return batch
+
+    def test_bad_later(self):
+        """Guards against a fault that shows only after share 1."""
+        bad = dict.fromkeys(range(4), 4)
+        verdict = run(Judge(SETTINGS), self.made(40, bad, first=20), DONE)
+        assert isinstance(verdict, Bad)
+
+    def test_slow_later(self):
+        """Guards against slowness that shows only after share 1."""
+        slow = self.made(40, {}, first=20, latency=SLOW)
+        verdict = run(Judge(SETTINGS), slow, DONE)
+        assert isinstance(verdict, Bad)
+        assert verdict.reason == "slow_answers"
+
+    @pytest.mark.parametrize("variant", ["", "without cap"])
+    def test_short_disturbance(self, monkeypatch, variant):
+        """Guards against a take-back by two disturbed buckets."""
+        if variant:
+            monkeypatch.setattr(
+                accusation_module.Accusation,
+                "budget",
+                lambda self, kind, bucket: [99.0] * 3,
+            )
+        made = self.made(40, {})
+        for batch in made[20:22]:
+            for item in batch:
+                item.failures = 15
+        verdict = run(Judge(SETTINGS), made, DONE)
+        assert isinstance(verdict, Bad) == bool(variant)
+
+    def test_tolerated(self):
+        """Guards against take-backs within the tolerated failure ratio.
+
+        Stated: at most alpha while each request fails with a probability of
+        at most max(done_floor, done_factor * baseline); 40 moves of 100 s at
+        that probability.
+        """
+        rng = random.Random(2)
+        move = msgspec.structs.replace(DONE, baseline_failure_ratio=0.04)
+        for _ in range(40):
+            made = [
+                new_cells(
+                    bucket,
+                    {
+                        i: sum(rng.random() < 0.06 for _ in range(20))
+                        for i in range(4)
+                    },
+                )
+                for bucket in range(1, 50)
+            ]
+            assert not isinstance(run(Judge(SETTINGS), made, move), Bad)
+
+    def test_baseline(self):
+        """Guards against a baseline that forgets the worst time."""
+        judge = Judge(SETTINGS)
+        made = batches(40, lambda b: new_cells(b, {}), old_bad=1)
+        for batch in made[10:15]:
+            batch[0].failures = 20
+        run(judge, made)
+        baseline = judge.baseline(1)
+        assert baseline.failure_ratio == pytest.approx(0.1, abs=0.03)
+        assert 9.0 < baseline.slow_ms < 20.0
