--- a/packages/core/src/vanillamast_core/moves/accusation.py
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -112,12 +112,12 @@
         bad = counts.old_bad + sum(part.bad for part in counts.parts)
         if not bad or not counts.old_total or not counts.parts:
             return
-        margin = verdict_tests.get(kind).margin
-        log_ratios = split_log_ratios(counts, self.settings.ratios, margin)
+        test = verdict_tests.get(kind)
+        log_ratios = split_log_ratios(counts, test.ratios, test.margin)
         for name in (ALL_ROUTES, route):
             contrast = self.tests.get((kind, name))
             if contrast is None:
-                contrast = Contrast(len(self.settings.ratios))
+                contrast = Contrast(len(test.ratios))
                 self.tests[kind, name] = contrast
             contrast.apply(counts, log_ratios)
 
@@ -129,13 +129,14 @@
         """
         if not any(part.total for part in counts.parts):
             return
+        ratios = verdict_tests.get(kind).ratios
         contrast = self.done_tests.get(kind)
         if contrast is None:
-            contrast = Contrast(len(self.settings.ratios))
+            contrast = Contrast(len(ratios))
             self.done_tests[kind] = contrast
         tolerated = self.tolerated(kind, move)
         budget = self.budget(kind, counts.bucket)
-        log_ratios = baseline_log_ratios(tolerated, budget, self.settings)
+        log_ratios = baseline_log_ratios(tolerated, budget, ratios)
         contrast.apply(counts, log_ratios)
         spent = log_ratios(
             sum(part.bad for part in counts.parts),
@@ -154,7 +155,8 @@
         if len(self.budgets) >= MAX_BUDGETS:
             del self.budgets[next(iter(self.budgets))]
         cap = math.log(self.settings.limit / DONE_SHARE)
-        return [cap / self.settings.done_buckets] * len(self.settings.ratios)
+        ratios = verdict_tests.get(kind).ratios
+        return [cap / self.settings.done_buckets] * len(ratios)
 
     def tolerated(self, kind: str, move: Move) -> float:
         """Returns the ratio of bad outcomes that is tolerated after share 1."""
@@ -245,22 +247,25 @@
 
 
 def baseline_log_ratios(
-    tolerated: float, budget: list[float], settings: JudgeSettings
+    tolerated: float, budget: list[float], ratios: tuple[float, ...]
 ) -> LogRatios:
     """Returns the likelihood ratio against a tolerated ratio.
 
     Its expectation is at most 1 as long as each request is bad with a
     probability of at most `tolerated`, given the earlier ones.
     """
+    gains = []
+    for ratio, left in zip(ratios, budget, strict=True):
+        worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
+        for_bad = math.log(worse / tolerated)
+        for_good = math.log((1.0 - worse) / (1.0 - tolerated))
+        gains.append((for_bad, for_good, left))
 
     def log_ratios(bad: int, total: int) -> list[float]:
-        values = []
-        for ratio, left in zip(settings.ratios, budget, strict=True):
-            worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
-            value = bad * math.log(worse / tolerated) + (
-                (total - bad) * math.log((1.0 - worse) / (1.0 - tolerated))
-            )
-            values.append(min(value, left))
-        return values
+        good = total - bad
+        return [
+            min(bad * for_bad + good * for_good, left)
+            for for_bad, for_good, left in gains
+        ]
 
     return log_ratios
--- a/packages/core/src/vanillamast_core/moves/driver.py
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -181,7 +181,7 @@
         watch = move.spec.watch_s
         if verdict.e_value >= self.settings.caution:
             watch *= self.settings.caution_slots
-        return progress.dwell(now) >= watch
+        return progress.dwell(now) >= watch + self.settings.evidence_lag_s
 
     def repeat(self, progress: MoveProgress, now: float) -> Record | None:
         """Returns the proposal again if it was not folded for long."""
--- a/packages/core/src/vanillamast_core/moves/judge_settings.py
+++ b/packages/core/src/vanillamast_core/moves/judge_settings.py
@@ -11,7 +11,6 @@
         one is ever taken back, over all judges together.
       judges: Judges that see evidence of one move: one for each failure
         domain and the driver's. Each may use alpha / judges.
-      ratios: Rate ratios of bad outcomes that the mixture bets on.
       bucket_s: Length of a bucket in seconds of wall time.
       settle_s: Time after the end of a bucket until its evidence is used.
       late_s: Time after the end of a bucket that a stratum without both
@@ -45,7 +44,6 @@
 
     alpha: float = 0.001
     judges: int = 9
-    ratios: tuple[float, ...] = (2.0, 5.0, 20.0)
     bucket_s: float = 2.0
     settle_s: float = 4.0
     late_s: float = 20.0
--- a/packages/core/src/vanillamast_core/moves/verdict_tests.py
+++ b/packages/core/src/vanillamast_core/moves/verdict_tests.py
@@ -10,7 +10,11 @@
 
 # Instances of one version differ in speed. 10% more latency makes about 1.4
 # times as many responses slow, which would be evidence without a margin.
-SLOW_MARGIN = 1.5
+SLOW_MARGIN = 1.25
+# Up to a tenth of the old version's responses are slow, so no ratio is above
+# 10; these times the margin cover 2 to 7.5.
+SLOW_RATIOS = (1.6, 3.0, 6.0)
+RATIOS = (2.0, 5.0, 20.0)  # From mild to hardly working.
 
 
 class BadCount(NamedTuple):
@@ -34,18 +38,23 @@
       heeds_deaths: Whether the count depends on which instances are dead;
         it is then open to change until membership knows.
       margin: Rate ratio up to which the versions count as alike.
+      ratios: Rate ratios that the mixture bets on, as multiples of the margin.
     """
 
     count: Count
     heeds_deaths: bool = False
     margin: float = 1.0
+    ratios: tuple[float, ...] = RATIOS
 
 
 verdict_tests: Registry[VerdictTest] = Registry("verdict test")
 
 
 def verdict_test(
-    name: str, heeds_deaths: bool = False, margin: float = 1.0
+    name: str,
+    heeds_deaths: bool = False,
+    margin: float = 1.0,
+    ratios: tuple[float, ...] = RATIOS,
 ) -> Callable[[Count], Count]:
     """Returns a decorator that registers a count as a verdict test.
 
@@ -53,13 +62,16 @@
       name: Kind of bad outcome, part of the reason of a take-back.
       heeds_deaths: See `VerdictTest`.
       margin: See `VerdictTest`.
+      ratios: See `VerdictTest`.
 
     Raises:
       DuplicateEntryError: The name is taken.
     """
 
     def decorate(count: Count) -> Count:
-        verdict_tests.register(name)(VerdictTest(count, heeds_deaths, margin))
+        verdict_tests.register(name)(
+            VerdictTest(count, heeds_deaths, margin, ratios)
+        )
         return count
 
     return decorate
@@ -83,7 +95,7 @@
     return BadCount(cell.connect_failures, cell.requests)
 
 
-@verdict_test("slow_answers", margin=SLOW_MARGIN)
+@verdict_test("slow_answers", margin=SLOW_MARGIN, ratios=SLOW_RATIOS)
 def count_slow_answers(
     cell: EvidenceCell, slow_bin: int | None, dead: bool
 ) -> BadCount:
--- a/packages/testing/src/vanillamast_testing/bench_moves/conditions.py
+++ b/packages/testing/src/vanillamast_testing/bench_moves/conditions.py
@@ -57,26 +57,36 @@
       bad: Whether the new version should be taken back.
       effect: What happens to a group of requests.
       lost_domain: Failure domain whose servers are lost in mid-move.
+      lost_rack: Whether only the rack with the new version's servers is lost.
+      restarts: Whether the new version's servers restart one by one.
     """
 
     name: str
     bad: bool
     effect: Callable[[Situation], Effect]
     lost_domain: int | None = None
+    lost_rack: bool = False
+    restarts: bool = False
 
 
 CONDITIONS: dict[str, Condition] = {}
 
 
 def condition(
-    name: str, bad: bool, lost_domain: int | None = None
+    name: str,
+    bad: bool,
+    lost_domain: int | None = None,
+    lost_rack: bool = False,
+    restarts: bool = False,
 ) -> Callable[[Callable[[Situation], Effect]], Callable[[Situation], Effect]]:
     """Returns a decorator that registers an effect as a condition."""
 
     def decorate(
         effect: Callable[[Situation], Effect],
     ) -> Callable[[Situation], Effect]:
-        CONDITIONS[name] = Condition(name, bad, effect, lost_domain)
+        CONDITIONS[name] = Condition(
+            name, bad, effect, lost_domain, lost_rack, restarts
+        )
         return effect
 
     return decorate
@@ -107,9 +117,15 @@
     return Effect()
 
 
-@condition("good_cold_starts", bad=False)
+@condition("good_rack_lost", bad=False, lost_domain=0, lost_rack=True)
+def good_rack_lost(where: Situation) -> Effect:
+    """A failure domain loses the new version's servers alone."""
+    return Effect()
+
+
+@condition("good_cold_starts", bad=False, restarts=True)
 def good_cold_starts(where: Situation) -> Effect:
-    """Servers are slow in their first 10 s, and restart now and then."""
+    """Servers are slow in their first 10 s; the new ones restart one by one."""
     return Effect(slowdown=6.0 if where.since_up_s < 10.0 else 1.0)
 
 
--- a/packages/testing/src/vanillamast_testing/bench_moves/traffic.py
+++ b/packages/testing/src/vanillamast_testing/bench_moves/traffic.py
@@ -25,7 +25,8 @@
 INSTANCE_SPREAD = 0.05  # Instances differ in latency by about this factor.
 DEAD_AFTER_S = 10.0  # Membership takes up to 6 + 4 s.
 LOST_AT_S = 60.0
-RESTART_EVERY_S = 120.0  # Mean time between restarts of one version.
+FIRST_RESTART_S = 60.0
+RESTART_EVERY_S = 12.0  # Time from one server's restart to the next one's.
 DISTURBANCES = 6
 DISTURBANCE_S = (6.0, 40.0)
 
@@ -88,26 +89,32 @@
 
     def dead(self, elapsed: float) -> frozenset[str]:
         """Returns the instances that membership considers dead."""
-        lost = self.condition.lost_domain
-        if lost is None or elapsed < LOST_AT_S + DEAD_AFTER_S:
+        if elapsed < LOST_AT_S + DEAD_AFTER_S:
             return frozenset()
         return frozenset(
             self.instance(side, index)
-            for side in Side
-            for index in range(self.deployment.servers)
-            if index % self.deployment.domains == lost
+            for side, index in self.up_since
+            if self.lost(side, index % self.deployment.domains)
         )
 
+    def lost(self, side: Side, domain: int) -> bool:
+        """Returns whether the condition takes a server away."""
+        if domain != self.condition.lost_domain:
+            return False
+        return side is Side.NEW or not self.condition.lost_rack
+
     def disturbed(self, elapsed: float) -> bool:
         """Returns whether a disturbance is going on."""
         return any(a <= elapsed < b for a, b in self.disturbances)
 
     def restart_some(self, elapsed: float) -> None:
-        """Restarts a server now and then if the condition asks for it."""
-        if self.condition.name != "good_cold_starts":
+        """Restarts the new servers one by one if the condition asks for it."""
+        if not self.condition.restarts:
             return
-        if self.rng.random() < BUCKET_S / RESTART_EVERY_S:
-            self.up_since[self.rng.choice(list(self.up_since))] = elapsed
+        for side, index in self.up_since:
+            at = FIRST_RESTART_S + RESTART_EVERY_S * index
+            if side is Side.NEW and at <= elapsed < at + BUCKET_S:
+                self.up_since[side, index] = elapsed
 
     def bucket(
         self, index: int, elapsed: float, share: float, since_done: float
@@ -132,8 +139,7 @@
         )
         rate = self.deployment.rate * self.condition.effect(base).load
         for domain in range(self.deployment.domains):
-            lost = self.condition.lost_domain
-            if domain == lost and elapsed >= LOST_AT_S:
+            if elapsed >= LOST_AT_S and self.lost(Side.OLD, domain):
                 continue  # Its callers vanish with its servers.
             for route, weight in enumerate(self.deployment.routes.values()):
                 mean = rate * BUCKET_S * weight / self.deployment.domains
@@ -214,10 +220,7 @@
         effect = self.condition.effect(where)
         if self.condition.bad and where.new:
             self.note_fault(effect, requests, tally)
-        lost = (
-            self.condition.lost_domain == where.domain
-            and where.elapsed_s >= LOST_AT_S
-        )
+        lost = where.elapsed_s >= LOST_AT_S and self.lost(side, where.domain)
         refused = draw_binomial(
             self.rng, requests, 1.0 if lost else effect.connect_failure
         )
--- a/tests/core/moves/test_driver.py
+++ b/tests/core/moves/test_driver.py
@@ -102,7 +102,7 @@
             2: 2 * SLOT,
             3: 3 * SLOT,
             4: 4 * SLOT,
-            "settled": 4 * SLOT + 60.0,
+            "settled": 4 * SLOT + 60.0 + DriverSettings().evidence_lag_s,
         }
 
     def test_good(self):
--- a/tests/core/moves/test_judge.py
+++ b/tests/core/moves/test_judge.py
@@ -27,6 +27,7 @@
     to_factors,
 )
 from vanillamast_core.moves.contrast import Contrast, Counts, PartCount
+from vanillamast_core.moves.verdict_tests import RATIOS
 
 SETTINGS = JudgeSettings(judges=1)
 MOVE = Move(
@@ -287,7 +288,7 @@
                 unspent = max(0.0, unspent - weight(stratum))
                 mixture.open(weight(stratum))
                 counts = Counts(stratum, old, 20, [PartCount("n", "d", new, 8)])
-                ratios = split_log_ratios(counts, SETTINGS.ratios, margin)
+                ratios = split_log_ratios(counts, RATIOS, margin)
                 mixture.multiply(to_factors(ratios(new, 8)))
                 if unspent + mixture.total() >= 1.0 / self.ALPHA:
                     count += 1
@@ -325,7 +326,7 @@
                 "split_log_ratios",
                 lambda counts, ratios, margin: (
                     accusation_module.baseline_log_ratios(
-                        0.01, [9.0] * 3, SETTINGS
+                        0.01, [9.0] * 3, RATIOS
                     )
                 ),
             )
--- /dev/null
+++ b/tests/core/moves/test_policy_trials.py
@@ -0,0 +1,120 @@
+"""Statistical tests of driver and judges on the model of traffic.
+
+Every trial has a fixed seed. With N trials of a sound version the stated
+number of take-backs is at most N * alpha, which is 0.003 for N = 3; the
+variant beside a check takes a rule away and must be caught by the same
+trials. Where no variant stands beside it, the tests of the judge have one.
+"""
+
+import dataclasses
+
+import pytest
+from vanillamast_core.moves import accusation as accusation_module
+from vanillamast_core.moves.contrast import Contrast
+from vanillamast_core.moves.move_evidence import MoveEvidence
+from vanillamast_core.moves.verdict_tests import RATIOS
+from vanillamast_testing.bench_moves import Deployment, run_trial
+from vanillamast_testing.bench_moves import traffic as traffic_module
+
+SMALL = Deployment(
+    name="small",
+    domains=3,
+    servers=4,
+    rate=200.0,
+    routes={"many": 0.6, "some": 0.3, "few": 0.1},
+    median_ms=50.0,
+    deadline_s=240.0,
+    watch_s=30.0,
+)
+# The noise of an hour is only excluded while both versions have traffic.
+UNWATCHED = dataclasses.replace(SMALL, watch_s=0.0)
+# Few slots, so that a surge of traffic slows both versions.
+BUSY = dataclasses.replace(UNWATCHED, slots=3)
+SEEDS = range(1, 4)
+
+
+def take_back_all_parts(monkeypatch):
+    """Takes away all rules about parts of the new version."""
+    monkeypatch.setattr(
+        Contrast,
+        "e_value",
+        lambda self, sole: self.unspent + self.everything.total(),
+    )
+    monkeypatch.setattr(MoveEvidence, "dead_in", lambda self, stratum: set())
+
+
+def compare_with_constant(monkeypatch):
+    """Compares the new version with a constant, not with the old one."""
+    monkeypatch.setattr(
+        accusation_module,
+        "split_log_ratios",
+        lambda counts, ratios, margin: accusation_module.baseline_log_ratios(
+            0.1, [9.0] * 3, RATIOS
+        ),
+    )
+
+
+def count_cold(monkeypatch):
+    """Counts the latency of cold servers."""
+    monkeypatch.setattr(traffic_module, "COLD_S", 0.0)
+
+
+class TestSoundVersions:
+    """Sound versions complete their moves in time."""
+
+    @pytest.mark.parametrize(
+        ("condition", "deployment", "variant"),
+        [
+            ("good", SMALL, None),
+            ("good_noisy_hour", UNWATCHED, compare_with_constant),
+            ("good_load_surge", BUSY, None),
+            ("good_one_bad_instance", SMALL, take_back_all_parts),
+            ("good_rack_lost", SMALL, take_back_all_parts),
+            ("good_domain_lost", SMALL, None),
+            ("good_cold_starts", SMALL, count_cold),
+        ],
+        ids=lambda value: value if isinstance(value, str) else "",
+    )
+    def test_no_take_back(self, monkeypatch, condition, deployment, variant):
+        """Guards against the take-back of a sound version."""
+        for seed in SEEDS:
+            result = run_trial(deployment, condition, "evidence", seed)
+            assert result.state == "settled", result
+            assert result.in_time, result
+        if variant is None:
+            return
+        variant(monkeypatch)
+        assert any(
+            run_trial(deployment, condition, "evidence", seed).state
+            == "taken_back"
+            for seed in SEEDS
+        )
+
+
+class TestBadVersions:
+    """Bad versions are taken back at a small share of the traffic."""
+
+    # Largest part of all requests of the move that the version may get while
+    # it is bad. The steps bound what is found before share 0.5 (0.25 of the
+    # traffic for half of the time would be 0.125). What shows at share 1
+    # may last 30 s of the 270 s.
+    @pytest.mark.parametrize(
+        ("condition", "limit"),
+        [
+            ("bad_at_once", 0.01),
+            ("bad_mild", 0.125),
+            ("bad_midway", 0.125),
+            ("bad_under_load", 0.125),
+            ("bad_one_route", 0.125),
+            ("bad_connect", 0.01),
+            ("slow_at_once", 0.01),
+            ("bad_later", 0.111),
+        ],
+    )
+    def test_taken_back(self, condition, limit, record_property):
+        """Guards against a bad version that stays or gets much traffic."""
+        for seed in (1, 2, 3):
+            result = run_trial(SMALL, condition, "evidence", seed)
+            record_property(f"exposure {seed}", result.exposure)
+            assert result.state == "taken_back", result
+            assert result.exposure <= limit, result
