--- a/packages/core/src/vanillamast_core/moves/accusation.py
+++ b/packages/core/src/vanillamast_core/moves/accusation.py
@@ -112,11 +112,12 @@
         bad = counts.old_bad + sum(part.bad for part in counts.parts)
         if not bad or not counts.old_total or not counts.parts:
             return
-        log_ratios = split_log_ratios(counts, self.settings.ratios)
+        test = verdict_tests.get(kind)
+        log_ratios = split_log_ratios(counts, test.ratios, test.margin)
         for name in (ALL_ROUTES, route):
             contrast = self.tests.get((kind, name))
             if contrast is None:
-                contrast = Contrast(len(self.settings.ratios))
+                contrast = Contrast(len(test.ratios))
                 self.tests[kind, name] = contrast
             contrast.apply(counts, log_ratios)
 
@@ -128,13 +129,14 @@
         """
         if not any(part.total for part in counts.parts):
             return
+        ratios = verdict_tests.get(kind).ratios
         contrast = self.done_tests.get(kind)
         if contrast is None:
-            contrast = Contrast(len(self.settings.ratios))
+            contrast = Contrast(len(ratios))
             self.done_tests[kind] = contrast
         tolerated = self.tolerated(kind, move)
         budget = self.budget(kind, counts.bucket)
-        log_ratios = baseline_log_ratios(tolerated, budget, self.settings)
+        log_ratios = baseline_log_ratios(tolerated, budget, ratios)
         contrast.apply(counts, log_ratios)
         spent = log_ratios(
             sum(part.bad for part in counts.parts),
@@ -153,7 +155,8 @@
         if len(self.budgets) >= MAX_BUDGETS:
             del self.budgets[next(iter(self.budgets))]
         cap = math.log(self.settings.limit / DONE_SHARE)
-        return [cap / self.settings.done_buckets] * len(self.settings.ratios)
+        ratios = verdict_tests.get(kind).ratios
+        return [cap / self.settings.done_buckets] * len(ratios)
 
     def tolerated(self, kind: str, move: Move) -> float:
         """Returns the ratio of bad outcomes that is tolerated after share 1."""
@@ -211,21 +214,32 @@
     return Counts(stratum.bucket, old_bad, old_total, parts)
 
 
-def split_log_ratios(counts: Counts, ratios: tuple[float, ...]) -> LogRatios:
+def split_log_ratios(
+    counts: Counts, ratios: tuple[float, ...], margin: float
+) -> LogRatios:
     """Returns the likelihood ratio of the split of the bad outcomes.
 
     Given their number, the new version's part is hypergeometric if both
-    versions are alike, and binomial in the limit of many requests. The
-    binomial ratio has an expectation of at most 1 under both (Hoeffding,
-    1963, theorem 4, because it is convex in the count).
+    versions are alike, and binomial in the limit of many requests. With a
+    margin of 1 the binomial ratio has an expectation of at most 1 under both
+    (Hoeffding, 1963, theorem 4, because it is convex in the count). With a
+    larger margin that holds under the binomial for all rate ratios up to the
+    margin, because the ratio grows with the count.
+
+    Args:
+      counts: The stratum, for the old version's counts.
+      ratios: Rate ratios to bet on, as multiples of the margin.
+      margin: Rate ratio up to which the versions count as alike.
     """
     old_bad, old_total = counts.old_bad, counts.old_total
 
     def log_ratios(bad: int, total: int) -> list[float]:
         share = total / (total + old_total)
+        alike = math.log1p((margin - 1.0) * share)
         return [
             bad * math.log(ratio)
-            - (bad + old_bad) * math.log1p((ratio - 1.0) * share)
+            - (bad + old_bad)
+            * (math.log1p((ratio * margin - 1.0) * share) - alike)
             for ratio in ratios
         ]
 
@@ -233,22 +247,25 @@
 
 
 def baseline_log_ratios(
-    tolerated: float, budget: list[float], settings: JudgeSettings
+    tolerated: float, budget: list[float], ratios: tuple[float, ...]
 ) -> LogRatios:
     """Returns the likelihood ratio against a tolerated ratio.
 
     Its expectation is at most 1 as long as each request is bad with a
     probability of at most `tolerated`, given the earlier ones.
     """
+    gains = []
+    for ratio, left in zip(ratios, budget, strict=True):
+        worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
+        for_bad = math.log(worse / tolerated)
+        for_good = math.log((1.0 - worse) / (1.0 - tolerated))
+        gains.append((for_bad, for_good, left))
 
     def log_ratios(bad: int, total: int) -> list[float]:
-        values = []
-        for ratio, left in zip(settings.ratios, budget, strict=True):
-            worse = max(min(tolerated * ratio, MAX_RATIO), tolerated)
-            value = bad * math.log(worse / tolerated) + (
-                (total - bad) * math.log((1.0 - worse) / (1.0 - tolerated))
-            )
-            values.append(min(value, left))
-        return values
+        good = total - bad
+        return [
+            min(bad * for_bad + good * for_good, left)
+            for for_bad, for_good, left in gains
+        ]
 
     return log_ratios
