Add the scenario language

Failures at any moment have to be tried on cores with a test clock and on real processes; a script for each would let the two drift apart. Expectations poll on the target's clock; a failed one is noted and the scenario goes on, a step that names something unknown ends it, so that a misspelt name cannot pass.

Messages about syntax errors move to vanillamast_cli.syntax_errors and use what the parser accepts in place of the exception's terminals, which are those of merged LALR states and named words that cannot follow.

Broken on purpose, each caught by a test: an expectation that ends early or never fails, shares counted from the beginning, findings on no traffic, a heal of what is not cut, a cut that forgets the one before, a scenario that goes on after a broken step, a report that holds with failures, wrong units.

--- a/packages/cli/src/vanillamast_cli/operator_syntax.py
+++ b/packages/cli/src/vanillamast_cli/operator_syntax.py
@@ -2,12 +2,12 @@
 
 import functools
 import importlib.resources
-import re
 from typing import Any
 
 import lark
 
 from vanillamast_cli.errors import OperatorSyntaxError
+from vanillamast_cli.syntax_errors import describe
 from vanillamast_cli.times import ByTime, InDuration, parse_duration
 from vanillamast_cli.verb import Verb, verbs
 
@@ -76,35 +76,6 @@
     try:
         return _VerbBuilder().transform(operator_parser().parse(text))
     except lark.UnexpectedInput as error:
-        raise OperatorSyntaxError(describe(text, line, error)) from error
-
-
-def describe(text: str, line: int, error: lark.UnexpectedInput) -> str:
-    """Returns the place of an error and what was expected there."""
-    column = max(1, error.column)
-    token = getattr(error, "token", None)
-    if token is not None and token.type == "$END":
-        column = len(text.rstrip()) + 1
-    match = re.match(r'"[^"]*"?|\S+', text[column - 1 :])
-    found = match[0] if match else "the end"
-    return (
-        f"line {line}, column {column}: found {found}\n"
-        f"  {text}\n"
-        f"  {' ' * (column - 1)}^\n"
-        f"expected {expected_words(error)}"
-    )
-
-
-def expected_words(error: lark.UnexpectedInput) -> str:
-    """Returns what may stand at the place of an error, in words."""
-    names = set(getattr(error, "accepts", None) or ())
-    names |= set(getattr(error, "expected", None) or ())
-    names |= set(getattr(error, "allowed", None) or ())
-    keywords = sorted(n[1:].lower() for n in names if n.startswith("_"))
-    arguments = sorted(
-        ARGUMENT_WORDS[name] for name in names if name in ARGUMENT_WORDS
-    )
-    words = keywords + arguments
-    if len(words) < 2:
-        return "".join(words)
-    return ", ".join(words[:-1]) + f" or {words[-1]}"
+        raise OperatorSyntaxError(
+            describe(text, line, error, ARGUMENT_WORDS)
+        ) from error
--- a/packages/testing/src/vanillamast_testing/__init__.py
+++ b/packages/testing/src/vanillamast_testing/__init__.py
@@ -24,15 +24,42 @@
 )
 from vanillamast_testing.request_record import RequestRecord
 from vanillamast_testing.run_counts import RunCounts, merge_runs
+from vanillamast_testing.scenario_errors import (
+    ScenarioError,
+    ScenarioStepError,
+    ScenarioSyntaxError,
+)
+from vanillamast_testing.scenario_parser import (
+    ScenarioLine,
+    parse_scenario,
+    parse_step,
+)
+from vanillamast_testing.scenario_runner import (
+    ScenarioReport,
+    StepResult,
+    run_scenario,
+)
+from vanillamast_testing.scenario_step import Step, steps
+from vanillamast_testing.scenario_target import ScenarioTarget
+from vanillamast_testing.scenario_values import (
+    PLATFORM,
+    Group,
+    ScenarioInstance,
+    ScenarioMove,
+    ScenarioTraffic,
+)
+from vanillamast_testing.scenario_world import ScenarioWorld
 from vanillamast_testing.uuid7 import uuid7
 
 __all__ = [
+    "PLATFORM",
     "Announcer",
     "AppendRateError",
     "Backend",
     "BackendSettings",
     "Badness",
     "BadnessError",
+    "Group",
     "Harm",
     "LoadGenerator",
     "LoadReport",
@@ -44,11 +71,27 @@
     "PlatformLogStore",
     "RequestRecord",
     "RunCounts",
+    "ScenarioError",
+    "ScenarioInstance",
+    "ScenarioLine",
+    "ScenarioMove",
+    "ScenarioReport",
+    "ScenarioStepError",
+    "ScenarioSyntaxError",
+    "ScenarioTarget",
+    "ScenarioTraffic",
+    "ScenarioWorld",
+    "Step",
+    "StepResult",
     "answer_body",
     "badness_kinds",
     "decode_badness",
     "merge_runs",
+    "parse_scenario",
+    "parse_step",
+    "run_scenario",
     "serve",
+    "steps",
     "summarize",
     "uuid7",
 ]
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/scenario_fleet_steps.py
@@ -0,0 +1,222 @@
+"""Steps that operators and machines take."""
+
+import collections
+import dataclasses
+
+from vanillamast_testing.scenario_step import Step, steps
+from vanillamast_testing.scenario_values import Group, ScenarioMove
+from vanillamast_testing.scenario_world import ScenarioWorld
+
+
+@steps.register("start_instances")
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartInstances(Step):
+    """Starts instances, spread over failure domains in turn."""
+
+    count: int
+    service: str
+    version: str
+    domains: tuple[str, ...]
+
+    example = "start 4 of browse version 1 in a, b, c"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Starts the instances."""
+        instances = world.new_instances(
+            self.count, self.service, self.version, self.domains
+        )
+        await world.target.start(instances)
+        return ""
+
+
+@steps.register("publish")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishFile(Step):
+    """Publishes a configuration file."""
+
+    file: str
+    label: str | None = None
+
+    example = "publish tintero.yaml as first"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Publishes and remembers the version under its label."""
+        label = self.label or ""
+        world.versions[label] = await world.target.publish(self.file, label)
+        return ""
+
+
+@steps.register("move")
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartMove(Step):
+    """Starts a move."""
+
+    service: str
+    old: str
+    new: str
+    deadline_s: float
+    name: str
+
+    example = "move browse from 1 to 2 in 30s named good"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Starts the move; shares are counted from here."""
+        runs = await world.target.runs_by_version(self.service)
+        world.runs_before[self.service] = collections.Counter(runs)
+        move = ScenarioMove(
+            self.name, self.service, self.old, self.new, self.deadline_s
+        )
+        await world.target.move(move)
+        return ""
+
+
+class SteerMove(Step):
+    """Base of the operators' actions on a move."""
+
+    action: str
+    name: str
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Takes the action."""
+        await world.target.steer(self.action, self.name)
+        return ""
+
+
+@steps.register("hold_move")
+@dataclasses.dataclass(frozen=True)
+class HoldMove(SteerMove):
+    """Keeps a move at its share."""
+
+    name: str
+
+    action = "hold"
+    example = "hold move good"
+
+
+@steps.register("resume_move")
+@dataclasses.dataclass(frozen=True)
+class ResumeMove(SteerMove):
+    """Lets a held move go on."""
+
+    name: str
+
+    action = "resume"
+    example = "resume move good"
+
+
+@steps.register("stop_move")
+@dataclasses.dataclass(frozen=True)
+class StopMove(SteerMove):
+    """Ends a move in favour of the old version."""
+
+    name: str
+
+    action = "stop"
+    example = "stop move good"
+
+
+@steps.register("kill")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kill(Step):
+    """Ends instances unprepared, all at the same moment."""
+
+    group: Group
+
+    example = "kill domain a"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Kills the group."""
+        await world.target.kill(world.members(self.group))
+        return ""
+
+
+@steps.register("restart")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restart(Step):
+    """Starts instances again, all at the same moment."""
+
+    group: Group
+
+    example = "restart instance browse-v1-2"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Restarts the group."""
+        await world.target.restart(world.members(self.group))
+        return ""
+
+
+@steps.register("pause")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause(Step):
+    """Freezes instances."""
+
+    group: Group
+
+    example = "pause instance browse-v1-2"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Pauses the group."""
+        await world.target.pause(world.members(self.group))
+        return ""
+
+
+@steps.register("resume")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume(Step):
+    """Lets frozen instances go on."""
+
+    group: Group
+
+    example = "resume domain a"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Resumes the group."""
+        await world.target.resume(world.members(self.group))
+        return ""
+
+
+@steps.register("drain")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain(Step):
+    """Drains an instance."""
+
+    instance: str
+
+    example = "drain browse-v1-1"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Begins the drain."""
+        name = world.known_instance(self.instance)
+        await world.target.drain(name, True)
+        return ""
+
+
+@steps.register("undrain")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undrain(Step):
+    """Ends the drain of an instance."""
+
+    instance: str
+
+    example = "undrain browse-v1-1"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Ends the drain."""
+        name = world.known_instance(self.instance)
+        await world.target.drain(name, False)
+        return ""
+
+
+@steps.register("wait")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait(Step):
+    """Lets time pass."""
+
+    seconds: float
+
+    example = "wait 5s"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Waits."""
+        await world.target.wait(self.seconds)
+        return ""
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/scenario_target.py
@@ -0,0 +1,100 @@
+"""What a scenario runs against."""
+
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from vanillamast_testing.badness import Badness
+from vanillamast_testing.platform_log_faults import PlatformLogFaults
+from vanillamast_testing.request_record import RequestRecord
+from vanillamast_testing.scenario_values import (
+    ScenarioInstance,
+    ScenarioMove,
+    ScenarioTraffic,
+)
+
+
+class ScenarioTarget(Protocol):
+    """A mesh of real processes, or cores on a test clock.
+
+    All times are in seconds of the target's own clock. A method that cannot
+    do what a step asks for raises a VanillamastError.
+    """
+
+    def now(self) -> float:
+        """Returns the time."""
+
+    async def wait(self, seconds: float) -> None:
+        """Lets time pass."""
+
+    async def start(self, instances: Sequence[ScenarioInstance]) -> None:
+        """Starts instances and waits until their nodes run."""
+
+    async def publish(self, file: str, label: str) -> int:
+        """Publishes a configuration file; returns the version's offset."""
+
+    async def move(self, move: ScenarioMove) -> None:
+        """Starts a move."""
+
+    async def steer(self, action: str, move: str) -> None:
+        """Takes the action "hold", "resume" or "stop" on a move."""
+
+    async def kill(self, instances: Sequence[str]) -> None:
+        """Ends nodes and backend servers at the same moment, unprepared."""
+
+    async def restart(self, instances: Sequence[str]) -> None:
+        """Starts killed instances again, or ends and starts running ones."""
+
+    async def pause(self, instances: Sequence[str]) -> None:
+        """Freezes instances, as a machine that stops for a while."""
+
+    async def resume(self, instances: Sequence[str]) -> None:
+        """Lets frozen instances go on."""
+
+    async def drain(self, instance: str, drained: bool) -> None:
+        """Begins or ends the drain of an instance."""
+
+    async def set_cuts(self, cuts: frozenset[frozenset[str]]) -> None:
+        """Cuts exactly these pairs of failure domains from each other.
+
+        Args:
+          cuts: Pairs of names; `PLATFORM` stands for the platform.
+        """
+
+    async def set_platform(self, faults: PlatformLogFaults) -> None:
+        """Replaces the faults of the platform's log."""
+
+    async def set_badness(
+        self, instances: Sequence[str], badness: Badness
+    ) -> None:
+        """Replaces what is wrong with backend servers."""
+
+    async def start_traffic(self, traffic: ScenarioTraffic) -> None:
+        """Starts sending, beside what is being sent."""
+
+    async def finish_traffic(self) -> None:
+        """Waits until all requests have been sent and have ended."""
+
+    async def converged(self) -> bool:
+        """Returns whether the current version is in force everywhere.
+
+        Everywhere means on every node that runs and is not cut from all
+        nodes that have the version.
+        """
+
+    async def move_state(self, name: str) -> str:
+        """Returns a move's state, "" if no node knows the move."""
+
+    async def version_at(self, instance: str) -> int:
+        """Returns the version in force at a node, 0 for none."""
+
+    async def records(self) -> Sequence[RequestRecord]:
+        """Returns what became of all requests so far."""
+
+    async def runs(self) -> Mapping[str, int]:
+        """Returns how many times each request id ran, over all servers.
+
+        Runs on servers that were killed since belong to the result.
+        """
+
+    async def runs_by_version(self, service: str) -> Mapping[str, int]:
+        """Returns the number of runs by backend server version."""
