--- a/packages/cli/src/vanillamast_cli/errors.py
+++ b/packages/cli/src/vanillamast_cli/errors.py
@@ -59,7 +59,7 @@
         text = f"refused at offset {outcome.offset}: {outcome.reason}"
         if outcome.detail:
             text += f", {outcome.detail}"
-        if outcome.winner:
+        if outcome.winner > based_on:
             text += (
                 f"; the change at offset {outcome.winner} came first, this "
                 f"one is based on offset {based_on}: look again before you "
--- a/packages/cli/src/vanillamast_cli/execution.py
+++ b/packages/cli/src/vanillamast_cli/execution.py
@@ -26,6 +26,7 @@
 from vanillamast_cli.rendering import output_formats
 from vanillamast_cli.report import Report
 from vanillamast_cli.settings import CliSettings
+from vanillamast_cli.verb import Verb
 
 
 class Executor:
@@ -37,6 +38,7 @@
       err: Where failures go.
       wall: Returns the wall time in seconds.
       session: What stays between the lines.
+      verb: The command that runs or ran last.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.err = err
         self.wall = wall
         self.session = OperatorSession()
+        self.verb: Verb | None = None
 
     async def execute(self, text: str, line: int = 1) -> ExitStatus:
         """Runs a line and prints the result or the failure.
@@ -60,7 +63,7 @@
           line: Its number, for messages.
         """
         try:
-            verb = parse_command(text, line)
+            self.verb = verb = parse_command(text, line)
             async with aiohttp.ClientSession() as http:
                 client = NodeClient(http, self.settings, self.session)
                 context = Context(
@@ -73,6 +76,15 @@
         self.write(report)
         return report.status
 
+    def interrupted(self) -> ExitStatus:
+        """Returns the status of a command that an interrupt ended."""
+        if self.verb is not None and self.verb.endless:
+            return ExitStatus.DONE
+        self.err.write(
+            "interrupted; a record that was being sent may take effect\n"
+        )
+        return ExitStatus.OUTCOME_UNKNOWN
+
     def write(self, report: Report) -> None:
         """Prints a report at once."""
         text = output_formats.get(self.settings.output)(report)
--- a/packages/cli/src/vanillamast_cli/follow_verb.py
+++ b/packages/cli/src/vanillamast_cli/follow_verb.py
@@ -7,7 +7,9 @@
 from vanillamast_cli.context import Context
 from vanillamast_cli.errors import NodeUnreachableError
 from vanillamast_cli.node_answers import EventsAnswer
+from vanillamast_cli.rendering import cell_text
 from vanillamast_cli.report import Report
+from vanillamast_cli.times import time_text
 from vanillamast_cli.verb import Verb, verbs
 
 MAX_WAIT_S = 10.0
@@ -15,9 +17,15 @@
 
 
 def event_line(event: dict[str, Any]) -> str:
-    """Returns an event in one line, its kind first."""
-    rest = [f"{k}={v}" for k, v in event.items() if k != "kind"]
-    return " ".join([str(event.get("kind", "event")), *rest])
+    """Returns an event in one line: its time, its kind and the rest."""
+    hidden = {"kind", "time", "sequence"}
+    rest = [
+        f"{name}={cell_text(value)}"
+        for name, value in event.items()
+        if name not in hidden
+    ]
+    time = time_text(event["time"]) if "time" in event else "-"
+    return " ".join([time, str(event.get("kind", "event")), *rest])
 
 
 @verbs.register("follow")
@@ -30,6 +38,7 @@
     usage = "follow [for DURATION]"
     summary = "prints the node's recent events and those that follow"
     example = "vanillamast 'follow for 10m'"
+    endless = True
 
     async def run(self, context: Context) -> Report:
         """Follows one node until the time is over.
--- a/packages/cli/src/vanillamast_cli/prompt.py
+++ b/packages/cli/src/vanillamast_cli/prompt.py
@@ -48,5 +48,4 @@
     try:
         return asyncio.run(executor.execute(text, number))
     except KeyboardInterrupt:
-        executor.out.write("\n")
-        return ExitStatus.DONE
+        return executor.interrupted()
--- a/packages/cli/src/vanillamast_cli/publishing.py
+++ b/packages/cli/src/vanillamast_cli/publishing.py
@@ -19,7 +19,9 @@
 from vanillamast_cli.errors import InvalidFileError
 from vanillamast_cli.node_answers import ConfigurationAnswer, MovesAnswer
 from vanillamast_cli.record_sender import RecordSender
+from vanillamast_cli.rendering import cell_text
 from vanillamast_cli.report import Report
+from vanillamast_cli.times import time_text
 
 
 def new_id() -> str:
@@ -113,13 +115,20 @@
 
 
 def _fields(values: dict[str, Any]) -> str:
-    return ", ".join(f"{name}={value}" for name, value in values.items())
+    return ", ".join(
+        f"{name}={_value_text(name, value)}" for name, value in values.items()
+    )
 
 
 def _differences(before: Any, after: Any) -> str:
     old, new = msgspec.to_builtins(before), msgspec.to_builtins(after)
     return ", ".join(
-        f"{name} {old[name]} -> {new[name]}"
+        f"{name} {_value_text(name, old[name])} -> "
+        f"{_value_text(name, new[name])}"
         for name in new
         if old[name] != new[name]
     )
+
+
+def _value_text(name: str, value: Any) -> str:
+    return time_text(value) if name == "deadline" else cell_text(value)
--- a/packages/cli/src/vanillamast_cli/status_verbs.py
+++ b/packages/cli/src/vanillamast_cli/status_verbs.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-import yaml
+from vanillamast_core.configuration import dump_configuration
 
 from vanillamast_cli.context import Context
 from vanillamast_cli.errors import CliError
@@ -58,7 +58,7 @@
         context.session.seen_offset = answer.offset
         data = msgspec.to_builtins(answer)
         header = f"# version {answer.version} {answer.label}".rstrip()
-        text = yaml.safe_dump(data["configuration"], sort_keys=True)
+        text = dump_configuration(answer.configuration)
         return Report(data, [header, text.rstrip()])
 
 
--- a/packages/cli/src/vanillamast_cli/verb.py
+++ b/packages/cli/src/vanillamast_cli/verb.py
@@ -19,11 +19,13 @@
       usage: Form of the command.
       summary: What it does, one line.
       example: A command line.
+      endless: Whether an interrupt is the usual end.
     """
 
     usage: ClassVar[str]
     summary: ClassVar[str]
     example: ClassVar[str]
+    endless: ClassVar[bool] = False
 
     @abc.abstractmethod
     async def run(self, context: Context) -> Report:
--- a/tests/cli/test_actions.py
+++ b/tests/cli/test_actions.py
@@ -177,7 +177,9 @@
             assert node.journal.state.moves["x"].state == state
         status, printed = await operator.run("resume move x")
         assert status is ExitStatus.REFUSED
-        assert "wrong_state" in printed[-1]["detail"]
+        assert printed[-1]["detail"] == (
+            "refused at offset 6: wrong_state, move x is stopped at step -1"
+        )
         status, _ = await operator.run("hold move y")
         assert status is ExitStatus.REFUSED
 
--- a/tests/cli/test_operator_syntax.py
+++ b/tests/cli/test_operator_syntax.py
@@ -1,6 +1,8 @@
 """Tests of the operators' language."""
 
 import dataclasses
+import pathlib
+import re
 
 import pytest
 from hypothesis import given
@@ -10,6 +12,7 @@
 from vanillamast_cli.operator_syntax import operator_parser
 from vanillamast_cli.times import ByTime, InDuration
 
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "operations.md"
 KEYWORDS = sorted(
     terminal.name[1:].lower()
     for terminal in operator_parser().terminals
@@ -39,6 +42,14 @@
         line = kind.example.split("'")[1]
         assert type(parse_command(line)) is kind
 
+    def test_page_shows_every_command(self):
+        """Guards against a page that misses a command or shows none."""
+        page = PAGE.read_text().replace("\\|", "|")
+        for name in verbs:
+            assert f"| `{verbs.get(name).usage}` |" in page
+        for line in re.findall(r"vanillamast [^'\n`]*'([^'\n]+)'", page):
+            parse_command(line)
+
     @given(words, words, words, words)
     def test_names_may_look_like_keywords(
         self, service: str, old: str, new: str, name: str
--- a/tests/cli/test_queries.py
+++ b/tests/cli/test_queries.py
@@ -7,8 +7,14 @@
 
 import falcon.asgi
 import pytest
-from vanillamast_cli import CliSettings, Executor, ExitStatus, verbs
-from vanillamast_cli.prompt import run_prompt
+from vanillamast_cli import (
+    CliSettings,
+    Executor,
+    ExitStatus,
+    parse_command,
+    verbs,
+)
+from vanillamast_cli.prompt import run_line, run_prompt
 from vanillamast_core.configuration import Configuration, Route, Service
 from vanillamast_testing import serve
 from vanillamast_testing.connection_control import connection_of
@@ -158,9 +164,32 @@
         assert printed == [*node.events, {"events": 2}]
 
 
+class InterruptedExecutor(Executor):
+    """Is interrupted as soon as it runs a command."""
+
+    async def execute(self, text: str, line: int = 1) -> ExitStatus:
+        """Parses the line and raises."""
+        self.verb = parse_command(text, line)
+        raise KeyboardInterrupt
+
+
 class TestPrompt:
     """Lines from standard input."""
 
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [
+            ("follow", ExitStatus.DONE),
+            ("drain a-1", ExitStatus.OUTCOME_UNKNOWN),
+        ],
+    )
+    def test_interrupt(self, line: str, expected: ExitStatus):
+        """Guards against an interrupted action that passes for done."""
+        executor = InterruptedExecutor(
+            CliSettings(), io.StringIO(), io.StringIO()
+        )
+        assert run_line(executor, line, 1) is expected
+
     def test_script_stops_at_the_first_failure(self):
         """Guards against a script whose later lines act after a failure."""
         out, err = io.StringIO(), io.StringIO()
