--- a/packages/testing/src/vanillamast_testing/__init__.py
+++ b/packages/testing/src/vanillamast_testing/__init__.py
@@ -12,6 +12,7 @@
     badness_kinds,
     decode_badness,
 )
+from vanillamast_testing.layout import Layout, LayoutError, load_layout
 from vanillamast_testing.load_settings import LoadSettings
 from vanillamast_testing.load_summary import LoadSummary, summarize
 from vanillamast_testing.open_loop import LoadGenerator
@@ -61,6 +62,8 @@
     "BadnessError",
     "Group",
     "Harm",
+    "Layout",
+    "LayoutError",
     "LoadGenerator",
     "LoadReport",
     "LoadSettings",
@@ -86,6 +89,7 @@
     "answer_body",
     "badness_kinds",
     "decode_badness",
+    "load_layout",
     "merge_runs",
     "parse_scenario",
     "parse_step",
