Fill the hosted directories before the start

Cause: 592 control sides in one process that all announce themselves at once need more than one core for minutes, and the mesh did not settle in 180 s.

Change: hosted nodes start with each other's announcements.

--- a/packages/testing/src/vanillamast_testing/core_host.py
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -19,7 +19,12 @@
     ServerReported,
 )
 from vanillamast_core.moves import VersionSplit
-from vanillamast_core.peers import KeyAnswer, KeyState, Message
+from vanillamast_core.peers import (
+    KeyAnswer,
+    KeyState,
+    Message,
+    pack_announcement,
+)
 from vanillamast_core.requests import RequestRouter, RequestSettings
 from vanillamast_node.core_task import CoreTask
 from vanillamast_node.log_appender import LogAppender
@@ -79,6 +84,22 @@
             client, lambda record: core.outcome(record) is not None, rng
         )
 
+    def announce(self) -> bytes:
+        """Announces the backend server; returns the packed announcement."""
+        loop = asyncio.get_running_loop()
+        event = ServerReported(self.report())
+        self.task.core.handle(event, loop.time(), time.time())
+        return pack_announcement(self.task.core.mesh.own)
+
+    def learn(self, announcements: list[bytes]) -> None:
+        """Fills the directory.
+
+        Otherwise every node would learn of every other over the overlay at
+        once, which no real start does and one process cannot carry.
+        """
+        for packed in announcements:
+            self.task.core.mesh.directory.merge_packed(packed)
+
     async def run(self) -> None:
         """Listens for peers and runs until it is cancelled."""
         await self.transport.start(*split_address(self.spec.peers))
@@ -86,18 +107,21 @@
             self.task.run(),
             self.task.tick(),
             self.task.reader.run(),
-            self.report(),
+            self.renew(),
         )
 
-    async def report(self) -> None:
-        """Reports the backend server."""
-        report = ServerReport(
+    def report(self) -> ServerReport:
+        """Returns what the backend server reports."""
+        return ServerReport(
             address=self.spec.backend,
             service=self.spec.service,
             version=self.spec.version,
         )
+
+    async def renew(self) -> None:
+        """Renews the backend server's lease."""
         while True:
-            self.task.post(ServerReported(report))
+            self.task.post(ServerReported(self.report()))
             await asyncio.sleep(REPORT_S)
 
 
@@ -130,9 +154,11 @@
     specs = target_instances(FLAGS.network)[FLAGS.first : last]
     seeds = tuple(FLAGS.seed)
     async with asyncio.TaskGroup() as group:
-        for spec in specs:
-            node = HostedNode(spec, client, seeds, local)
-            local[spec.peers] = node.transport
+        nodes = [HostedNode(spec, client, seeds, local) for spec in specs]
+        local.update({node.spec.peers: node.transport for node in nodes})
+        announcements = [node.announce() for node in nodes]
+        for node in nodes:
+            node.learn(announcements)
             group.create_task(node.run())
             await asyncio.sleep(START_SPREAD_S)
         print(f"{len(specs)} control sides run", flush=True)
