--- a/packages/testing/src/vanillamast_testing/bench_capacity.py
+++ b/packages/testing/src/vanillamast_testing/bench_capacity.py
@@ -56,11 +56,13 @@
       processor_share: Share of a core.
       resident_bytes: Resident memory at the end.
       control_bytes_per_s: Control bytes, both ways, all headers included.
+      payload_bytes_per_s: Encoded messages, both ways, by kind.
     """
 
     processor_share: float
     resident_bytes: int
     control_bytes_per_s: float
+    payload_bytes_per_s: dict[str, float]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,6 +80,7 @@
       resident_worst: Largest resident memory in bytes.
       bytes_mean: Mean control bytes a second.
       bytes_worst: Largest control bytes a second.
+      payload: Mean bytes a second of encoded messages by kind.
     """
 
     phase: str
@@ -90,6 +93,7 @@
     resident_worst: float
     bytes_mean: float
     bytes_worst: float
+    payload: dict[str, float]
 
 
 class CapacityBench:
@@ -233,6 +237,7 @@
                 times.user + times.system,
                 process.memory_info().rss,
                 metrics["peer_bytes"] + metrics["platform_bytes"],
+                metrics["peer_payload_bytes"],
             )
         return result
 
@@ -246,12 +251,14 @@
       processor_s: Processor time in seconds.
       resident_bytes: Resident memory.
       control_bytes: Control bytes so far.
+      payload_bytes: Encoded messages so far by kind.
     """
 
     time: float
     processor_s: float
     resident_bytes: int
     control_bytes: float
+    payload_bytes: dict[str, float]
 
 
 def changed_configuration(number: int) -> Configuration:
@@ -273,6 +280,10 @@
         (after.processor_s - before.processor_s) / seconds,
         after.resident_bytes,
         (after.control_bytes - before.control_bytes) / seconds,
+        {
+            kind: (count - before.payload_bytes.get(kind, 0)) / seconds
+            for kind, count in after.payload_bytes.items()
+        },
     )
 
 
@@ -294,9 +305,24 @@
         max(resident),
         round(statistics.fmean(control), 1),
         round(max(control), 1),
+        mean_by_kind(costs),
     )
 
 
+def mean_by_kind(costs: list[NodeCost]) -> dict[str, float]:
+    """Returns the mean payload of all nodes by kind of message."""
+    kinds = {kind for c in costs for kind in c.payload_bytes_per_s}
+    return {
+        kind: round(
+            statistics.fmean(
+                c.payload_bytes_per_s.get(kind, 0.0) for c in costs
+            ),
+            1,
+        )
+        for kind in sorted(kinds)
+    }
+
+
 async def main() -> list[PhaseCost]:
     """Measures all sizes, one after the other."""
     costs: list[PhaseCost] = []
@@ -319,7 +345,8 @@
         f"  memory {c.resident_mean / MB:.1f} MB"
         f" (worst {c.resident_worst / MB:.1f})"
         f"  control {c.bytes_mean:.0f} B/s (worst {c.bytes_worst:.0f})"
-        f"  convergence {c.convergence_s:.2f} s"
+        f"  convergence {c.convergence_s:.2f} s\n"
+        f"      payload by kind in B/s: {c.payload}"
         for c in costs
     )
 
--- a/packages/testing/src/vanillamast_testing/core_host.py
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -40,7 +40,8 @@
 from vanillamast_testing.target_mesh import target_instances
 
 REPORT_S = 1.0
-START_SPREAD_S = 0.02
+# All must run before the first of them expects an answer of the others.
+START_SPREAD_S = 0.002
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer(
     "first", 0, "Index of the first instance.", 0, flag_values=FLAGS
