--- a/packages/core/src/vanillamast_core/configuration/routing_table.py
+++ b/packages/core/src/vanillamast_core/configuration/routing_table.py
@@ -1,6 +1,5 @@
 """The configuration that a node has applied."""
 
-import dataclasses
 from collections.abc import Callable, Mapping
 
 from vanillamast_core.configuration.caller_class import (
@@ -8,6 +7,7 @@
     CallerClass,
 )
 from vanillamast_core.configuration.configuration import Configuration
+from vanillamast_core.configuration.pending_version import PendingVersion
 from vanillamast_core.configuration.route import EDGE, Route
 from vanillamast_core.configuration.route_index import RouteIndex
 from vanillamast_core.configuration.route_match import RouteMatch
@@ -27,23 +27,6 @@
 HasUsable = Callable[[str], bool]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PendingVersion:
-    """A version whose resources are added and whose routes are not in use.
-
-    Attributes:
-      version: Number of the version.
-      routes: This node's routes of the version.
-      services: The services that these routes name.
-      classes: The caller classes of the version.
-    """
-
-    version: int
-    routes: dict[str, Route]
-    services: dict[str, Service]
-    classes: dict[str, CallerClass]
-
-
 class RoutingTable:
     """Applies versions on a node, make before break.
 
--- a/packages/core/src/vanillamast_core/journal/__init__.py
+++ b/packages/core/src/vanillamast_core/journal/__init__.py
@@ -8,8 +8,8 @@
     fold_platform,  # noqa: F401
     fold_publish,  # noqa: F401
 )
+from vanillamast_core.journal.gap_error import GapError
 from vanillamast_core.journal.journal import Journal
-from vanillamast_core.journal.journal_errors import GapError, RestoreError
 from vanillamast_core.journal.lease import Lease
 from vanillamast_core.journal.lease_keeper import LeaseKeeper
 from vanillamast_core.journal.lease_settings import LeaseSettings
@@ -32,6 +32,7 @@
     TakeBack,
 )
 from vanillamast_core.journal.restore import restore_from_log
+from vanillamast_core.journal.restore_error import RestoreError
 from vanillamast_core.journal.shard import SHARDS, driver_lease, shard_of
 from vanillamast_core.journal.snapshot import strip_chunk
 from vanillamast_core.journal.snapshot_settings import SnapshotSettings
--- a/packages/core/src/vanillamast_core/journal/journal.py
+++ b/packages/core/src/vanillamast_core/journal/journal.py
@@ -3,7 +3,7 @@
 import collections
 
 from vanillamast_core.errors import CodecError
-from vanillamast_core.journal.journal_errors import GapError
+from vanillamast_core.journal.gap_error import GapError
 from vanillamast_core.journal.log_entry import LogEntry
 from vanillamast_core.journal.mesh_state import MeshState
 from vanillamast_core.journal.outcome import Outcome, OutcomeReason
--- a/packages/core/src/vanillamast_core/journal/lease_keeper.py
+++ b/packages/core/src/vanillamast_core/journal/lease_keeper.py
@@ -1,27 +1,11 @@
 """The claimant's side of a lease."""
 
-import dataclasses
-
 from vanillamast_core.journal.lease import Lease
 from vanillamast_core.journal.lease_settings import LeaseSettings
+from vanillamast_core.journal.pending_claim import PendingClaim
 from vanillamast_core.journal.records import ClaimLease
 
 
-@dataclasses.dataclass(slots=True)
-class PendingClaim:
-    """A claim whose outcome is not known yet.
-
-    Attributes:
-      record: The claim.
-      first_sent_at: When it was sent first, None before.
-      last_sent_at: When it was sent or handed out last.
-    """
-
-    record: ClaimLease
-    first_sent_at: float | None
-    last_sent_at: float
-
-
 class LeaseKeeper:
     """Claims, renews and stops using one lease, on its own clock.
 
--- a/packages/core/src/vanillamast_core/journal/restore.py
+++ b/packages/core/src/vanillamast_core/journal/restore.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterable, Sequence
 
 from vanillamast_core.errors import CodecError
+from vanillamast_core.journal.gap_error import GapError
 from vanillamast_core.journal.journal import Journal
-from vanillamast_core.journal.journal_errors import GapError, RestoreError
 from vanillamast_core.journal.log_entry import LogEntry
 from vanillamast_core.journal.record import record_codec
 from vanillamast_core.journal.records import SnapshotChunk
+from vanillamast_core.journal.restore_error import RestoreError
 from vanillamast_core.journal.snapshot import snapshot_digest
 
 
--- a/packages/core/src/vanillamast_core/journal/journal_errors.py
+++ b/packages/core/src/vanillamast_core/journal/restore_error.py
@@ -1,22 +1,8 @@
-"""Errors of the journal."""
+"""The error for a log that does not suffice."""
 
 from vanillamast_core.errors import VanillamastError
 
 
-class GapError(VanillamastError):
-    """An entry was offered before the ones that precede it.
-
-    Attributes:
-      expected: Offset of the entry that comes next.
-      offered: Offset of the entry that was offered.
-    """
-
-    def __init__(self, expected: int, offered: int):
-        super().__init__(f"entry {offered} offered, {expected} comes next")
-        self.expected = expected
-        self.offered = offered
-
-
 class RestoreError(VanillamastError):
     """Entries of the log do not suffice to rebuild the state.
 
