Split the choice of dials and the watch of links from Mesh

Change: Connector owns targets, seeds, probes and dial failures, LinkWatch closes silent, unnamed and unneeded links; no change of behaviour.

--- /dev/null
+++ b/packages/core/src/vanillamast_core/peers/connector.py
@@ -0,0 +1,250 @@
+"""Choice of the addresses to dial."""
+
+import random
+from collections.abc import Collection
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.peers.dialer import Dialer
+from vanillamast_core.peers.directory import Directory
+from vanillamast_core.peers.link import Link
+from vanillamast_core.peers.link_messages import Busy
+from vanillamast_core.peers.link_table import LinkTable
+from vanillamast_core.peers.local_health import LocalHealth
+from vanillamast_core.peers.membership import Membership
+from vanillamast_core.peers.overlay import Overlay
+from vanillamast_core.peers.settings import PeerSettings
+
+SEEDS_AT_ONCE = 2  # Seeds dialed at a time by a node without links.
+MAX_SEEDS = 64
+BUSY_DIALS = 3  # Refusals for too many links after which a peer is avoided.
+LINK_BUSY_RETRY_S = 1.0
+REFERRALS = 4  # Addresses that a full node names to one that it refuses.
+
+
+class Connector:
+    """Keeps a node linked: dial targets, seeds, probes and their failures.
+
+    Attributes:
+      settings: Timeouts and limits.
+      own: This node's announcement at the start.
+      rng: Source of randomness.
+      directory: All known instances.
+      links: Links of this node.
+      membership: Takes accusations of instances that cannot be dialed.
+      health: This node's own health.
+      dialer: Dials with backoff.
+      overlay: Ranks the dial targets.
+      seeds: Addresses of any nodes, to find the mesh.
+      seed_instances: Instance last found at a seed's address.
+      referrals: Addresses that a full node named, tried before the seeds.
+      avoided: Until when an instance is not dialed.
+      on_demand: Instances that are needed for something else.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        own: Announcement,
+        rng: random.Random,
+        directory: Directory,
+        links: LinkTable,
+        membership: Membership,
+        health: LocalHealth,
+        on_demand: Collection[str],
+    ):
+        self.settings = settings
+        self.own = own
+        self.rng = rng
+        self.directory = directory
+        self.links = links
+        self.membership = membership
+        self.health = health
+        self.dialer = Dialer(settings, rng, links)
+        self.overlay = Overlay(own)
+        self.seeds: list[str] = []
+        self.seed_instances: dict[str, str] = {}
+        self.referrals: list[str] = []
+        self.avoided: dict[str, float] = {}
+        self.on_demand = on_demand
+        self._targets: list[str] | None = None
+        self._next_probe: float | None = None
+
+    def add_seeds(self, addresses: Collection[str]) -> None:
+        """Adds addresses from settings or beacons, up to a bound."""
+        for address in addresses:
+            own = address == self.own.peer_address
+            if own or address in self.seeds:
+                continue
+            if len(self.seeds) < MAX_SEEDS:
+                self.seeds.append(address)
+
+    def note_changes(self, instances: Collection[str]) -> None:
+        """Updates the targets after changes in the directory."""
+        for instance in instances:
+            self.overlay.update(instance, self.directory.records.get(instance))
+        if instances:
+            self._targets = None
+
+    def targets(self) -> list[str]:
+        """Returns the instances of the overlay that this node links to."""
+        if self._targets is None:
+            self._targets = self.overlay.targets(self.avoided)
+        return self._targets
+
+    def dial_wanted(self, now: float) -> None:
+        """Dials what is due: targets, instances on demand, seeds, probes."""
+        for instance in self.targets():
+            if instance not in self.links.by_instance:
+                self._dial_instance(instance, now)
+        for instance in self.on_demand:
+            if instance not in self.links.by_instance:
+                self._dial_instance(instance, now)
+        if not self.links.by_instance:
+            for address in (self.referrals + self.seeds)[:SEEDS_AT_ONCE]:
+                known = self.seed_instances.get(address, "")
+                self.dialer.want(address, known, now)
+        if self._next_probe is None:
+            self._next_probe = now + self.settings.rejoin_min_s
+        if now >= self._next_probe:
+            self._probe(now)
+
+    def dial_failed(self, address: str, refused: bool, now: float) -> None:
+        """Handles a failed dial; suspects or avoids who is expected there."""
+        attempt = self.dialer.failed(address, now)
+        self._rotate_seed(address)
+        instance = attempt.instance
+        since = now if attempt.failing_since is None else attempt.failing_since
+        gone = refused or now - since >= self.settings.silence_s
+        linked = instance in self.links.by_instance
+        if not instance or linked or not gone or self.health.impaired(now):
+            return
+        if self.membership.refuted_lately(instance, now):
+            self._avoid(instance, now)
+        else:
+            self.membership.accuse(instance, now)
+
+    def expire(self, now: float) -> None:
+        """Fails dials without an answer and ends avoidances."""
+        for address in self.dialer.overdue(now):
+            self.dial_failed(address, False, now)
+        for instance, until in list(self.avoided.items()):
+            if now >= until:
+                del self.avoided[instance]
+                self._targets = None
+
+    def reached(self, link: Link, instance: str, now: float) -> None:
+        """Handles the Hello of a peer."""
+        self.referrals.clear()
+        self.membership.accused.pop(instance, None)
+        if self.avoided.pop(instance, None) is not None:
+            self._targets = None
+        if link.dialed is None:
+            return
+        if link.dialed in self.seeds:
+            self.seed_instances[link.dialed] = instance
+        expected = self.dialer.reached(link.dialed)
+        if expected and expected != instance:
+            # The expected instance was replaced at its address.
+            self.membership.accuse(expected, now)
+
+    def found_self(self, link: Link) -> None:
+        """Closes a link to this node itself and forgets that seed."""
+        self.links.close(link)
+        self.seeds = [seed for seed in self.seeds if seed != link.dialed]
+
+    def refused_link(self, link: Link, message: Busy, now: float) -> None:
+        """Handles a peer that has too many links."""
+        self.links.close(link)
+        if link.dialed is None:
+            return
+        attempt = self.dialer.failed(link.dialed, now)
+        self._rotate_seed(link.dialed)
+        if not self.links.by_instance:
+            self.referrals = list(message.peers[:REFERRALS])
+        if attempt.instance and attempt.failures >= BUSY_DIALS:
+            self._avoid(attempt.instance, now)
+
+    def lost(self, link: Link, now: float) -> None:
+        """Handles a lost link: it is dialed again with jitter."""
+        if link.dialed is not None:
+            self.dialer.lost(link.dialed, link.instance, now)
+        self._probe_leaver(link.instance, now)
+
+    def refer(self, link: Link) -> None:
+        """Refuses a link and names linked peers, which have room more likely.
+
+        When a whole failure domain starts at once, all of its nodes dial the
+        same few seeds.
+        """
+        linked = sorted(self.links.by_instance)
+        names = self.rng.sample(linked, min(REFERRALS, len(linked)))
+        addresses = [self.directory.address_of(name) for name in names]
+        peers = tuple(address for address in addresses if address)
+        self.links.send(link, Busy(LINK_BUSY_RETRY_S, peers))
+        self.links.close(link)
+
+    def _probe_leaver(self, instance: str, now: float) -> None:
+        """Dials a leaving instance once whose link went down.
+
+        It is nobody's dial target, so otherwise no refused dial would tell
+        soon that it is gone.
+        """
+        linked = instance in self.links.by_instance
+        if instance not in self.directory.leaving or linked:
+            return
+        address = self.directory.address_of(instance)
+        if address:
+            self.dialer.probe(address, instance, now)
+
+    def _avoid(self, instance: str, now: float) -> None:
+        """Dials others for a while in place of an unreachable instance.
+
+        An instance that others reach refutes each suspicion; accusing it
+        again and again would load the whole mesh.
+        """
+        self.avoided[instance] = now + self.settings.avoid_s
+        self._targets = None
+
+    def _rotate_seed(self, address: str) -> None:
+        if address in self.referrals:
+            self.referrals.remove(address)
+        if address in self.seeds:
+            self.seeds.remove(address)
+            self.seeds.append(address)
+
+    def _dial_instance(self, instance: str, now: float) -> None:
+        address = self.directory.address_of(instance)
+        if address:
+            self.dialer.want(address, instance, now)
+
+    def _probe(self, now: float) -> None:
+        """Dials a dead or leaving instance or an unlinked seed.
+
+        This heals partitions, and finds out that an instance is gone which
+        nobody else dials.
+        """
+        count = self.directory.member_count(self.own.failure_domain)
+        interval = max(
+            self.settings.rejoin_min_s, count / self.settings.rejoin_rate
+        )
+        self._next_probe = now + interval * (0.5 + self.rng.random())
+        addresses = [a for a in self.seeds if not self._is_seed_known(a)]
+        absent = sorted(self.directory.dead | self.directory.leaving)
+        choice = self.rng.randrange(len(addresses) + len(absent) or 1)
+        if choice < len(addresses):
+            self.dialer.probe(addresses[choice], "", now)
+        elif absent:
+            instance = absent[choice - len(addresses)]
+            address = self.directory.address_of(instance)
+            if address and instance not in self.links.by_instance:
+                self.dialer.probe(address, instance, now)
+
+    def _is_seed_known(self, address: str) -> bool:
+        instance = self.seed_instances.get(address)
+        if instance is None or instance not in self.directory.records:
+            instance = self.directory.find_address(address)
+        if instance is None:
+            return False
+        self.seed_instances[address] = instance
+        # The dead are probed anyway.
+        return True
--- a/packages/core/src/vanillamast_core/peers/directory.py
+++ b/packages/core/src/vanillamast_core/peers/directory.py
@@ -157,6 +157,11 @@
         record = self.records.get(instance)
         return None if record is None else unpack_announcement(record.packed)
 
+    def address_of(self, instance: str) -> str | None:
+        """Returns the address of an instance's listener for peers."""
+        announcement = self.get(instance)
+        return None if announcement is None else announcement.peer_address
+
     def liveness(self, instance: str) -> LivenessState | None:
         """Returns an instance's liveness, None if it is unknown."""
         record = self.records.get(instance)
--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -12,7 +12,7 @@
 from vanillamast_core.moves.evidence import EvidenceCell
 from vanillamast_core.peers.alarm_set import AlarmSet
 from vanillamast_core.peers.catch_up import CatchUp
-from vanillamast_core.peers.dialer import Dialer
+from vanillamast_core.peers.connector import Connector
 from vanillamast_core.peers.directory import (
     Directory,
     pack_announcement,
@@ -48,21 +48,15 @@
     StateRequest,
 )
 from vanillamast_core.peers.link_table import LinkTable
+from vanillamast_core.peers.link_watch import MISSED_HEARTBEATS, LinkWatch
 from vanillamast_core.peers.local_health import LocalHealth
 from vanillamast_core.peers.membership import Membership
 from vanillamast_core.peers.message import Message
 from vanillamast_core.peers.move_messages import Alarms, Evidence
-from vanillamast_core.peers.overlay import Overlay
 from vanillamast_core.peers.reader_choice import ReaderChoice
 from vanillamast_core.peers.settings import PeerSettings
 
 CHECK_S = 1.0  # Interval of the check for silent and unneeded links.
-MISSED_HEARTBEATS = 1.5  # Silence in heartbeats that means one is missing.
-SEEDS_AT_ONCE = 2  # Seeds dialed at a time by a node without links.
-MAX_SEEDS = 64
-BUSY_DIALS = 3  # Refusals for too many links after which a peer is avoided.
-LINK_BUSY_RETRY_S = 1.0
-REFERRALS = 4  # Addresses that a full node names to one that it refuses.
 
 Handler: TypeAlias = Callable[["Mesh", Link, Any, float], None]
 handlers: dict[type[Message], Handler] = {}
@@ -93,9 +87,6 @@
       links: Links of this node.
       alarms: Moves that were taken back.
       reading_log: Whether this node should read the platform's log.
-      seeds: Addresses of any nodes, to find the mesh.
-      referrals: Addresses that a full node named, tried before the seeds.
-      avoided: Until when an instance is not dialed.
     """
 
     def __init__(
@@ -118,16 +109,7 @@
         self.membership = Membership(
             settings, own, self.directory, self.links, self.health
         )
-        self.overlay = Overlay(own)
         self.readers = ReaderChoice(own, settings.readers_per_domain)
-        self.dialer = Dialer(settings, rng, self.links)
-        self.spreader = EntrySpreader(settings, journal, self.links)
-        self.catch_up = CatchUp(
-            settings, rng, journal, self.links, self.spreader, self.dialer
-        )
-        self.repair = DirectoryRepair(
-            settings, self.directory, self.alarms, self.membership, self.links
-        )
         self.evidence = EvidenceTree(
             settings,
             own.instance,
@@ -135,18 +117,41 @@
             self.directory,
             self.links,
         )
+        self.connector = Connector(
+            settings,
+            own,
+            rng,
+            self.directory,
+            self.links,
+            self.membership,
+            self.health,
+            self.evidence.wanted,
+        )
+        self.link_watch = LinkWatch(
+            settings,
+            self.links,
+            self.connector,
+            self.membership,
+            self.health,
+        )
+        self.spreader = EntrySpreader(settings, journal, self.links)
+        self.catch_up = CatchUp(
+            settings,
+            rng,
+            journal,
+            self.links,
+            self.spreader,
+            self.connector.dialer,
+        )
+        self.repair = DirectoryRepair(
+            settings, self.directory, self.alarms, self.membership, self.links
+        )
         self.reading_log = False
-        self.seeds: list[str] = []
-        self.seed_instances: dict[str, str] = {}
-        self.referrals: list[str] = []
-        self.avoided: dict[str, float] = {}
-        self._targets: list[str] | None = None
         self._started_at: float | None = None
         self._next_heartbeat = 0.0
         self._next_check = 0.0
-        self._next_probe = 0.0
         self.add_seeds(seeds)
-        rng.shuffle(self.seeds)
+        rng.shuffle(self.connector.seeds)
 
     @property
     def own(self) -> Announcement:
@@ -155,12 +160,7 @@
 
     def add_seeds(self, addresses: Collection[str]) -> None:
         """Adds addresses from settings or beacons, up to a bound."""
-        for address in addresses:
-            own = address == self.own.peer_address
-            if own or address in self.seeds:
-                continue
-            if len(self.seeds) < MAX_SEEDS:
-                self.seeds.append(address)
+        self.connector.add_seeds(addresses)
 
     def link_count(self) -> int:
         """Returns the number of linked peers."""
@@ -168,8 +168,7 @@
 
     def peer_address(self, instance: str) -> str | None:
         """Returns the address of an instance's listener for peers."""
-        announcement = self.directory.get(instance)
-        return None if announcement is None else announcement.peer_address
+        return self.directory.address_of(instance)
 
     def home_candidates(self, service: str) -> list[str]:
         """Returns the instances among which a key's home is chosen."""
@@ -200,12 +199,13 @@
             self._send_heartbeats()
         if now >= self._next_check:
             self._next_check = now + CHECK_S
-            self._check_links(now)
-            self._expire_dials(now)
+            for link in self.link_watch.check(now):
+                self._lost(link, now)
+            self.connector.expire(now)
         self.membership.tick(now)
         self.catch_up.tick(now)
         self.evidence.tick(now)
-        self._dial_wanted(now)
+        self.connector.dial_wanted(now)
         return self._finish(now)
 
     def link_up(
@@ -221,9 +221,9 @@
         self._begin(now)
         state = Link(link, dialed, opened_at=now, heard_at=now)
         if dialed is not None:
-            self.dialer.connected(dialed)
+            self.connector.dialer.connected(dialed)
         elif len(self.links.by_id) >= self.settings.max_links:
-            self._refer(state)
+            self.connector.refer(state)
             return self._finish(now)
         self.links.add(state)
         hello = Hello(
@@ -239,8 +239,9 @@
         self._begin(now)
         state = self.links.by_id.get(link)
         if state is not None:
-            self._lose(state, now)
-            self._probe_leaver(state.instance, now)
+            self.links.forget(state)
+            self._lost(state, now)
+            self.connector.lost(state, now)
             if state.instance and self.health.link_lost(self.link_count(), now):
                 self._restart_timers(now)
         return self._finish(now)
@@ -256,7 +257,7 @@
           now: The time.
         """
         self._begin(now)
-        self._dial_failed(address, refused, now)
+        self.connector.dial_failed(address, refused, now)
         return self._finish(now)
 
     def receive(
@@ -339,7 +340,6 @@
         settings = self.settings
         self._next_heartbeat = now + self.rng.random() * settings.heartbeat_s
         self._next_check = now + self.rng.random() * CHECK_S
-        self._next_probe = now + settings.rejoin_min_s
 
     def _finish(self, now: float) -> list[PeerEffect]:
         if self.directory.changed or self.directory.changed_services:
@@ -354,10 +354,8 @@
         instances, services = self.directory.take_changes()
         for instance in instances:
             record = self.directory.records.get(instance)
-            self.overlay.update(instance, record)
             self.readers.update(instance, record)
-        if instances:
-            self._targets = None
+        self.connector.note_changes(instances)
         self.links.out.append(DirectoryChanged(frozenset(services)))
 
     def _choose_readers(self, now: float) -> None:
@@ -373,7 +371,7 @@
         for link in self.links.by_id.values():
             link.heard_at = now
         self.membership.restart_timers(now)
-        self.dialer.restart_timers(now)
+        self.connector.dialer.restart_timers(now)
 
     def _send_heartbeats(self) -> None:
         heartbeat = Heartbeat(
@@ -381,187 +379,9 @@
         )
         self.links.flood(heartbeat)
 
-    def _check_links(self, now: float) -> None:
-        silent = []
-        for link in list(self.links.by_id.values()):
-            quiet = now - link.heard_at
-            if not link.instance and quiet >= self.settings.hello_timeout_s:
-                self._drop_unnamed(link, now)
-            elif quiet >= self.settings.silence_s:
-                silent.append(link)
-            elif link.dialed is not None:
-                self._close_unwanted(link, now)
-        self._close_silent(silent, now)
-
-    def _drop_unnamed(self, link: Link, now: float) -> None:
-        self.links.close(link)
-        if link.dialed is not None:
-            self._dial_failed(link.dialed, False, now)
-
-    def _close_silent(self, silent: list[Link], now: float) -> None:
-        """Closes silent links and suspects their peers.
-
-        If most links missed a heartbeat, the fault is more likely here. They
-        reach the limit at different times, so the first one must count the
-        others.
-        """
-        if silent and self._are_most_quiet(now):
-            self.health.impair(now)
-        for link in silent:
-            self.links.close(link)
-            self._lose(link, now)
-            gone = link.instance not in self.links.by_instance
-            if gone and not self.health.impaired(now):
-                self.membership.accuse(link.instance, now)
-
-    def _are_most_quiet(self, now: float) -> bool:
-        links = self.links.by_instance.values()
-        limit = MISSED_HEARTBEATS * self.settings.heartbeat_s
-        quiet = sum(now - link.heard_at >= limit for link in links)
-        return 2 * quiet > len(links)
-
-    def _probe_leaver(self, instance: str, now: float) -> None:
-        """Dials a leaving instance once whose link went down.
-
-        It is nobody's dial target, so otherwise no refused dial would tell
-        soon that it is gone.
-        """
-        linked = instance in self.links.by_instance
-        if instance not in self.directory.leaving or linked:
-            return
-        address = self.peer_address(instance)
-        if address:
-            self.dialer.probe(address, instance, now)
-
-    def _close_unwanted(self, link: Link, now: float) -> None:
-        targets = self._current_targets()
-        wanted = (
-            link.instance in targets or link.instance in self.evidence.wanted
-        )
-        if wanted:
-            link.unwanted_since = None
-        elif link.unwanted_since is None:
-            link.unwanted_since = now
-        elif now - link.unwanted_since >= self.settings.unwanted_grace_s and (
-            all(name in self.links.by_instance for name in targets)
-        ):
-            self.links.close(link)
-            self.catch_up.lost(link, now)
-            self.spreader.lost(link)
-
-    def _lose(self, link: Link, now: float) -> None:
-        self.links.forget(link)
+    def _lost(self, link: Link, now: float) -> None:
         self.catch_up.lost(link, now)
         self.spreader.lost(link)
-        if link.dialed is not None:
-            self.dialer.lost(link.dialed, link.instance, now)
-
-    def _dial_failed(self, address: str, refused: bool, now: float) -> None:
-        attempt = self.dialer.failed(address, now)
-        self._rotate_seed(address)
-        instance = attempt.instance
-        since = now if attempt.failing_since is None else attempt.failing_since
-        gone = refused or now - since >= self.settings.silence_s
-        linked = instance in self.links.by_instance
-        if not instance or linked or not gone or self.health.impaired(now):
-            return
-        if self.membership.refuted_lately(instance, now):
-            self._avoid(instance, now)
-        else:
-            self.membership.accuse(instance, now)
-
-    def _avoid(self, instance: str, now: float) -> None:
-        """Dials others for a while in place of an unreachable instance.
-
-        An instance that others reach refutes each suspicion; accusing it
-        again and again would load the whole mesh.
-        """
-        self.avoided[instance] = now + self.settings.avoid_s
-        self._targets = None
-
-    def _refer(self, link: Link) -> None:
-        """Refuses a link and names linked peers, which have room more likely.
-
-        When a whole failure domain starts at once, all of its nodes dial the
-        same few seeds.
-        """
-        linked = sorted(self.links.by_instance)
-        names = self.rng.sample(linked, min(REFERRALS, len(linked)))
-        addresses = [self.peer_address(name) for name in names]
-        peers = tuple(address for address in addresses if address)
-        self.links.send(link, Busy(LINK_BUSY_RETRY_S, peers))
-        self.links.close(link)
-
-    def _rotate_seed(self, address: str) -> None:
-        if address in self.referrals:
-            self.referrals.remove(address)
-        if address in self.seeds:
-            self.seeds.remove(address)
-            self.seeds.append(address)
-
-    def _expire_dials(self, now: float) -> None:
-        for address in self.dialer.overdue(now):
-            self._dial_failed(address, False, now)
-        for instance, until in list(self.avoided.items()):
-            if now >= until:
-                del self.avoided[instance]
-                self._targets = None
-
-    def _current_targets(self) -> list[str]:
-        if self._targets is None:
-            self._targets = self.overlay.targets(self.avoided)
-        return self._targets
-
-    def _dial_wanted(self, now: float) -> None:
-        for instance in self._current_targets():
-            if instance not in self.links.by_instance:
-                self._dial_instance(instance, now)
-        for instance in self.evidence.wanted:
-            if instance not in self.links.by_instance:
-                self._dial_instance(instance, now)
-        if not self.links.by_instance:
-            for address in (self.referrals + self.seeds)[:SEEDS_AT_ONCE]:
-                known = self.seed_instances.get(address, "")
-                self.dialer.want(address, known, now)
-        if now >= self._next_probe:
-            self._probe(now)
-
-    def _dial_instance(self, instance: str, now: float) -> None:
-        address = self.peer_address(instance)
-        if address:
-            self.dialer.want(address, instance, now)
-
-    def _probe(self, now: float) -> None:
-        """Dials a dead or leaving instance or an unlinked seed.
-
-        This heals partitions, and finds out that an instance is gone which
-        nobody else dials.
-        """
-        count = self.directory.member_count(self.own.failure_domain)
-        interval = max(
-            self.settings.rejoin_min_s, count / self.settings.rejoin_rate
-        )
-        self._next_probe = now + interval * (0.5 + self.rng.random())
-        addresses = [a for a in self.seeds if not self._is_seed_known(a)]
-        absent = sorted(self.directory.dead | self.directory.leaving)
-        choice = self.rng.randrange(len(addresses) + len(absent) or 1)
-        if choice < len(addresses):
-            self.dialer.probe(addresses[choice], "", now)
-        elif absent:
-            instance = absent[choice - len(addresses)]
-            address = self.peer_address(instance)
-            if address and instance not in self.links.by_instance:
-                self.dialer.probe(address, instance, now)
-
-    def _is_seed_known(self, address: str) -> bool:
-        instance = self.seed_instances.get(address)
-        if instance is None or instance not in self.directory.records:
-            instance = self.directory.find_address(address)
-        if instance is None:
-            return False
-        self.seed_instances[address] = instance
-        # The dead are probed anyway.
-        return True
 
     def _merge_alarms(self, moves: dict[int, str], source: Link | None) -> None:
         news = self.alarms.merge(moves)
@@ -575,14 +395,13 @@
         try:
             announcement = unpack_announcement(message.announcement)
         except CodecError:
-            self._drop_unnamed(link, now)
+            self.link_watch.drop_unnamed(link, now)
             return
         instance = announcement.instance
         if instance == self.own.instance:
-            self.links.close(link)
-            self.seeds = [a for a in self.seeds if a != link.dialed]
+            self.connector.found_self(link)
             return
-        self._reached(link, instance, now)
+        self.connector.reached(link, instance, now)
         if not self.links.establish(link, instance, now):
             return
         self.membership.take_announcements((announcement,), link)
@@ -591,20 +410,6 @@
         self.repair.saw_hello(link, message.digest)
         self.catch_up.saw_hello(link, now)
 
-    def _reached(self, link: Link, instance: str, now: float) -> None:
-        self.referrals.clear()
-        self.membership.accused.pop(instance, None)
-        if self.avoided.pop(instance, None) is not None:
-            self._targets = None
-        if link.dialed is None:
-            return
-        if link.dialed in self.seeds:
-            self.seed_instances[link.dialed] = instance
-        expected = self.dialer.reached(link.dialed)
-        if expected and expected != instance:
-            # The expected instance was replaced at its address.
-            self.membership.accuse(expected, now)
-
     @handles(Heartbeat)
     def _on_heartbeat(self, link: Link, message: Heartbeat, now: float) -> None:
         self.catch_up.saw_offset(link, message.offset, now)
@@ -650,16 +455,8 @@
     def _on_busy(self, link: Link, message: Busy, now: float) -> None:
         if link.instance:
             self.catch_up.refused(link, now)
-            return
-        self.links.close(link)
-        if link.dialed is None:
-            return
-        attempt = self.dialer.failed(link.dialed, now)
-        self._rotate_seed(link.dialed)
-        if not self.links.by_instance:
-            self.referrals = list(message.peers[:REFERRALS])
-        if attempt.instance and attempt.failures >= BUSY_DIALS:
-            self._avoid(attempt.instance, now)
+        else:
+            self.connector.refused_link(link, message, now)
 
     @handles(Announcements)
     def _on_announcements(
