Return a fresh list of effects from each call of Mesh

Cause: a call without effects returned the list that the next call appends to, so a caller that kept it saw later effects as well. Seen when a deliberate fault in another module changed the number of effects that a test had kept.

Change: each call hands out its own list; a test holds one and checks it.

--- a/packages/core/src/vanillamast_core/peers/mesh.py
+++ b/packages/core/src/vanillamast_core/peers/mesh.py
@@ -345,9 +345,7 @@
         if self.directory.changed or self.directory.changed_services:
             self._note_changes()
         self._choose_readers(now)
-        effects = self.links.out
-        if effects:
-            self.links.out = []
+        effects, self.links.out = self.links.out, []
         return effects
 
     def _note_changes(self) -> None:
--- a/tests/core/peers/test_mesh_scenarios.py
+++ b/tests/core/peers/test_mesh_scenarios.py
@@ -297,6 +297,14 @@
 class TestEntries:
     """Relaying of entries."""
 
+    def test_returned_effects_do_not_change_later(self):
+        """Guards against a caller that sees effects of a later call."""
+        mesh, _ = make_mesh()
+        effects = mesh.receive(1, Heartbeat(0, mesh.repair.digest()), 0.1)
+        assert effects == []
+        assert mesh.leave(0.2)
+        assert effects == []
+
     def test_gap_shown_by_a_heartbeat_is_closed(self):
         """Guards against a node that nobody pushes to any more."""
         mesh, _ = make_mesh()
