Let instances refute before a healed partition is believed

Cause: after a cut the island's directory says that everybody else is dead. A node that took this over in a repair stopped using live instances of its own part, and hundreds of single refutations were flooded at once (218 KB sent per node at 300 nodes within 20 s).

Change: a claim of death on an instance that is believed alive only asks it to refute; refutations that were not waited for are spread in batches per tick to the links that do not have them; a refutation restarts the failing time of dials.

--- a/packages/core/src/vanillamast_core/peers/connector.py
+++ b/packages/core/src/vanillamast_core/peers/connector.py
@@ -84,6 +84,7 @@
             self.overlay.update(instance, self.directory.records.get(instance))
         if instances:
             self._targets = None
+            self.dialer.restart_for(instances)
 
     def targets(self) -> list[str]:
         """Returns the instances of the overlay that this node links to."""
--- a/packages/core/src/vanillamast_core/peers/dialer.py
+++ b/packages/core/src/vanillamast_core/peers/dialer.py
@@ -1,6 +1,7 @@
 """Dialing with full jitter."""
 
 import random
+from collections.abc import Collection
 
 from vanillamast_core.peers.dial_attempt import DialAttempt
 from vanillamast_core.peers.effects import Dial
@@ -96,6 +97,16 @@
             if attempt.dialing_since is not None:
                 attempt.dialing_since = now
 
+    def restart_for(self, instances: Collection[str]) -> None:
+        """Forgets how long dials of changed instances have been failing.
+
+        After a partition a refuted instance would otherwise be accused again
+        because of a dial from before the refutation.
+        """
+        for attempt in self.attempts.values():
+            if attempt.instance in instances:
+                attempt.failing_since = None
+
     def overdue(self, now: float) -> list[str]:
         """Returns addresses whose dial has no answer in time.
 
--- a/packages/core/src/vanillamast_core/peers/membership.py
+++ b/packages/core/src/vanillamast_core/peers/membership.py
@@ -16,6 +16,8 @@
 from vanillamast_core.peers.settings import PeerSettings
 from vanillamast_core.peers.suspicion import Suspicion
 
+ITEMS_PER_MESSAGE = 100  # About 13 KB of announcements.
+
 
 class Membership:
     """Announces this instance, and judges the liveness of others.
@@ -28,6 +30,8 @@
       health: This node's own health.
       suspicions: Open suspicions by instance.
       queued: Claims to spread at the next tick.
+      calm: Announcements to spread at the next tick, with the links that
+        have them.
       accused: Incarnation and time of this node's last accusation.
     """
 
@@ -46,6 +50,7 @@
         self.health = health
         self.suspicions: dict[str, Suspicion] = {}
         self.queued: dict[str, LivenessClaim] = {}
+        self.calm: dict[str, tuple[Announcement, set[int]]] = {}
         self.accused: dict[str, tuple[int, float]] = {}
         directory.merge(own)
 
@@ -65,14 +70,26 @@
     def take_announcements(
         self, items: tuple[Announcement, ...], source: Link | None
     ) -> None:
-        """Merges announcements and passes on those that are news."""
+        """Merges announcements and passes on those that are news.
+
+        A refutation of what this node did not believe can wait for the next
+        tick: after a partition hundreds of instances refute at once.
+        """
         news = []
         for announcement in items:
-            if announcement.instance == self.own.instance:
+            instance = announcement.instance
+            if instance == self.own.instance:
                 self._compare_own(announcement)
-            elif self.directory.merge(announcement):
-                self.suspicions.pop(announcement.instance, None)
-                news.append(pack_announcement(announcement))
+                continue
+            is_calm = self._is_calm(announcement)
+            if self.directory.merge(announcement):
+                self.suspicions.pop(instance, None)
+                self.calm.pop(instance, None)
+                if is_calm:
+                    self.calm[instance] = announcement, set()
+                else:
+                    news.append(pack_announcement(announcement))
+            self._note_holder(announcement, source)
         if news:
             self.links.flood(Announcements(tuple(news)), source)
 
@@ -95,7 +112,7 @@
             # further from this node.
             self.links.send(link, Liveness((claim,)))
         elif claim.state is LivenessState.DEAD:
-            self.declare_dead(claim.instance, claim.incarnation, now)
+            self._doubt(claim, now)
         elif claim.state is LivenessState.SUSPECT:
             self._suspect(claim, now)
 
@@ -155,6 +172,8 @@
         if self.queued:
             self.links.flood(Liveness(tuple(self.queued.values())))
             self.queued.clear()
+        if self.calm:
+            self._spread_calm()
         if self.accused:
             self._drop_accusations(now)
         self.directory.expire(now)
@@ -198,6 +217,56 @@
                 claim, accusers=accusers
             )
 
+    def _doubt(self, claim: LivenessClaim, now: float) -> None:
+        """Lets an instance refute that it is dead before believing it.
+
+        After a partition each part says that the other's instances are dead,
+        and a node must not stop using those of its own part for that.
+        """
+        record = self.directory.records.get(claim.instance)
+        if record is None or claim.incarnation < record.incarnation:
+            return
+        if record.liveness is LivenessState.DEAD:
+            self.declare_dead(claim.instance, claim.incarnation, now)
+            return
+        suspicion = self.suspicions.get(claim.instance)
+        if suspicion is None or suspicion.incarnation < claim.incarnation:
+            suspicion = Suspicion(claim.incarnation, now)
+            self.suspicions[claim.instance] = suspicion
+            self.queued[claim.instance] = claim
+
+    def _is_calm(self, announcement: Announcement) -> bool:
+        """Returns whether only the incarnation changed, and unexpectedly."""
+        old = self.directory.get(announcement.instance)
+        if old is None:
+            return False
+        liveness = self.directory.liveness(announcement.instance)
+        same = msgspec.structs.replace(old, incarnation=0) == (
+            msgspec.structs.replace(announcement, incarnation=0)
+        )
+        return same and liveness is not LivenessState.SUSPECT
+
+    def _note_holder(
+        self, announcement: Announcement, source: Link | None
+    ) -> None:
+        waiting = self.calm.get(announcement.instance)
+        if source is not None and waiting and waiting[0] == announcement:
+            waiting[1].add(source.id)
+
+    def _spread_calm(self) -> None:
+        waiting = [
+            (pack_announcement(announcement), holders)
+            for announcement, holders in self.calm.values()
+        ]
+        self.calm.clear()
+        for link in self.links.by_instance.values():
+            items = [
+                packed for packed, holders in waiting if link.id not in holders
+            ]
+            for start in range(0, len(items), ITEMS_PER_MESSAGE):
+                batch = items[start : start + ITEMS_PER_MESSAGE]
+                self.links.send(link, Announcements(tuple(batch)))
+
     def _compare_own(self, announcement: Announcement) -> None:
         """Outbids a newer announcement, left over from before a restart."""
         newer = announcement.incarnation > self.own.incarnation
--- a/tests/core/peers/test_mesh_scenarios.py
+++ b/tests/core/peers/test_mesh_scenarios.py
@@ -169,6 +169,24 @@
             usable = network.mesh(name).directory.usable("browse")
             assert "n01" not in {a.instance for a in usable}, name
 
+    def test_healing_does_not_discredit_the_own_part(self):
+        """Guards against belief in an island that calls all others dead."""
+        network = make_fleet(12)
+        island = {name: 1 for name in network.nodes if name[1] == "1"}
+        network.cut(island, reset=False)
+        network.run(30)
+        parts = set(island), set(network.nodes) - set(island)
+        network.heal()
+        for _ in range(80):
+            network.run(0.1)
+            for part in parts:
+                for name in part:
+                    directory = network.mesh(name).directory
+                    states = {directory.liveness(other) for other in part}
+                    assert states == {LivenessState.ALIVE}, name
+        network.run(20)
+        assert_membership(network)
+
     def test_partial_partition_does_not_flap(self):
         """Guards against endless suspicion between two live domains.
 
