Make a key's home settle after takeovers and holds

Change: a home is settled after the margin or the end of a hold, and grants older keys only after the retention has passed since then.

--- a/packages/core/src/vanillamast_core/requests/key_ledger.py
+++ b/packages/core/src/vanillamast_core/requests/key_ledger.py
@@ -42,14 +42,12 @@
     Attributes:
       members: Instances of the service's backend servers.
       since: Monotonic time, in seconds, when the epoch began.
-      since_wall: The same in wall time.
       hold_until: Monotonic time until which keys are refused that may have
         their home on the other side of a partition.
     """
 
     members: tuple[str, ...]
     since: float
-    since_wall: float
     hold_until: float
 
 
@@ -76,7 +74,7 @@
         )
 
     def set_members(
-        self, members: list[str], vanished: bool, now: float, wall: float
+        self, members: list[str], vanished: bool, now: float
     ) -> None:
         """Takes the instances of the service's backend servers.
 
@@ -87,7 +85,6 @@
             known to have done so within `key_hold_s` and `key_margin_s`: it
             may be alive on the other side of a partition.
           now: Monotonic time in seconds.
-          wall: Wall time in seconds since the epoch.
         """
         current = tuple(sorted(members))
         if self.epochs and current == self.epochs[-1].members:
@@ -99,7 +96,7 @@
             # After a partition ends, others may still use the previous view
             # for the margin.
             hold = now + settings.key_hold_s + settings.key_margin_s
-        self.epochs.append(MemberEpoch(current, now, wall, hold))
+        self.epochs.append(MemberEpoch(current, now, hold))
         horizon = now - settings.key_retention_s - settings.key_margin_s
         while len(self.epochs) > 1 and self.epochs[1].since <= horizon:
             self.epochs.popleft()
@@ -168,37 +165,38 @@
         """Returns whether no other node can have granted the key."""
         if claim.service != self.service:
             return False
-        home_since = self._home_since(claim.key, now)
-        if home_since is None:
+        settled_at = self._settled_at(claim.key)
+        if settled_at is None or settled_at > now:
             return False
-        margin = self.settings.key_margin_s
-        # The previous home may have granted keys until the margin ended.
-        retention = self.settings.key_retention_s + margin
-        if now - home_since.since >= retention:
+        # Another home may have granted keys until this one was settled.
+        if now - settled_at >= self.settings.key_retention_s:
             return True
         made = key_time(claim.key)
         if made is None:
             return False
-        return home_since.since_wall + margin < made <= wall + margin
+        settled_wall = wall - (now - settled_at)
+        return settled_wall < made <= wall + self.settings.key_margin_s
 
-    def _home_since(self, key: str, now: float) -> MemberEpoch | None:
-        """Returns the epoch in which this node became the key's home.
+    def _settled_at(self, key: str) -> float | None:
+        """Returns when this node became the only possible home of a key.
 
         Returns:
-          None if it is not the home, or holds the key back because its home
-          may be alive on the other side of a partition.
+          Monotonic time in seconds, None if it is not the key's home.
         """
-        held_since: float | None = None
-        found: MemberEpoch | None = None
+        margin = self.settings.key_margin_s
+        streak: list[MemberEpoch] = []
         for epoch in reversed(self.epochs):
             if key_home(self.service, key, epoch.members) != self.instance:
                 break
-            found = epoch
-            if epoch.hold_until > now:
-                held_since = epoch.since
-        if found is None or held_since is None:
-            return found
-        # A home that was not settled when an instance vanished may be unknown
-        # to the other side, where the key has another home.
-        settled = held_since - found.since >= self.settings.key_margin_s
-        return found if settled else None
+            streak.append(epoch)
+        if not streak:
+            return None
+        since = streak[-1].since
+        settled_at = since + margin
+        for epoch in streak:
+            # A home that was not settled when an instance vanished may be
+            # unknown to the other side of a partition, where the key has
+            # another home until the hold ends.
+            if epoch.since - since < margin:
+                settled_at = max(settled_at, epoch.hold_until)
+        return settled_at
