--- a/packages/node/src/vanillamast_node/__init__.py
+++ b/packages/node/src/vanillamast_node/__init__.py
@@ -11,6 +11,7 @@
     "CutOff": "caller_listener",
     "Forwarder": "forwarder",
     "ForwardingSettings": "forwarding_settings",
+    "tune_garbage_collection": "process_tuning",
     "UpstreamPool": "upstream_pool",
 }
 
--- a/packages/node/src/vanillamast_node/caller_app.py
+++ b/packages/node/src/vanillamast_node/caller_app.py
@@ -63,6 +63,7 @@
         finally:
             self.calls.discard(call)
             call.finish()
+            del scope[CALL_KEY]
 
 
 async def _no_body_yet() -> dict[str, Any]:
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -184,6 +184,12 @@
         if exchange is not None and not exchange.ended:
             self._tell(CallerGone())
         self._drop_response()
+        # Without reference cycles requests need no garbage collection, whose
+        # pauses are several milliseconds.
+        self.timer = None
+        self.task = None
+        if exchange is not None:
+            exchange.owner = None
 
     async def _next_effect(self) -> ExchangeEffect:
         while not self.inbox:
--- a/tests/node/proxy/test_streaming.py
+++ b/tests/node/proxy/test_streaming.py
@@ -1,11 +1,13 @@
 """Bodies that are larger than any buffer, keys, and the planned stop."""
 
 import asyncio
+import gc
 import json
 
 import pytest
 from vanillamast_core.peers import KeyAnswer, KeyState
 from vanillamast_node import ForwardingSettings
+from vanillamast_node.forwarded_call import ForwardedCall
 
 from tests.node.proxy.proxied_mesh import eventually, proxied
 from tests.node.proxy.scripted_backend import Exchange, ScriptedBackend
@@ -124,6 +126,28 @@
             assert backend.connections == 2
 
 
+class TestMemory:
+    """What a request leaves behind."""
+
+    async def test_requests_leave_no_cycles(self) -> None:
+        """Guards against garbage collections in the path of requests."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            gc.collect()
+            gc.disable()
+            try:
+                for _ in range(20):
+                    await caller.call("GET", "/")
+                    await caller.call("POST", "/", "Idempotency-Key: k\r\n")
+                await eventually(lambda: len(mesh.settled) == 20)
+                left = [
+                    o for o in gc.get_objects() if isinstance(o, ForwardedCall)
+                ]
+            finally:
+                gc.enable()
+            assert len(left) <= 1
+
+
 class TestKeys:
     """Idempotency keys at the entry node."""
 
