--- a/packages/node/src/vanillamast_node/upstream_pool.py
+++ b/packages/node/src/vanillamast_node/upstream_pool.py
@@ -1,6 +1,6 @@
 """Connections from this node to backend servers."""
 
-import contextvars
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import Any
@@ -19,25 +19,29 @@
 _AUTOMATIC_FIELDS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
-# Called in the task of a request once it has a connection.
-_on_connected: contextvars.ContextVar[Callable[[], None]] = (
-    contextvars.ContextVar("vanillamast_on_connected")
-)
-
-
 class _Connector(aiohttp.TCPConnector):
     """Reports when a request has a connection.
 
     Until then no byte of it has been sent, which decides whether a request
     may be sent again and what a refusal may state.
+
+    Attributes:
+      waiting: What to call once a task has a connection. A context variable
+        would be kept alive by every timer that a request starts.
     """
 
+    def __init__(self, **options: Any):
+        super().__init__(**options)
+        self.waiting: dict[asyncio.Task[Any], Callable[[], None]] = {}
+
     async def connect(
         self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout
     ) -> Any:
         """Returns a pooled or a new connection."""
         connection = await super().connect(req, traces, timeout)
-        _on_connected.get()()
+        task = asyncio.current_task()
+        assert task is not None
+        self.waiting.pop(task)()
         return connection
 
 
@@ -47,20 +51,22 @@
     Attributes:
       settings: Settings of the HTTP path.
       session: The client session, open within `async with`.
+      connector: Its connections.
     """
 
     def __init__(self, settings: ForwardingSettings):
         self.settings = settings
         self.session: aiohttp.ClientSession
+        self.connector: _Connector
 
     async def __aenter__(self) -> "UpstreamPool":
-        connector = _Connector(
+        self.connector = _Connector(
             limit=self.settings.upstream_connections,
             keepalive_timeout=self.settings.upstream_idle_s,
             use_dns_cache=False,
         )
         self.session = aiohttp.ClientSession(
-            connector=connector,
+            connector=self.connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_AUTOMATIC_FIELDS,
@@ -111,7 +117,9 @@
           UpstreamLostError: The request may have reached it.
         """
         url = yarl.URL(f"http://{address}{target}", encoded=True)
-        _on_connected.set(on_connected)
+        task = asyncio.current_task()
+        assert task is not None
+        self.connector.waiting[task] = on_connected
         try:
             return await self.session.request(
                 method, url, headers=fields, data=body, allow_redirects=False
@@ -123,3 +131,5 @@
             raise UpstreamConnectError(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise UpstreamLostError(str(error)) from error
+        finally:
+            self.connector.waiting.pop(task, None)
