Refuse what the node itself cannot answer; report added latency

Cause: a fault inside the node was answered by the web framework and looked like a backend server's answer; callers of a stopping node kept their connections until it closed them; nothing measured the node's own time. Change: faults are refused as internal_error, not_run false; every target goes to the sink; responses within the drain delay carry Connection: close; Forwarder.measure takes the time that a request spent in the node.

--- a/packages/core/src/vanillamast_core/requests/refusal.py
+++ b/packages/core/src/vanillamast_core/requests/refusal.py
@@ -91,6 +91,7 @@
     "whether the request ran cannot be told",
     not_run=False,
 )
+_define("internal_error", 500, "the node failed", not_run=False)
 # The three kinds below never state not_run: an earlier request with the same
 # key may have run.
 _define(
--- a/packages/node/src/vanillamast_node/caller_app.py
+++ b/packages/node/src/vanillamast_node/caller_app.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import falcon.asgi
-from vanillamast_core.requests import Refusal
+from vanillamast_core.requests import Refusal, refuse
 
 from vanillamast_node.forwarded_call import ForwardedCall
 from vanillamast_node.forwarder import Forwarder
@@ -17,6 +18,8 @@
 CALL_KEY = "vanillamast.call"
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 _LOGGER = logging.getLogger("vanillamast")
+_ANY_TARGET = re.compile("")  # Also matches the target "*".
+_CLOSE = (b"connection", b"close")
 _NO_BODY_YET = {"type": "http.request", "body": b"", "more_body": True}
 
 
@@ -27,14 +30,16 @@
       forwarder: What all requests share.
       falcon_app: The falcon application.
       calls: Requests that are being answered.
+      draining: Whether callers are asked to connect elsewhere.
     """
 
     def __init__(self, forwarder: Forwarder):
         self.forwarder = forwarder
         self.falcon_app: Any = falcon.asgi.App()
-        self.falcon_app.add_sink(_forward, prefix="/")
-        self.falcon_app.add_error_handler(ResponseAbortedError, _reraise)
+        self.falcon_app.add_sink(_forward, prefix=_ANY_TARGET)
+        self.falcon_app.add_error_handler(Exception, _reraise)
         self.calls: set[ForwardedCall] = set()
+        self.draining = False
 
     async def __call__(
         self, scope: dict[str, Any], receive: Receive, send: Send
@@ -44,8 +49,14 @@
         scope[CALL_KEY] = call
         self.calls.add(call)
 
+        started = False
+
         async def send_fields(message: dict[str, Any]) -> None:
+            nonlocal started
             if message["type"] == "http.response.start" and call.fields:
+                started = True
+                if self.draining:
+                    call.fields.append(_CLOSE)
                 message["headers"] = call.fields
             await send(message)
 
@@ -59,7 +70,10 @@
                 raise
         except Exception:
             _LOGGER.exception("request failed")
-            call.connection.abort()
+            if started:
+                call.connection.abort()
+            else:
+                await _send_failure(send)
         finally:
             self.calls.discard(call)
             call.finish()
@@ -72,12 +86,29 @@
     return _NO_BODY_YET
 
 
-async def _reraise(
-    req: Any, resp: Any, error: ResponseAbortedError, params: Any
-) -> None:
+async def _reraise(req: Any, resp: Any, error: Exception, params: Any) -> None:
     raise error
 
 
+async def _send_failure(send: Send) -> None:
+    refusal = refuse("internal_error")
+    body = refusal.body()
+    fields = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        (REFUSAL_FIELD, refusal.kind.encode()),
+        _CLOSE,
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": refusal.status,
+            "headers": fields,
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
 async def _forward(req: Any, resp: Any, **params: str) -> None:
     call: ForwardedCall = req.scope[CALL_KEY]
     refusal = await call.run()
@@ -112,5 +143,5 @@
     if unread or call.header.problem:
         # The rest of the body is not read or its length is in doubt, so the
         # connection cannot be used for another request.
-        fields.append((b"connection", b"close"))
+        fields.append(_CLOSE)
     return fields
--- a/packages/node/src/vanillamast_node/caller_listener.py
+++ b/packages/node/src/vanillamast_node/caller_listener.py
@@ -101,6 +101,9 @@
     ) -> list[CutOff]:
         """Stops accepting and waits for the requests in flight.
 
+        Responses within the delay ask callers to close their connections, so
+        that few requests meet a connection that the node closes.
+
         Args:
           delay_s: Seconds to go on accepting; None takes the settings'.
           limit_s: Seconds to wait after that; None takes the settings'.
@@ -111,6 +114,7 @@
         assert self.server is not None
         assert self.serving is not None
         settings = self.forwarder.settings
+        self.app.draining = True
         await asyncio.sleep(
             settings.drain_delay_s if delay_s is None else delay_s
         )
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -68,6 +68,7 @@
       forwarder: What all requests share.
       scope: ASGI scope.
       connection: The caller's connection.
+      arrived_at: Monotonic time, in seconds, when the request arrived.
       exchange: The request's state machine, None before it is routed.
       body: The request body.
       response: Response of the current attempt.
@@ -76,6 +77,7 @@
     """
 
     __slots__ = (
+        "arrived_at",
         "body",
         "claim_id",
         "connection",
@@ -104,6 +106,7 @@
         self.scope = scope
         self.connection: CallerProtocol = scope[CONNECTION_KEY]
         self.loop = asyncio.get_running_loop()
+        self.arrived_at = self.loop.time()
         self.exchange: Exchange | None = None
         self.header: RequestHeader
         settings = forwarder.settings
@@ -141,6 +144,7 @@
             if isinstance(effect, Attempt):
                 await self._attempt(effect)
             elif isinstance(effect, Answer):
+                self._measure(found)
                 return None
             elif isinstance(effect, Refuse):
                 self._log_refusal(effect.refusal)
@@ -152,6 +156,11 @@
             elif isinstance(effect, CloseConnection):
                 raise ResponseAbortedError("the request was given up")
 
+    def _measure(self, exchange: Exchange) -> None:
+        attempt_s = exchange.headers_at - exchange.started_at
+        total_s = self.loop.time() - self.arrived_at
+        self.forwarder.measure(max(0.0, total_s - attempt_s))
+
     def _route(self) -> Exchange | Refusal:
         scope = self.scope
         self.header = header = read_header(scope)
--- a/packages/node/src/vanillamast_node/forwarder.py
+++ b/packages/node/src/vanillamast_node/forwarder.py
@@ -11,6 +11,10 @@
 from vanillamast_node.upstream_pool import UpstreamPool
 
 
+def _ignore(seconds: float) -> None:
+    return None
+
+
 @dataclasses.dataclass(slots=True)
 class Forwarder:
     """Everything that a `ForwardedCall` uses.
@@ -24,6 +28,9 @@
       claim: Claims an idempotency key at its home node; raises
         `VanillamastError` or `OSError` if the home node cannot be asked.
       settle: Tells the home node the outcome of a claim.
+      measure: Takes, for each answered request, the seconds from its arrival
+        to the start of the answer, without its last attempt. Queueing and
+        earlier attempts count; the client library's own work does not.
       tasks: Settlements under way.
     """
 
@@ -34,4 +41,5 @@
     decided: Callable[[Decision], None]
     claim: Callable[[ClaimKey], Awaitable[KeyAnswer]]
     settle: Callable[[SettleKey], Awaitable[None]]
+    measure: Callable[[float], None] = _ignore
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
--- a/tests/node/proxy/test_caller_connections.py
+++ b/tests/node/proxy/test_caller_connections.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from vanillamast_core.requests import Decision
 from vanillamast_node import ForwardingSettings
 
 from tests.node.proxy.proxied_mesh import Caller, eventually, proxied
@@ -341,3 +342,27 @@
                 "no_configuration",
             ]
             assert backend.heads == []
+
+    async def test_failure_of_the_node(self) -> None:
+        """Guards against a node's fault that looks like a server's answer."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+
+            def fail(decision: Decision) -> None:
+                raise RuntimeError("the log writer failed")
+
+            mesh.listener.forwarder.decided = fail
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", body=b"x")
+            assert answer.status == 500
+            assert answer.field("vanillamast-refusal") == "internal_error"
+            assert json.loads(answer.body)["not_run"] is False
+            assert await caller.reader.read() == b""
+            assert mesh.router.in_flight() == 0
+
+    async def test_target_without_a_path(self) -> None:
+        """Guards against answers that come from the web framework."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("OPTIONS", "*")
+            assert answer.field("vanillamast-refusal") is not None
+            assert backend.heads == []
--- a/tests/node/proxy/test_streaming.py
+++ b/tests/node/proxy/test_streaming.py
@@ -232,6 +232,21 @@
                 assert answer.status == 200
             assert await drain == []
 
+    async def test_callers_are_asked_to_go_elsewhere(self) -> None:
+        """Guards against requests that meet a closing connection."""
+        async with ScriptedBackend() as backend, proxied(backend) as mesh:
+            caller = await mesh.caller()
+            answer = await caller.call("GET", "/")
+            assert answer.field("connection") is None
+            drain = asyncio.create_task(mesh.listener.drain(15.0, 0.0))
+            await asyncio.sleep(0)
+            answer = await caller.call("GET", "/")
+            assert answer.field("connection") == "close"
+            assert await caller.reader.read() == b""
+            late = await mesh.caller()
+            assert (await late.call("GET", "/")).status == 200
+            drain.cancel()
+
     async def test_cut_off_requests_are_reported(self) -> None:
         """Guards against a stop that hides what it interrupted."""
 
