Refuse at once without a server of the version; cut 101 responses

Cause: a request for a version without servers waited until its queue time ended, panic routing was not visible in decisions, and a 101 response from a backend server would have been passed on. Change: such requests are refused as no_server, decisions name panic, and 1xx responses in place of a final one count as a lost exchange.

--- a/packages/core/src/vanillamast_core/requests/decision.py
+++ b/packages/core/src/vanillamast_core/requests/decision.py
@@ -16,8 +16,8 @@
       candidates: Backend servers that the policy chose from.
       policy: Name of the balancing policy.
       attempt: Number of the attempt, from 1; 0 for a refusal.
-      reason: "local", "overflow", "no_local" or "retry", or the kind of the
-        refusal.
+      reason: "local", "overflow", "no_local", "panic" or "retry", or the kind
+        of the refusal.
     """
 
     route: str
--- a/packages/core/src/vanillamast_core/requests/server_choice.py
+++ b/packages/core/src/vanillamast_core/requests/server_choice.py
@@ -12,8 +12,8 @@
     Attributes:
       server: The chosen backend server.
       candidates: Backend servers that the policy chose from.
-      reason: Why these were the candidates: "local", "overflow" or
-        "no_local".
+      reason: Why these were the candidates: "local", "overflow",
+        "no_local" or "panic".
     """
 
     server: ServerView
--- a/packages/core/src/vanillamast_core/requests/service_pool.py
+++ b/packages/core/src/vanillamast_core/requests/service_pool.py
@@ -171,6 +171,8 @@
             candidates, reason = remote, "overflow"
         else:
             candidates, reason = local, "local"
+        if self.panic:
+            reason = "panic"
         server = self.policy.choose(candidates, self.rng, now)
         return ServerChoice(server, len(candidates), reason)
 
@@ -203,13 +205,21 @@
         Returns:
           "" if the request may start or wait.
         """
-        if not self.views:
+        if not self._has_server():
             return "no_server"
         ahead = self.queue.blocked_by(exchange.route.caller_class)
         if ahead and self._expected_wait(ahead) > self._patience(exchange, now):
             return "overloaded"
         return ""
 
+    def _has_server(self) -> bool:
+        """Returns whether any version that may be chosen has a server."""
+        if self.split is None:
+            return self.version in self.by_version
+        if self.old in self.by_version:
+            return True
+        return self.share > 0.0 and self.new in self.by_version
+
     def _patience(self, exchange: "Exchange", now: float) -> float:
         """Returns how long, in seconds, a request may wait for a slot."""
         settings = self.queue.caller_class(exchange.route.caller_class)
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -56,6 +56,7 @@
 _KEEP_ALL: frozenset[bytes] = frozenset()
 _BODILESS = frozenset({204, 304})
 _SHED_STATUS = 503
+_FIRST_FINAL_STATUS = 200
 
 
 class ForwardedCall:
@@ -381,6 +382,11 @@
             await self._finish_shed(response)
             self._tell(NotRun(number, status))
             return
+        if status < _FIRST_FINAL_STATUS:
+            # No upgrade was asked for, so the connection's state is unknown.
+            self._tell(Disconnected(number))
+            self._drop_response()
+            return
         self.fields = self._caller_fields(response)
         self._tell(HeadersReceived(number, status))
 
--- a/tests/node/proxy/test_upstream_failures.py
+++ b/tests/node/proxy/test_upstream_failures.py
@@ -343,6 +343,46 @@
             with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
                 await caller.call("GET", "/")
 
+    async def test_endless_answer_is_cut_at_the_deadline(self) -> None:
+        """Guards against slots held by answers that never end."""
+
+        async def endless(exchange: Exchange) -> None:
+            await exchange.send(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n"
+            )
+            await exchange.closed_by_peer()
+
+        async with (
+            ScriptedBackend(endless) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await caller.call("GET", "/brief")
+            await eventually(lambda: mesh.observations)
+            assert mesh.observations[0].outcome is AttemptOutcome.TIMED_OUT
+            assert mesh.router.in_flight() == 0
+
+    async def test_upgrade_nobody_asked_for(self) -> None:
+        """Guards against taking a changed protocol for a response."""
+
+        async def upgrade(exchange: Exchange) -> None:
+            await exchange.read_body()
+            await exchange.send(
+                b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+            )
+            await exchange.closed_by_peer()
+
+        async with (
+            ScriptedBackend(upgrade) as backend,
+            proxied(backend) as mesh,
+        ):
+            caller = await mesh.caller()
+            answer = await caller.call("POST", "/", body=b"x")
+            assert answer.status == 502
+            assert answer.field("vanillamast-refusal") == "outcome_unclear"
+
 
 class TestCancellation:
     """Callers that go away."""
