--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -56,6 +56,7 @@
 _KEEP_ALL: frozenset[bytes] = frozenset()
 _BODILESS = frozenset({204, 304})
 _SHED_STATUS = 503
+_FIRST_FINAL_STATUS = 200
 
 
 class ForwardedCall:
@@ -68,6 +69,7 @@
       forwarder: What all requests share.
       scope: ASGI scope.
       connection: The caller's connection.
+      arrived_at: Monotonic time, in seconds, when the request arrived.
       exchange: The request's state machine, None before it is routed.
       body: The request body.
       response: Response of the current attempt.
@@ -76,6 +78,7 @@
     """
 
     __slots__ = (
+        "arrived_at",
         "body",
         "claim_id",
         "connection",
@@ -104,6 +107,7 @@
         self.scope = scope
         self.connection: CallerProtocol = scope[CONNECTION_KEY]
         self.loop = asyncio.get_running_loop()
+        self.arrived_at = self.loop.time()
         self.exchange: Exchange | None = None
         self.header: RequestHeader
         settings = forwarder.settings
@@ -141,6 +145,7 @@
             if isinstance(effect, Attempt):
                 await self._attempt(effect)
             elif isinstance(effect, Answer):
+                self._measure(found)
                 return None
             elif isinstance(effect, Refuse):
                 self._log_refusal(effect.refusal)
@@ -152,6 +157,11 @@
             elif isinstance(effect, CloseConnection):
                 raise ResponseAbortedError("the request was given up")
 
+    def _measure(self, exchange: Exchange) -> None:
+        attempt_s = exchange.headers_at - exchange.started_at
+        total_s = self.loop.time() - self.arrived_at
+        self.forwarder.measure(max(0.0, total_s - attempt_s))
+
     def _route(self) -> Exchange | Refusal:
         scope = self.scope
         self.header = header = read_header(scope)
@@ -184,6 +194,12 @@
         if exchange is not None and not exchange.ended:
             self._tell(CallerGone())
         self._drop_response()
+        # Without reference cycles requests need no garbage collection, whose
+        # pauses are several milliseconds.
+        self.timer = None
+        self.task = None
+        if exchange is not None:
+            exchange.owner = None
 
     async def _next_effect(self) -> ExchangeEffect:
         while not self.inbox:
@@ -366,6 +382,11 @@
             await self._finish_shed(response)
             self._tell(NotRun(number, status))
             return
+        if status < _FIRST_FINAL_STATUS:
+            # No upgrade was asked for, so the connection's state is unknown.
+            self._tell(Disconnected(number))
+            self._drop_response()
+            return
         self.fields = self._caller_fields(response)
         self._tell(HeadersReceived(number, status))
 
