Keep evidence in use when the judge is full

Cause: with more moves than max_moves each verdict would evict another move's evidence, so no move was ever judged. Change: only a move without evidence for history_s gives its place; evidence of moves that are over is dropped by the driver and by local_alarms.

--- a/packages/core/src/vanillamast_core/moves/driver.py
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -72,7 +72,12 @@
         if token != self.token:
             self.token = token
             self.progress.clear()
-        active = [move for move in moves if not move.state.final]
+        active = []
+        for move in moves:
+            if move.state.final:
+                judge.forget(move.started_at)
+            else:
+                active.append(move)
         self.forget_others({move.started_at for move in active})
         records = []
         for move in active:
--- a/packages/core/src/vanillamast_core/moves/judge.py
+++ b/packages/core/src/vanillamast_core/moves/judge.py
@@ -25,7 +25,9 @@
     def add(self, cells: Iterable[EvidenceCell]) -> None:
         """Adds evidence; each outcome must be added once."""
         for cell in cells:
-            self.evidence(cell.move).add(cell)
+            evidence = self.evidence(cell.move, cell.bucket)
+            if evidence is not None:
+                evidence.add(cell)
 
     def forget(self, started_at: int) -> None:
         """Drops the evidence about a move."""
@@ -50,7 +52,10 @@
           dead: Instances that membership considers dead.
           instances: Instances of the new version, None if not known.
         """
-        evidence = self.evidence(move.started_at)
+        bucket = int(wall // self.settings.bucket_s)
+        evidence = self.evidence(move.started_at, bucket)
+        if evidence is None:
+            return Undecided()
         evidence.advance(move, wall, dead)
         found = evidence.suspicion(move, instances)
         if found.e_value >= self.settings.limit:
@@ -64,11 +69,23 @@
         evidence = self.moves.get(started_at)
         return evidence.history.baseline() if evidence else Baseline()
 
-    def evidence(self, started_at: int) -> MoveEvidence:
-        """Returns a move's evidence, the oldest move's place if need be."""
+    def evidence(self, started_at: int, bucket: int) -> MoveEvidence | None:
+        """Returns a move's evidence, None if there is no room for more.
+
+        A move without evidence for long gives its place to another one. One
+        that is still in use keeps it, because evidence that is lost and
+        gathered again doubles the error rate.
+        """
         evidence = self.moves.get(started_at)
-        if evidence is None:
-            if len(self.moves) >= self.settings.max_moves:
-                del self.moves[next(iter(self.moves))]
-            evidence = self.moves[started_at] = MoveEvidence(self.settings)
+        if evidence is not None:
+            evidence.last_bucket = max(evidence.last_bucket, bucket)
+            return evidence
+        if len(self.moves) >= self.settings.max_moves:
+            idle = min(self.moves, key=lambda key: self.moves[key].last_bucket)
+            unused = bucket - self.moves[idle].last_bucket
+            if unused * self.settings.bucket_s < self.settings.history_s:
+                return None
+            del self.moves[idle]
+        evidence = self.moves[started_at] = MoveEvidence(self.settings)
+        evidence.last_bucket = bucket
         return evidence
--- a/packages/core/src/vanillamast_core/moves/local_alarms.py
+++ b/packages/core/src/vanillamast_core/moves/local_alarms.py
@@ -18,6 +18,8 @@
 ) -> list[tuple[int, str]]:
     """Returns the moves whose new version must get no traffic.
 
+    Evidence about moves that are over is dropped.
+
     Args:
       judge: The node's evidence.
       moves: Moves that the node knows.
@@ -31,7 +33,9 @@
     """
     alarms = []
     for move in moves:
-        if move.state.final or move.started_at not in judge.moves:
+        if move.state.final:
+            judge.forget(move.started_at)
+        if move.started_at not in judge.moves:
             continue
         verdict = judge.verdict(
             move, wall, dead, instances.get(move.started_at)
--- a/packages/core/src/vanillamast_core/moves/move_evidence.py
+++ b/packages/core/src/vanillamast_core/moves/move_evidence.py
@@ -49,6 +49,7 @@
       server_domains: Failure domains of servers that are told apart.
       dead_seen: Wall time at which an instance was last considered dead.
       new_requests: Requests of the new version in closed strata.
+      last_bucket: Latest bucket in which the evidence was used.
     """
 
     def __init__(self, settings: JudgeSettings):
@@ -68,6 +69,7 @@
         self.server_domains: set[str] = set()
         self.dead_seen: dict[str, float] = {}
         self.new_requests = 0
+        self.last_bucket = 0
 
     def add(self, cell: EvidenceCell) -> None:
         """Adds a cell to its stratum."""
--- a/tests/core/moves/test_driver.py
+++ b/tests/core/moves/test_driver.py
@@ -31,6 +31,9 @@
         """Returns the answer."""
         return self.answer
 
+    def forget(self, started_at):
+        """Has nothing to drop."""
+
     def baseline(self, started_at):
         """Returns a fixed baseline."""
         return Baseline(0.01, 40.0)
--- a/tests/core/moves/test_judge.py
+++ b/tests/core/moves/test_judge.py
@@ -159,7 +159,7 @@
         assert [started_at for started_at, _ in alarms] == [1]
         ended = msgspec.structs.replace(MOVE, state=MoveState.STOPPED)
         assert local_alarms(judge, [ended], 60.0, NOBODY, {1: 4}) == []
-        judge.forget(1)
+        assert judge.moves == {}
         assert local_alarms(judge, [MOVE], 60.0, NOBODY, {1: 4}) == []
 
 
@@ -408,7 +408,11 @@
             judge.add(items)
         for _ in range(3):
             judge.add(new_cells(5, {}))
-        assert len(judge.moves) <= SETTINGS.max_moves
+        assert len(judge.moves) == SETTINGS.max_moves
+        assert 1 in judge.moves
+        judge.add([msgspec.structs.replace(cell(900, Side.OLD, 1), move=500)])
+        assert len(judge.moves) == SETTINGS.max_moves
+        assert 500 in judge.moves
         judge = Judge(SETTINGS)
         for index in range(3000):
             item = cell(index, Side.NEW, 5, f"n{index}", f"d{index}")
