--- a/packages/core/src/vanillamast_core/moves/judge_settings.py
+++ b/packages/core/src/vanillamast_core/moves/judge_settings.py
@@ -45,7 +45,7 @@
     alpha: float = 0.001
     judges: int = 9
     bucket_s: float = 2.0
-    settle_s: float = 4.0
+    settle_s: float = 2.0
     late_s: float = 20.0
     dead_window_s: float = 14.0
     slow_quantile: float = 0.9
