Keep the recorded baseline when a new driver has no evidence

Cause: a driver that took over before the last step recorded an empty baseline, which switched off the slow test after share 1.

--- a/packages/core/src/vanillamast_core/moves/driver.py
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -10,15 +10,14 @@
     SettleMove,
     TakeBack,
 )
+from vanillamast_core.moves.baseline import Baseline
 from vanillamast_core.moves.deadline_unreachable import DeadlineUnreachable
 from vanillamast_core.moves.driver_settings import DriverSettings
-from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.judge import NO_COUNTS, Judge
 from vanillamast_core.moves.move import Move, MoveState
 from vanillamast_core.moves.move_progress import MoveProgress, planned_slot
 from vanillamast_core.moves.verdict import Bad, Good, Verdict
 
-NO_COUNTS: Mapping[int, int] = {}
-
 
 class Driver:
     """Proposes the records that a holder of a driver lease appends.
@@ -217,6 +216,10 @@
                 id=record_id, based_on=offset, move=move.name, token=self.token
             )
         baseline = judge.baseline(move.started_at)
+        if baseline.slow_ms <= 0.0:  # A new driver has too little evidence.
+            baseline = Baseline(
+                move.baseline_failure_ratio, move.baseline_slow_ms
+            )
         return AdvanceMove(
             id=record_id,
             based_on=offset,
--- a/packages/core/src/vanillamast_core/moves/judge.py
+++ b/packages/core/src/vanillamast_core/moves/judge.py
@@ -1,6 +1,6 @@
 """Judges new versions by the outcome of real requests."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from vanillamast_core.moves.baseline import Baseline
 from vanillamast_core.moves.evidence import EvidenceCell
@@ -9,6 +9,8 @@
 from vanillamast_core.moves.move_evidence import MoveEvidence
 from vanillamast_core.moves.verdict import Bad, Good, Undecided, Verdict
 
+NO_COUNTS: Mapping[int, int] = {}  # No move's number of instances is known.
+
 
 class Judge:
     """Compares the versions of moves while evidence comes in.
--- a/packages/core/src/vanillamast_core/moves/local_alarms.py
+++ b/packages/core/src/vanillamast_core/moves/local_alarms.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.judge import NO_COUNTS, Judge
 from vanillamast_core.moves.move import Move
 from vanillamast_core.moves.verdict import Bad
 
-NO_COUNTS: Mapping[int, int] = {}
-
 
 def local_alarms(
     judge: Judge,
--- a/tests/core/moves/test_driver.py
+++ b/tests/core/moves/test_driver.py
@@ -26,6 +26,7 @@
 
     def __init__(self):
         self.answer = Undecided(1.0)
+        self.old = Baseline(0.01, 40.0)
 
     def verdict(self, move, wall, dead, instances=None):
         """Returns the answer."""
@@ -35,8 +36,8 @@
         """Has nothing to drop."""
 
     def baseline(self, started_at):
-        """Returns a fixed baseline."""
-        return Baseline(0.01, 40.0)
+        """Returns what the test set."""
+        return self.old
 
 
 class Run:
@@ -199,6 +200,19 @@
         assert record.baseline_failure_ratio == 0.01
         assert record.baseline_slow_ms == 40.0
 
+    def test_baseline_unknown(self):
+        """Guards against a new driver that erases the recorded baseline."""
+        run = Run()
+        run.until(10.0)
+        run.change(baseline_failure_ratio=0.03, baseline_slow_ms=70.0)
+        run.judge.old = Baseline(0.0, 0.0)
+        run.judge.answer = Good(1.0)
+        run.decide()
+        run.now += 10.0
+        (record,) = run.decide()
+        assert record.baseline_failure_ratio == 0.03
+        assert record.baseline_slow_ms == 70.0
+
     def test_repeat(self):
         """Guards against a flood of appends while the platform is slow."""
         run = Run()
