--- a/packages/core/src/vanillamast_core/moves/move_evidence.py
+++ b/packages/core/src/vanillamast_core/moves/move_evidence.py
@@ -102,6 +102,8 @@
         for key in sorted(self.open):
             if self.closes(self.open[key], wall):
                 self.close(self.open.pop(key), move)
+            elif wall - self.end_of(self.open[key]) < -self.settings.late_s:
+                del self.open[key]  # The sender's clock is wrong.
         horizon = wall - self.settings.dead_window_s
         while self.recent and (
             self.end_of(self.recent[0]) <= horizon
