--- a/packages/core/src/vanillamast_core/moves/driver.py
+++ b/packages/core/src/vanillamast_core/moves/driver.py
@@ -10,15 +10,14 @@
     SettleMove,
     TakeBack,
 )
+from vanillamast_core.moves.baseline import Baseline
 from vanillamast_core.moves.deadline_unreachable import DeadlineUnreachable
 from vanillamast_core.moves.driver_settings import DriverSettings
-from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.judge import NO_COUNTS, Judge
 from vanillamast_core.moves.move import Move, MoveState
 from vanillamast_core.moves.move_progress import MoveProgress, planned_slot
 from vanillamast_core.moves.verdict import Bad, Good, Verdict
 
-NO_COUNTS: Mapping[int, int] = {}
-
 
 class Driver:
     """Proposes the records that a holder of a driver lease appends.
@@ -72,7 +71,12 @@
         if token != self.token:
             self.token = token
             self.progress.clear()
-        active = [move for move in moves if not move.state.final]
+        active = []
+        for move in moves:
+            if move.state.final:
+                judge.forget(move.started_at)
+            else:
+                active.append(move)
         self.forget_others({move.started_at for move in active})
         records = []
         for move in active:
@@ -212,6 +216,10 @@
                 id=record_id, based_on=offset, move=move.name, token=self.token
             )
         baseline = judge.baseline(move.started_at)
+        if baseline.slow_ms <= 0.0:  # A new driver has too little evidence.
+            baseline = Baseline(
+                move.baseline_failure_ratio, move.baseline_slow_ms
+            )
         return AdvanceMove(
             id=record_id,
             based_on=offset,
--- a/packages/core/src/vanillamast_core/moves/local_alarms.py
+++ b/packages/core/src/vanillamast_core/moves/local_alarms.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from vanillamast_core.moves.judge import Judge
+from vanillamast_core.moves.judge import NO_COUNTS, Judge
 from vanillamast_core.moves.move import Move
 from vanillamast_core.moves.verdict import Bad
 
-NO_COUNTS: Mapping[int, int] = {}
-
 
 def local_alarms(
     judge: Judge,
@@ -18,6 +16,8 @@
 ) -> list[tuple[int, str]]:
     """Returns the moves whose new version must get no traffic.
 
+    Evidence about moves that are over is dropped.
+
     Args:
       judge: The node's evidence.
       moves: Moves that the node knows.
@@ -31,7 +31,9 @@
     """
     alarms = []
     for move in moves:
-        if move.state.final or move.started_at not in judge.moves:
+        if move.state.final:
+            judge.forget(move.started_at)
+        if move.started_at not in judge.moves:
             continue
         verdict = judge.verdict(
             move, wall, dead, instances.get(move.started_at)
--- a/packages/core/src/vanillamast_core/moves/move_evidence.py
+++ b/packages/core/src/vanillamast_core/moves/move_evidence.py
@@ -7,6 +7,7 @@
     Accusation,
     Suspicion,
     count_stratum,
+    waits_for_deaths,
 )
 from vanillamast_core.moves.cell_merge import OTHERS
 from vanillamast_core.moves.clearance import Clearance
@@ -49,6 +50,7 @@
       server_domains: Failure domains of servers that are told apart.
       dead_seen: Wall time at which an instance was last considered dead.
       new_requests: Requests of the new version in closed strata.
+      last_bucket: Latest bucket in which the evidence was used.
     """
 
     def __init__(self, settings: JudgeSettings):
@@ -68,6 +70,7 @@
         self.server_domains: set[str] = set()
         self.dead_seen: dict[str, float] = {}
         self.new_requests = 0
+        self.last_bucket = 0
 
     def add(self, cell: EvidenceCell) -> None:
         """Adds a cell to its stratum."""
@@ -99,6 +102,8 @@
         for key in sorted(self.open):
             if self.closes(self.open[key], wall):
                 self.close(self.open.pop(key), move)
+            elif wall - self.end_of(self.open[key]) < -self.settings.late_s:
+                del self.open[key]  # The sender's clock is wrong.
         horizon = wall - self.settings.dead_window_s
         while self.recent and (
             self.end_of(self.recent[0]) <= horizon
@@ -160,7 +165,8 @@
         if stratum.bucket >= self.step_bucket:
             self.clear(stratum)
         self.accusation.apply(stratum, move, (), heeding=False)
-        self.recent.append(stratum)
+        if waits_for_deaths(stratum):
+            self.recent.append(stratum)
 
     def done_slow_bin(self, move: Move) -> int | None:
         """Returns the first slow bin after share 1."""
