Let the key ledger know who vanished before the node's start

Cause: the ledger's interface changed; its first members must say whether an instance vanished lately.

Change: KeyDesk compares its first members with the directory. Hosted control sides learn the directory before any of them listens.

--- a/packages/node/src/vanillamast_node/key_desk.py
+++ b/packages/node/src/vanillamast_node/key_desk.py
@@ -41,13 +41,13 @@
         members = self.core.mesh.home_candidates(service)
         if members == self._members:
             return
-        vanished = any(
-            self._vanished(instance)
-            for instance in set(self._members) - set(members)
-        )
+        # Before the first call, all instances that the directory knows count.
+        known = {a.instance for a in self.core.mesh.directory.known(service)}
+        gone = (set(self._members) or known) - set(members)
+        vanished = any(self._vanished(instance) for instance in gone)
         self._members = members
         now = asyncio.get_running_loop().time()
-        self.ledger.set_members(members, vanished, now, time.time())
+        self.ledger.set_members(members, vanished, now)
 
     async def claim(self, claim: ClaimKey) -> KeyAnswer:
         """Claims a key at its home node.
--- a/packages/testing/src/vanillamast_testing/core_host.py
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -160,6 +160,7 @@
         announcements = [node.announce() for node in nodes]
         for node in nodes:
             node.learn(announcements)
+        for node in nodes:
             group.create_task(node.run())
             await asyncio.sleep(START_SPREAD_S)
         print(f"{len(specs)} control sides run", flush=True)
