Let hosted control sides listen before any of them dials

Cause: in a mesh of 300, 11 to 93 instances were declared dead for a minute. Real nodes and hosted ones knew instances of the host that did not listen yet and were refused, or got no Hello while one process started 296 of them.

Change: the host opens all listeners first.

--- a/packages/testing/src/vanillamast_testing/core_host.py
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -40,8 +40,7 @@
 from vanillamast_testing.target_mesh import target_instances
 
 REPORT_S = 1.0
-# All must run before the first of them expects an answer of the others.
-START_SPREAD_S = 0.002
+TICK_S = 0.25
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer(
     "first", 0, "Index of the first instance.", 0, flag_values=FLAGS
@@ -101,16 +100,24 @@
         for packed in announcements:
             self.task.core.mesh.directory.merge_packed(packed)
 
-    async def run(self) -> None:
-        """Listens for peers and runs until it is cancelled."""
+    async def listen(self) -> None:
+        """Listens for peers."""
         await self.transport.start(*split_address(self.spec.peers))
+
+    async def run(self, delay_s: float) -> None:
+        """Runs until it is cancelled; ticks start after a delay."""
         await asyncio.gather(
             self.task.run(),
-            self.task.tick(),
+            self.tick(delay_s),
             self.task.reader.run(),
             self.renew(),
         )
 
+    async def tick(self, delay_s: float) -> None:
+        """Ticks after a delay, so that hosted nodes do not tick together."""
+        await asyncio.sleep(delay_s)
+        await self.task.tick()
+
     def report(self) -> ServerReport:
         """Returns what the backend server reports."""
         return ServerReport(
@@ -160,9 +167,12 @@
         announcements = [node.announce() for node in nodes]
         for node in nodes:
             node.learn(announcements)
+        # All listen before the first of them dials, so that no dial is
+        # refused by an instance that others already know.
         for node in nodes:
-            group.create_task(node.run())
-            await asyncio.sleep(START_SPREAD_S)
+            await node.listen()
+        for index, node in enumerate(nodes):
+            group.create_task(node.run(TICK_S * index / len(nodes)))
         print(f"{len(specs)} control sides run", flush=True)
 
 
