Test hearsay of death, shared suspicions and batched refutations

Cause: with few nodes every node is linked to every other, so deliberate faults in these rules passed the scenarios and the fuzzer.

Change: three tests with an instance that is known but not linked.

--- a/tests/core/peers/test_mesh_scenarios.py
+++ b/tests/core/peers/test_mesh_scenarios.py
@@ -2,11 +2,13 @@
 
 import random
 
+import msgspec
 import pytest
 from vanillamast_core import Announcement
 from vanillamast_core.journal import LogEntry, SnapshotChunk, record_codec
 from vanillamast_core.moves import EvidenceCell, Side
 from vanillamast_core.peers import (
+    Announcements,
     Busy,
     CloseLink,
     Entries,
@@ -254,6 +256,53 @@
         claim = LivenessClaim("n1", 1, LivenessState.SUSPECT)
         assert Send(9, Liveness((claim,))) in effects
 
+    def make_distant(self) -> tuple[Mesh, Announcement]:
+        """Returns a mesh and an instance that it knows but is not linked to."""
+        mesh, peers = make_mesh()
+        distant = msgspec.structs.replace(
+            peers[0], instance="n9", peer_address="n9:1"
+        )
+        message = Announcements((pack_announcement(distant),))
+        effects = mesh.receive(1, message, 0.0)
+        assert [e.link for e in sent(effects, Announcements)] == [2, 3]
+        mesh.tick(0.25)
+        return mesh, distant
+
+    def test_death_by_hearsay_must_stand_unrefuted(self):
+        """Guards against belief in another part's view of the own part."""
+        mesh, _ = self.make_distant()
+        claim = LivenessClaim("n9", 1, LivenessState.DEAD)
+        mesh.receive(1, Liveness((claim,)), 0.3)
+        effects = mesh.tick(0.5)
+        assert {e.link for e in sent(effects, Liveness)} == {1, 2, 3}
+        for step in range(3, 17):
+            mesh.tick(0.25 * step)
+            assert mesh.directory.liveness("n9") is LivenessState.ALIVE
+        mesh.tick(4.5)
+        assert mesh.directory.liveness("n9") is LivenessState.DEAD
+
+    def test_new_peer_hears_open_suspicions(self):
+        """Guards against suspects behind a new link that cannot refute."""
+        mesh, distant = self.make_distant()
+        mesh.membership.accuse("n9", 0.3)
+        peer = msgspec.structs.replace(
+            distant, instance="n8", peer_address="n8:1"
+        )
+        mesh.link_up(9, 0.4)
+        hello = Hello(pack_announcement(peer), 0, 0)
+        effects = mesh.receive(9, hello, 0.4)
+        claim = LivenessClaim("n9", 1, LivenessState.SUSPECT, ("n0",))
+        assert Send(9, Liveness((claim,))) in effects
+
+    def test_unexpected_refutations_are_batched(self):
+        """Guards against floods of refutations after a partition heals."""
+        mesh, distant = self.make_distant()
+        newer = msgspec.structs.replace(distant, incarnation=2)
+        message = Announcements((pack_announcement(newer),))
+        for link in (1, 2):
+            assert not sent(mesh.receive(link, message, 0.3), Announcements)
+        assert sent(mesh.tick(0.5), Announcements) == [Send(3, message)]
+
     def test_leaving_is_final(self):
         """Guards against a renewed lease that cancels a planned stop."""
         mesh, _ = make_mesh()
