--- a/packages/core/src/vanillamast_core/requests/deadline.py
+++ b/packages/core/src/vanillamast_core/requests/deadline.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Deadline:
     """A point in monotonic time.
 
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -223,10 +223,11 @@
 
     def _carry_out(self, effects: list[ExchangeEffect]) -> None:
         for effect in effects:
-            call: ForwardedCall = effect.exchange.owner
             if isinstance(effect, Observed):
                 self.forwarder.observe(effect.observation)
-            elif isinstance(effect, Settle):
+                continue
+            call: ForwardedCall = effect.exchange.owner
+            if isinstance(effect, Settle):
                 call._settle(effect.status)
             else:
                 call._deliver(effect)
