Wire the request path's last parts into the node

Cause: requests that waited for a backend server were not started when one appeared; listeners without TCP_NODELAY answered after 40 ms; the mesh was not told of a state restored from the log.

Change: effects of set_servers are carried out, all listeners name the protocol of their sockets, Mesh.state_replaced is called, added latency is a metric.

--- a/packages/core/src/vanillamast_core/control/node_core.py
+++ b/packages/core/src/vanillamast_core/control/node_core.py
@@ -221,6 +221,7 @@
         entries = self.recovery.offer(event.first, event.entries, event.more)
         if self.journal.offset > before:
             self._state_changed(now, wall)
+            self._take(self.mesh.state_replaced(now), now, wall)
         if entries:
             self._take(self.mesh.records_read(entries, now), now, wall)
 
--- a/packages/node/src/vanillamast_node/caller_listener.py
+++ b/packages/node/src/vanillamast_node/caller_listener.py
@@ -11,6 +11,7 @@
 from vanillamast_node.caller_app import CallerApp
 from vanillamast_node.caller_protocol import CallerProtocol
 from vanillamast_node.forwarder import Forwarder
+from vanillamast_node.listening_socket import open_socket
 
 BACKLOG = 1024
 START_POLL_S = 0.005
@@ -60,7 +61,7 @@
         Raises:
           OSError: The address cannot be used.
         """
-        self.socket = _open_socket(self.address)
+        self.socket = open_socket(self.address)
         name = self.socket.getsockname()
         self.address = f"{name[0]}:{name[1]}"
         settings = self.forwarder.settings
@@ -145,24 +146,3 @@
         await self.serving
         if self.forwarder.tasks:
             await asyncio.wait(self.forwarder.tasks, timeout=1.0)
-
-
-def _open_socket(address: str) -> socket.socket:
-    """Returns a listening socket for "ip:port".
-
-    The protocol is named because asyncio sets TCP_NODELAY only then. Without
-    it a response of two writes waits 40 ms for a delayed acknowledgement.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        opened.bind((host, int(port)))
-        opened.listen(BACKLOG)
-        opened.setblocking(False)
-    except OSError:
-        opened.close()
-        raise
-    return opened
--- a/packages/node/src/vanillamast_node/core_task.py
+++ b/packages/node/src/vanillamast_node/core_task.py
@@ -210,9 +210,12 @@
     @performs(SetServers)
     def _set_servers(self, effect: SetServers) -> None:
         now = asyncio.get_running_loop().time()
-        self.router.set_servers(
+        started = self.router.set_servers(
             effect.service, list(effect.servers), effect.panic, now, time.time()
         )
+        # Requests that waited for a backend server may start now.
+        for waiting in started:
+            waiting.exchange.owner.carry_out([waiting])
         eliot.log_message(
             message_type="placement.servers",
             service=effect.service,
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -181,7 +181,7 @@
         self.connection.on_lost = self._caller_gone
         self.connection.on_malformed = self._body_malformed
         now = self.loop.time()
-        self._carry_out(self.forwarder.router.start(exchange, now))
+        self.carry_out(self.forwarder.router.start(exchange, now))
         self._arm(exchange.timer_at)
 
     def finish(self) -> None:
@@ -218,10 +218,11 @@
             exchange, event, self.loop.time()
         )
         if effects:
-            self._carry_out(effects)
+            self.carry_out(effects)
         return effects
 
-    def _carry_out(self, effects: list[ExchangeEffect]) -> None:
+    def carry_out(self, effects: list[ExchangeEffect]) -> None:
+        """Carries out effects of this request's exchange."""
         for effect in effects:
             if isinstance(effect, Observed):
                 self.forwarder.observe(effect.observation)
--- a/packages/node/src/vanillamast_node/http_server.py
+++ b/packages/node/src/vanillamast_node/http_server.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Iterator
 from typing import Any
 
 import uvicorn
 
-from vanillamast_node.peer_transport import split_address
+from vanillamast_node.listening_socket import open_socket
 
 START_POLL_S = 0.01
 
@@ -17,12 +16,12 @@
     """One listener; the node handles signals itself.
 
     Attributes:
-      listen_address: IP and port.
+      address: "ip:port" that it listens on.
       task: The task that serves, once started.
     """
 
     def __init__(self, app: Any, address: str, **options: Any):
-        self.listen_address = split_address(address)
+        self.address = address
         super().__init__(
             uvicorn.Config(
                 app,
@@ -51,7 +50,7 @@
         Raises:
           OSError: The address is taken or not local.
         """
-        listener = socket.create_server(self.listen_address)
+        listener = open_socket(self.address)
         self.task = asyncio.create_task(self.serve(sockets=[listener]))
         while not self.started and not self.task.done():
             await asyncio.sleep(START_POLL_S)
--- a/packages/node/src/vanillamast_node/node.py
+++ b/packages/node/src/vanillamast_node/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import gc
 import random
 import signal
 import time
@@ -33,6 +32,7 @@
     split_address,
 )
 from vanillamast_node.platform_client import PlatformClient
+from vanillamast_node.process_tuning import tune_garbage_collection
 from vanillamast_node.server_listener import server_app
 from vanillamast_node.settings import Settings
 from vanillamast_node.upstream_pool import UpstreamPool
@@ -106,7 +106,7 @@
         )
         await callers.start()
         self._catch_signals()
-        tune_collector()
+        tune_garbage_collection()
         eliot.log_message(
             message_type="node.started", instance=self.settings.instance
         )
@@ -139,6 +139,7 @@
             self._log_decision,
             self.keys.claim,
             self.keys.settle,
+            self.metrics.measure_added,
         )
 
     async def _start_listeners(self, stack: contextlib.AsyncExitStack) -> None:
@@ -247,17 +248,6 @@
     )
 
 
-def tune_collector() -> None:
-    """Keeps the collector's pauses out of requests.
-
-    Objects of the start are never garbage, and a full collection of them
-    takes some 20 ms.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 50)
-
-
 async def wait_for_stop(
     signals: asyncio.Queue[None], tasks: list[asyncio.Task[None]]
 ) -> None:
--- a/packages/node/src/vanillamast_node/node_metrics.py
+++ b/packages/node/src/vanillamast_node/node_metrics.py
@@ -8,6 +8,7 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -18,6 +19,8 @@
       started_at: Wall time of the start, seconds since the epoch.
       requests: Requests that ended, by what the caller was told.
       upstream_us: Time of attempts at backend servers, in microseconds.
+      added_us: Time that the node itself added to answered requests, in
+        microseconds.
       event_us: Time that the control side spent on one event, in
         microseconds.
     """
@@ -26,12 +29,17 @@
         self.started_at = time.time()
         self.requests: dict[str, int] = {}
         self.upstream_us = new_histogram()
+        self.added_us = new_histogram()
         self.event_us = new_histogram()
 
     def count(self, name: str) -> None:
         """Adds one to a counter of `requests`."""
         self.requests[name] = self.requests.get(name, 0) + 1
 
+    def measure_added(self, seconds: float) -> None:
+        """Records the time that the node added to an answered request."""
+        self.added_us.record_value(max(1, int(seconds * US_PER_S)))
+
     def summary(self) -> dict[str, Any]:
         """Returns all figures as JSON values, times in microseconds."""
         usage = time.process_time()
@@ -41,6 +49,7 @@
             "processor_share": round(usage / max(uptime_s, 0.001), 4),
             "requests": self.requests,
             "upstream_us": percentiles(self.upstream_us),
+            "added_us": percentiles(self.added_us),
             "event_us": percentiles(self.event_us),
         }
 
