Run scenarios on whole control sides on a test clock

Cause: the scenario language had no target, so no failure of design section 1.5 was shown end to end with requests.

Change: CoreScenarioTarget runs scripts on the in-memory network. Requests go through the real RequestRouter, Exchange and KeyLedger; backend servers have slots, a queue, badness and count runs by request id. PeerNetwork cuts pairs of failure domains; the log can be slow and lose the next answers.

A drain ignored by the directory alone is not noticed, because the instance itself announces that it leaves.

--- a/packages/testing/src/vanillamast_testing/__init__.py
+++ b/packages/testing/src/vanillamast_testing/__init__.py
@@ -12,6 +12,7 @@
     badness_kinds,
     decode_badness,
 )
+from vanillamast_testing.core_scenario_target import CoreScenarioTarget
 from vanillamast_testing.layout import Layout, LayoutError, load_layout
 from vanillamast_testing.load_settings import LoadSettings
 from vanillamast_testing.load_summary import LoadSummary, summarize
@@ -27,8 +28,10 @@
 from vanillamast_testing.run_counts import RunCounts, merge_runs
 from vanillamast_testing.scenario_errors import (
     ScenarioError,
+    ScenarioInvariantError,
     ScenarioStepError,
     ScenarioSyntaxError,
+    ScenarioUnsupportedError,
 )
 from vanillamast_testing.scenario_parser import (
     ScenarioLine,
@@ -60,6 +63,7 @@
     "BackendSettings",
     "Badness",
     "BadnessError",
+    "CoreScenarioTarget",
     "Group",
     "Harm",
     "Layout",
@@ -76,6 +80,7 @@
     "RunCounts",
     "ScenarioError",
     "ScenarioInstance",
+    "ScenarioInvariantError",
     "ScenarioLine",
     "ScenarioMove",
     "ScenarioReport",
@@ -83,6 +88,7 @@
     "ScenarioSyntaxError",
     "ScenarioTarget",
     "ScenarioTraffic",
+    "ScenarioUnsupportedError",
     "ScenarioWorld",
     "Step",
     "StepResult",
--- a/packages/testing/src/vanillamast_testing/core_adapter.py
+++ b/packages/testing/src/vanillamast_testing/core_adapter.py
@@ -1,7 +1,7 @@
 """One node's control side in the in-memory network."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from vanillamast_core.announcement import Announcement
@@ -48,6 +48,7 @@
       choosers: Their choosers.
       notices: What happened, for the tests.
       violations: Broken promises, as text.
+      tell_requests: Takes the effects for the request path, if there is one.
     """
 
     def __init__(self, core: NodeCore, rng: random.Random):
@@ -63,6 +64,7 @@
         self.appends: list[Append] = []
         self.outcomes: list[OutcomeFolded] = []
         self.violations: list[str] = []
+        self.tell_requests: Callable[[Any], None] = lambda effect: None
 
     # What the network calls.
 
@@ -141,6 +143,7 @@
             self.splits.pop(effect.service, None)
         else:
             return False
+        self.tell_requests(effect)
         self._check_routes()
         return True
 
--- a/packages/testing/src/vanillamast_testing/core_network.py
+++ b/packages/testing/src/vanillamast_testing/core_network.py
@@ -32,7 +32,7 @@
 from vanillamast_core.requests import AttemptOutcome, Observation
 
 from vanillamast_testing.core_adapter import WALL_START_S, CoreAdapter
-from vanillamast_testing.peer_network import PeerNetwork
+from vanillamast_testing.peer_network import LOG_READ_S, PeerNetwork
 from vanillamast_testing.simulated_node import SimulatedNode
 from vanillamast_testing.simulated_server import SimulatedServer
 from vanillamast_testing.traffic_counts import TrafficCounts
@@ -43,6 +43,7 @@
 READ_LIMIT = 500
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
+CALL_TIMEOUT_S = 3.0  # `PlatformSettings.timeout_s`.
 LATENCY_SIGMA = 0.4  # Of the lognormal latency.
 
 
@@ -54,6 +55,8 @@
       services: Service of each instance.
       edges: Instances whose node takes callers' requests.
       lose_answers: Share of appends whose answer is lost.
+      lose_next: Number of next appends whose answer is lost.
+      log_delay_s: Added to every call of the log, in seconds.
       appends: Appends that took effect.
       reference: A fold of the whole log, which no failure touches.
       accepted_at: Time at which a version was accepted, by version.
@@ -67,6 +70,8 @@
         self.servers: dict[str, SimulatedServer] = {}
         self.edges: set[str] = set()
         self.lose_answers = 0.0
+        self.lose_next = 0
+        self.log_delay_s = 0.0
         self.appends = 0
         self.reference = Journal()
         self.accepted_at: dict[int, float] = {}
@@ -229,7 +234,8 @@
             until = self.now + effect.patience_s
             life = node.life
             self.later(
-                APPEND_S, lambda: self._append(name, life, effect, until)
+                APPEND_S + self.log_delay_s,
+                lambda: self._append(name, life, effect, until),
             )
             return
         super()._carry_out(name, node, effect)
@@ -247,11 +253,24 @@
             return
         if self.log_up and not node.log_cut:
             self.append_record(effect.record)
-            if self.rng.random() >= self.lose_answers:
+            if not self._loses_answer():
                 return
-        wait = self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        wait = self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S) + self.log_delay_s
         self.later(wait, lambda: self._append(name, life, effect, until))
 
+    def _loses_answer(self) -> bool:
+        if self.lose_next > 0:
+            self.lose_next -= 1
+            return True
+        if self.log_delay_s >= CALL_TIMEOUT_S:
+            return True
+        return self.rng.random() < self.lose_answers
+
+    def _read_later(self, name: str, node: SimulatedNode) -> None:
+        life = node.life
+        delay = LOG_READ_S * (0.5 + self.rng.random()) + self.log_delay_s
+        self.later(delay, lambda: self._read(name, life))
+
     def _read(self, name: str, life: int) -> None:
         node = self.nodes[name]
         if node.life != life or not node.reading:
@@ -318,7 +337,7 @@
 
     def _attempt(self, name: str, route: str, instance: str) -> Observation:
         server = self.servers[instance]
-        reached = server.running and not self._separated(name, instance)
+        reached = server.running and not self.separated(name, instance)
         bad = server.is_bad(route, self.now)
         ratio = server.bad_failure_ratio if bad else server.failure_ratio
         factor = server.bad_latency_factor if bad else 1.0
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/core_request_path.py
@@ -0,0 +1,300 @@
+"""The request path of a node in the in-memory network."""
+
+import hashlib
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from vanillamast_core.control import (
+    AttemptEnded,
+    ClearSplit,
+    DropService,
+    SetRoutes,
+    SetServers,
+    SetSplit,
+)
+from vanillamast_core.moves import VersionSplit
+from vanillamast_core.peers import ClaimKey, KeyAnswer, SettleKey
+from vanillamast_core.requests import (
+    Attempt,
+    BodyCut,
+    BodyEnded,
+    BytesSent,
+    Claim,
+    CloseConnection,
+    Connected,
+    ConnectFailed,
+    Disconnected,
+    ExchangeEffect,
+    ExchangeEvent,
+    HeadersReceived,
+    KeyAnswered,
+    NotRun,
+    Observed,
+    Refusal,
+    Refuse,
+    RequestInputs,
+    RequestRouter,
+    RequestSettings,
+    Settle,
+    TimedOut,
+)
+
+from vanillamast_testing.core_adapter import WALL_START_S, CoreAdapter
+from vanillamast_testing.core_key_desk import ASK_TIMEOUT_S, CoreKeyDesk
+from vanillamast_testing.request_record import RequestRecord
+from vanillamast_testing.simulated_backend import BackendAnswer, BackendRequest
+from vanillamast_testing.simulated_call import CallResult, SimulatedCall
+
+if TYPE_CHECKING:
+    from vanillamast_testing.scenario_network import ScenarioNetwork
+
+CONNECT_TIMEOUT_S = 0.5  # `ForwardingSettings.connect_timeout_s`.
+KEY_REFRESH_S = 1.0
+BODY_S = 0.001
+TIMER_MIN_S = 1e-4  # A rounded timer must not repeat at the same moment.
+DEADLINE_MS = 2000
+
+
+class CoreRequestPath:
+    """Carries out the effects of the real state machine of requests.
+
+    Attributes:
+      network: The network.
+      name: Its node.
+      life: Process of the node; it ends with it.
+      adapter: The node's control side.
+      router: Decisions of the request path.
+      keys: Claims of idempotency keys.
+      calls: Requests in flight.
+    """
+
+    def __init__(
+        self, network: "ScenarioNetwork", name: str, adapter: CoreAdapter
+    ):
+        self.network = network
+        self.name = name
+        self.adapter = adapter
+        self.life = network.nodes[name].life
+        domain = network.nodes[name].announcement.failure_domain
+        settings = RequestSettings()
+        rng = random.Random(network.rng.getrandbits(64))
+        self.router = RequestRouter(settings, domain, rng, VersionSplit)
+        self.keys = CoreKeyDesk(network, adapter.core, settings)
+        self.calls: set[SimulatedCall] = set()
+        self._refresh_keys()
+
+    def take(self, effect: Any) -> None:
+        """Takes what the control side tells the request path."""
+        router, now = self.router, self.network.now
+        if isinstance(effect, SetRoutes):
+            router.set_routes(effect.routes, effect.classes, effect.services)
+        elif isinstance(effect, SetServers):
+            servers = list(effect.servers)
+            wall = WALL_START_S + now
+            effects = router.set_servers(
+                effect.service, servers, effect.panic, now, wall
+            )
+            self._carry_out(effects)
+        elif isinstance(effect, DropService):
+            router.pools.pop(effect.service, None)
+        elif isinstance(effect, SetSplit):
+            router.set_split(
+                effect.service, effect.old, effect.new, effect.share
+            )
+        elif isinstance(effect, ClearSplit):
+            router.clear_split(effect.service)
+
+    def request(
+        self, record: RequestRecord, done: Callable[[CallResult], None]
+    ) -> None:
+        """Takes a caller's request."""
+        inputs = RequestInputs(DEADLINE_MS, key=record.key)
+        now = self.network.now
+        found = self.router.route(record.method, record.path, inputs, now)
+        if isinstance(found, Refusal):
+            done(CallResult(refusal=found))
+            return
+        call = SimulatedCall(record.request_id, record.path, found, done)
+        found.owner = call
+        self.calls.add(call)
+        self._carry_out(self.router.start(found, now))
+        self._arm(call)
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        """Schedules an action of this process."""
+        self.network.later(delay, lambda: self.deliver(action))
+
+    def deliver(self, action: Callable[[], None]) -> None:
+        """Runs an action, after the pause if the process is paused."""
+        node = self.network.nodes[self.name]
+        if node.life != self.life:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self.deliver(action))
+        else:
+            action()
+
+    def _tell(self, call: SimulatedCall, event: ExchangeEvent) -> None:
+        now = self.network.now
+        self._carry_out(self.router.handle(call.exchange, event, now))
+
+    def _carry_out(self, effects: list[ExchangeEffect]) -> None:
+        for effect in effects:
+            call: SimulatedCall = effect.exchange.owner
+            if isinstance(effect, Attempt):
+                self._attempt(call, effect)
+            elif isinstance(effect, Claim):
+                self._claim(call)
+            elif isinstance(effect, Settle):
+                self._settle(call, effect.status)
+            elif isinstance(effect, Refuse):
+                self._finish(call, CallResult(refusal=effect.refusal))
+            elif isinstance(effect, CloseConnection):
+                self._finish(call, CallResult(answer=call.answer))
+            elif isinstance(effect, Observed):
+                self._observed(AttemptEnded(effect.observation))
+
+    def _observed(self, event: AttemptEnded) -> None:
+        self.network.call(
+            self.name,
+            lambda core, now: core.handle(event, now),  # type: ignore[attr-defined]
+        )
+
+    def _finish(self, call: SimulatedCall, result: CallResult) -> None:
+        self.calls.discard(call)
+        call.done(result)
+
+    def _arm(self, call: SimulatedCall) -> None:
+        wait = call.exchange.timer_at - self.network.now
+        self.later(max(TIMER_MIN_S, wait), lambda: self._on_timer(call))
+
+    def _on_timer(self, call: SimulatedCall) -> None:
+        if call.exchange.ended:
+            return
+        if self.network.now >= call.exchange.timer_at:
+            self._tell(call, TimedOut())
+        if not call.exchange.ended:
+            self._arm(call)
+
+    # Attempts.
+
+    def _attempt(self, call: SimulatedCall, attempt: Attempt) -> None:
+        number = attempt.number
+        instance = attempt.server.announcement.instance
+        round_trip = 2 * self.network.delay(self.name, instance)
+        failed = ConnectFailed(number)
+        if not self.network.reachable(self.name, instance):
+            self.later(CONNECT_TIMEOUT_S, lambda: self._tell(call, failed))
+        elif not self.network.servers[instance].running:
+            self.later(round_trip, lambda: self._tell(call, failed))
+        else:
+            self.later(round_trip, lambda: self._send(call, number, instance))
+
+    def _send(self, call: SimulatedCall, number: int, instance: str) -> None:
+        if call.exchange.attempts != number or call.exchange.ended:
+            return
+        self._tell(call, Connected(number))
+        self._tell(call, BytesSent(number))
+        request = BackendRequest(
+            call.request_id,
+            call.path,
+            lambda answer: self._answered(call, number, instance, answer),
+        )
+        backend = self.network.backends[instance]
+        life = backend.life
+        self.network.carry(
+            self.name,
+            instance,
+            lambda: self._arrive(call, number, instance, request, life),
+        )
+
+    def _arrive(
+        self,
+        call: SimulatedCall,
+        number: int,
+        instance: str,
+        request: BackendRequest,
+        life: int,
+    ) -> None:
+        backend = self.network.backends[instance]
+        if backend.life == life:
+            backend.arrive(request)
+        elif self.network.nodes[instance].reachable:
+            lost = Disconnected(number)
+            self.deliver(lambda: self._tell(call, lost))
+
+    def _answered(
+        self,
+        call: SimulatedCall,
+        number: int,
+        instance: str,
+        answer: BackendAnswer,
+    ) -> None:
+        self.network.carry(
+            instance,
+            self.name,
+            lambda: self.deliver(lambda: self._receive(call, number, answer)),
+        )
+
+    def _receive(
+        self, call: SimulatedCall, number: int, answer: BackendAnswer
+    ) -> None:
+        if call.exchange.attempts != number or call.exchange.ended:
+            return
+        if answer.not_run:
+            self._tell(call, NotRun(number, answer.status))
+            return
+        call.answer = answer
+        self._tell(call, HeadersReceived(number, answer.status))
+        if call.exchange.attempts != number:
+            call.answer = None
+            return
+        self.later(BODY_S, lambda: self._end_body(call, number, answer))
+
+    def _end_body(
+        self, call: SimulatedCall, number: int, answer: BackendAnswer
+    ) -> None:
+        if call.exchange.ended:
+            return
+        if answer.cut:
+            self._tell(call, BodyCut(number))
+            return
+        self._tell(call, BodyEnded(number))
+        self._finish(call, CallResult(answer=answer, whole=True))
+
+    # Keys.
+
+    def _refresh_keys(self) -> None:
+        self.keys.refresh()
+        self.later(KEY_REFRESH_S, self._refresh_keys)
+
+    def _claim(self, call: SimulatedCall) -> None:
+        exchange = call.exchange
+        call.claim_id = f"{self.router.rng.getrandbits(128):032x}"
+        subject = f"{exchange.method} {call.path}".encode()
+        claim = ClaimKey(
+            exchange.pool.service,
+            exchange.inputs.key,
+            call.claim_id,
+            hashlib.blake2b(subject, digest_size=8).digest(),
+        )
+        home = self.keys.home(claim.service, claim.key)
+
+        def answered(answer: KeyAnswer | None) -> None:
+            self.deliver(lambda: self._tell(call, KeyAnswered(answer)))
+
+        def ask(path: "CoreRequestPath") -> None:
+            answer = path.keys.answer_claim(claim)
+            self.network.carry(home, self.name, lambda: answered(answer))
+
+        self.network.ask(self.name, home, ask)
+        self.later(ASK_TIMEOUT_S, lambda: answered(None))
+
+    def _settle(self, call: SimulatedCall, status: int) -> None:
+        exchange = call.exchange
+        settle = SettleKey(
+            exchange.pool.service, exchange.inputs.key, call.claim_id, status
+        )
+        home = self.keys.home(settle.service, settle.key)
+        self.network.ask(self.name, home, lambda path: path.keys.settle(settle))
--- a/packages/testing/src/vanillamast_testing/peer_network.py
+++ b/packages/testing/src/vanillamast_testing/peer_network.py
@@ -195,13 +195,26 @@
         if not reset:
             return
         for pipe in self._pipes():
-            if self._separated(*pipe.ends):
+            if self.separated(*pipe.ends):
                 for side in (0, 1):
                     self._end_side(pipe, side)
 
+    def block(self, pairs: Iterable[frozenset[str]]) -> None:
+        """Cuts exactly these pairs of failure domains from each other.
+
+        What is sent across waits; what waited on a pair that is not cut any
+        more is delivered.
+        """
+        self.blocked = set(pairs)
+        self._deliver_held()
+
     def heal(self) -> None:
-        """Ends the cut."""
+        """Ends all cuts."""
         self.groups = {}
+        self.blocked = set()
+        self._deliver_held()
+
+    def _deliver_held(self) -> None:
         for pipe in self._pipes():
             for side in (0, 1):
                 held = list(pipe.held[side])
@@ -322,7 +335,7 @@
         self, pipe: PeerPipe, side: int, message: Message | None
     ) -> None:
         """Carries a message, or the end of the link, to the other side."""
-        if self._separated(*pipe.ends):
+        if self.separated(*pipe.ends):
             pipe.held[side].append(message)
             return
         delay = self.delay(*pipe.ends) * (1 + 0.1 * self.rng.random())
@@ -355,7 +368,7 @@
 
     def _dial(self, name: str, life: int, address: str) -> None:
         target = self._by_address.get(address)
-        if target is None or self._separated(name, target):
+        if target is None or self.separated(name, target):
             self._fail_dial(name, life, address, False, DIAL_TIMEOUT_S)
             return
         round_trip = 2 * self.delay(name, target)
@@ -384,7 +397,7 @@
         near, far = self.nodes[name], self.nodes[target]
         if near.life != life:
             return
-        if far.mesh is None or self._separated(name, target):
+        if far.mesh is None or self.separated(name, target):
             self._fail_dial(name, life, address, far.reachable, 0.0)
             return
         self._links += 2
@@ -402,7 +415,8 @@
                 found[pipe.ids[0]] = pipe
         return list(found.values())
 
-    def _separated(self, first: str, second: str) -> bool:
+    def separated(self, first: str, second: str) -> bool:
+        """Returns whether two nodes are cut from each other."""
         if self.blocked:
             a = self.nodes[first].announcement.failure_domain
             b = self.nodes[second].announcement.failure_domain
--- a/packages/testing/src/vanillamast_testing/scenario_errors.py
+++ b/packages/testing/src/vanillamast_testing/scenario_errors.py
@@ -11,5 +11,13 @@
     """A line is not a step of the scenario language."""
 
 
+class ScenarioUnsupportedError(ScenarioError):
+    """The target cannot do or judge what a step asks for."""
+
+
+class ScenarioInvariantError(ScenarioError):
+    """An invariant of the mesh is broken."""
+
+
 class ScenarioStepError(ScenarioError):
     """A step names something that is not there or was not started."""
--- a/packages/testing/src/vanillamast_testing/scenario_expectations.py
+++ b/packages/testing/src/vanillamast_testing/scenario_expectations.py
@@ -200,6 +200,25 @@
         return f"{len(found)} of {len(records)} {self.finding}: {names}"
 
 
+@steps.register("expect_quiet")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpectQuiet(Step):
+    """Expects that no request begins to run at an instance for a while."""
+
+    instance: str
+    seconds: float
+
+    example = "expect no run at browse-v1-1 for 5s"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Compares the runs before and after the time."""
+        name = world.known_instance(self.instance)
+        before = await world.target.runs_at(name)
+        await world.target.wait(self.seconds)
+        count = await world.target.runs_at(name) - before
+        return f"{count} requests ran at {name}" if count else ""
+
+
 @steps.register("expect_share")
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpectShare(Step):
--- a/packages/testing/src/vanillamast_testing/scenario_fault_steps.py
+++ b/packages/testing/src/vanillamast_testing/scenario_fault_steps.py
@@ -181,3 +181,27 @@
             )
         await world.target.set_badness(names, self.badness)
         return ""
+
+
+@steps.register("badness_instance")
+class SetInstanceBadness(Step):
+    """Sets what is wrong with one backend server.
+
+    Attributes:
+      instance: Its instance.
+      badness: What is wrong.
+    """
+
+    example = "badness of instance browse-v2-1 is fails share 50%"
+
+    def __init__(self, instance: str, kind: str, *conditions: tuple[str, Any]):
+        self.instance = instance
+        badness_kinds.get(kind)
+        badness = Badness(kind)
+        self.badness = msgspec.structs.replace(badness, **dict(conditions))
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Sets the badness of the instance."""
+        name = world.known_instance(self.instance)
+        await world.target.set_badness([name], self.badness)
+        return ""
--- a/packages/testing/src/vanillamast_testing/scenario_fleet_steps.py
+++ b/packages/testing/src/vanillamast_testing/scenario_fleet_steps.py
@@ -46,6 +46,27 @@
         return ""
 
 
+@steps.register("race")
+@dataclasses.dataclass(frozen=True, slots=True)
+class RacePublishes(Step):
+    """Lets two operators publish on the same version at the same moment."""
+
+    file: str
+    other: str
+    label: str | None = None
+
+    example = "race one.yaml against other.yaml as winner"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Expects that exactly one of the two is accepted."""
+        label = self.label or ""
+        accepted = await world.target.race(self.file, self.other)
+        if len(accepted) != 1:
+            return f"{len(accepted)} of 2 racing versions were accepted"
+        world.versions[label] = accepted[0]
+        return ""
+
+
 @steps.register("move")
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartMove(Step):
@@ -130,6 +151,21 @@
         return ""
 
 
+@steps.register("stop_instances")
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopInstances(Step):
+    """Stops instances as planned; requests in flight end."""
+
+    group: Group
+
+    example = "stop instance browse-v1-2"
+
+    async def run(self, world: ScenarioWorld) -> str:
+        """Stops the group."""
+        await world.target.stop(world.members(self.group))
+        return ""
+
+
 @steps.register("restart")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Restart(Step):
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/scenario_network.py
@@ -0,0 +1,128 @@
+"""The in-memory network with a request path on each node."""
+
+from collections.abc import Callable
+
+from vanillamast_testing.core_network import CoreNetwork
+from vanillamast_testing.core_request_path import CoreRequestPath
+from vanillamast_testing.simulated_backend import SimulatedBackend
+from vanillamast_testing.simulated_server import SimulatedServer
+
+DRAIN_DELAY_S = 3.0  # `ForwardingSettings.drain_delay_s`.
+DRAIN_LIMIT_S = 30.0  # `ForwardingSettings.drain_limit_s`.
+DRAIN_POLL_S = 0.1
+
+
+class ScenarioNetwork(CoreNetwork):
+    """Nodes whose requests go through the real decisions.
+
+    Attributes:
+      paths: Request path of each node's last process.
+      backends: Backend servers' work by instance.
+      accepting: Nodes that take new requests of callers.
+    """
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.paths: dict[str, CoreRequestPath] = {}
+        self.backends: dict[str, SimulatedBackend] = {}
+        self.accepting: set[str] = set()
+
+    def add_instance(
+        self,
+        name: str,
+        region: str,
+        failure_domain: str,
+        service: str,
+        version: str = "1",
+        edge: bool = False,
+    ) -> SimulatedServer:
+        """Adds an instance that is not started yet."""
+        server = super().add_instance(
+            name, region, failure_domain, service, version, edge
+        )
+        self.backends[name] = SimulatedBackend(self, name)
+        return server
+
+    def start(self, name: str) -> None:
+        """Starts a node's process with an empty state."""
+        super().start(name)
+        adapter = self.adapter(name)
+        path = CoreRequestPath(self, name, adapter)
+        adapter.tell_requests = path.take
+        self.paths[name] = path
+        self.accepting.add(name)
+
+    def kill_instance(self, name: str) -> None:
+        """Ends the node and the backend server, as the machine's loss does."""
+        super().kill_instance(name)
+        self.accepting.discard(name)
+        self.backends[name].kill()
+
+    def pause_instance(self, name: str) -> None:
+        """Freezes both processes."""
+        self.servers[name].paused = True
+        self.pause(name)
+
+    def resume_instance(self, name: str) -> None:
+        """Lets both processes go on."""
+        self.servers[name].paused = False
+        self.backends[name].resume()
+        self.resume(name)
+
+    def stop_instance(self, name: str) -> None:
+        """Stops the node, then the backend server, as planned."""
+        self.stop(name)
+        life = self.nodes[name].life
+        until = self.now + DRAIN_DELAY_S + DRAIN_LIMIT_S
+
+        def close() -> None:
+            if self.nodes[name].life != life:
+                return
+            self.accepting.discard(name)
+            if self.paths[name].calls and self.now < until:
+                self.later(DRAIN_POLL_S, close)
+            else:
+                self.kill(name)
+                end_server()
+
+        def end_server() -> None:
+            if self.backends[name].busy and self.now < until:
+                self.later(DRAIN_POLL_S, end_server)
+            elif self.nodes[name].mesh is None:
+                self.servers[name].running = False
+                self.backends[name].kill()
+
+        self.later(DRAIN_DELAY_S, close)
+
+    def reachable(self, first: str, second: str) -> bool:
+        """Returns whether packets reach the other machine."""
+        return (
+            not self.separated(first, second) and self.nodes[second].reachable
+        )
+
+    def carry(
+        self, source: str, target: str, action: Callable[[], None]
+    ) -> None:
+        """Carries something to another machine; a cut swallows it."""
+
+        def arrive() -> None:
+            if not self.separated(source, target):
+                action()
+
+        self.later(self.delay(source, target), arrive)
+
+    def ask(
+        self,
+        source: str,
+        target: str,
+        action: Callable[[CoreRequestPath], None],
+    ) -> None:
+        """Asks a node's process; a dead or cut one does not answer."""
+
+        def arrive() -> None:
+            path = self.paths.get(target)
+            if path is not None:
+                path.deliver(lambda: action(path))
+
+        if target:
+            self.carry(source, target, arrive)
--- a/packages/testing/src/vanillamast_testing/scenario_target.py
+++ b/packages/testing/src/vanillamast_testing/scenario_target.py
@@ -32,6 +32,13 @@
     async def publish(self, file: str, label: str) -> int:
         """Publishes a configuration file; returns the version's offset."""
 
+    async def race(self, file: str, other: str) -> Sequence[int]:
+        """Publishes two files at once, both based on the same version.
+
+        Returns:
+          The offsets of those that were accepted.
+        """
+
     async def move(self, move: ScenarioMove) -> None:
         """Starts a move."""
 
@@ -41,6 +48,9 @@
     async def kill(self, instances: Sequence[str]) -> None:
         """Ends nodes and backend servers at the same moment, unprepared."""
 
+    async def stop(self, instances: Sequence[str]) -> None:
+        """Starts planned stops of nodes and backend servers."""
+
     async def restart(self, instances: Sequence[str]) -> None:
         """Starts killed instances again, or ends and starts running ones."""
 
@@ -96,5 +106,8 @@
         Runs on servers that were killed since belong to the result.
         """
 
+    async def runs_at(self, instance: str) -> int:
+        """Returns the number of runs at a backend server."""
+
     async def runs_by_version(self, service: str) -> Mapping[str, int]:
         """Returns the number of runs by backend server version."""
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/simulated_backend.py
@@ -0,0 +1,143 @@
+"""Runs requests of the in-memory network on a backend server."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+
+from vanillamast_testing.badness import NO_HARM, Badness, Harm
+from vanillamast_testing.core_network import LATENCY_SIGMA, CoreNetwork
+from vanillamast_testing.simulated_server import SimulatedServer
+
+SLOTS = 9
+QUEUE_LIMIT = 4
+WORK_S = 0.02  # Median; at tens of requests a second some slots are busy.
+
+
+@dataclasses.dataclass(slots=True)
+class BackendAnswer:
+    """How a request ended at a backend server.
+
+    Attributes:
+      request_id: Request whose answer this is.
+      version: Version of the backend server.
+      status: Status, 0 if the connection failed without an answer.
+      not_run: Whether the backend server shed the request.
+      cut: Whether the body ends early.
+    """
+
+    request_id: str
+    version: str
+    status: int = 200
+    not_run: bool = False
+    cut: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class BackendRequest:
+    """A request that arrived.
+
+    Attributes:
+      request_id: The caller's id, the same for all attempts.
+      path: Its path.
+      answered: Called with the answer at the moment that it is sent.
+    """
+
+    request_id: str
+    path: str
+    answered: Callable[[BackendAnswer], None]
+
+
+class SimulatedBackend:
+    """A backend server with slots, a short queue and a badness.
+
+    What a paused server received runs when it is resumed, even if the caller
+    has given up by then: a request that was delivered cannot be called back.
+
+    Attributes:
+      name: Its instance.
+      runs: How many times each request id began to run, over all lives.
+      badness: What is wrong with it.
+    """
+
+    def __init__(self, network: CoreNetwork, name: str):
+        self.network = network
+        self.name = name
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.badness = Badness()
+        self.badness_at = 0.0
+        self.life = 0
+        self.busy = 0
+        self.queue: collections.deque[BackendRequest] = collections.deque()
+        self.held: list[Callable[[], None]] = []
+
+    @property
+    def server(self) -> SimulatedServer:
+        """Returns the process beside the node."""
+        return self.network.servers[self.name]
+
+    def set_badness(self, badness: Badness) -> None:
+        """Replaces what is wrong with it."""
+        self.badness = badness
+        self.badness_at = self.network.now
+
+    def kill(self) -> None:
+        """Drops everything that waits or runs."""
+        self.life += 1
+        self.busy = 0
+        self.queue.clear()
+        self.held.clear()
+
+    def resume(self) -> None:
+        """Lets everything go on that waited for the process."""
+        held, self.held = self.held, []
+        for action in held:
+            action()
+
+    def arrive(self, request: BackendRequest) -> None:
+        """Takes a request from the network."""
+        if not self.server.running:
+            return
+        if self.server.paused:
+            self.held.append(lambda: self.arrive(request))
+        elif self.busy < SLOTS:
+            self._begin(request)
+        elif len(self.queue) < QUEUE_LIMIT:
+            self.queue.append(request)
+        else:
+            answer = self._answer(request)
+            answer.status, answer.not_run = 503, True
+            request.answered(answer)
+
+    def _begin(self, request: BackendRequest) -> None:
+        self.busy += 1
+        self.runs[request.request_id] += 1
+        harm = self._harm(request.path)
+        work_s = self.network.rng.lognormvariate(0.0, LATENCY_SIGMA) * WORK_S
+        life = self.life
+        self.network.later(
+            work_s + harm.delay_s, lambda: self._end(request, harm, life)
+        )
+
+    def _end(self, request: BackendRequest, harm: Harm, life: int) -> None:
+        if life != self.life:
+            return
+        if self.server.paused:
+            self.held.append(lambda: self._end(request, harm, life))
+            return
+        answer = self._answer(request)
+        answer.status, answer.cut = harm.status, harm.cut
+        request.answered(answer)
+        self.busy -= 1
+        if self.queue:
+            self._begin(self.queue.popleft())
+
+    def _answer(self, request: BackendRequest) -> BackendAnswer:
+        return BackendAnswer(request.request_id, self.server.version)
+
+    def _harm(self, path: str) -> Harm:
+        age_s = self.network.now - self.badness_at
+        if not self.badness.affects(path, age_s, self.busy / SLOTS):
+            return NO_HARM
+        if self.network.rng.random() >= self.badness.share:
+            return NO_HARM
+        return self.badness.harm()
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,51 @@
+"""Runs the scenario scripts of this folder, one test per script and target.
+
+The first line of a script names its targets.
+"""
+
+import os
+import pathlib
+
+import pytest
+from vanillamast_testing import (
+    CoreScenarioTarget,
+    parse_scenario,
+    run_scenario,
+)
+
+FOLDER = pathlib.Path(__file__).parent
+SCRIPTS = sorted(FOLDER.glob("*.scenario"))
+HEAD = "# targets: "
+SEED = int(os.environ.get("VANILLAMAST_SEED", "1"))
+
+
+def targets_of(script: pathlib.Path) -> list[str]:
+    """Returns the names of the targets that a script runs against."""
+    head = script.read_text().splitlines()[0]
+    assert head.startswith(HEAD), f"{script.name} names no targets"
+    return head.removeprefix(HEAD).split(", ")
+
+
+def for_target(name: str) -> list[pathlib.Path]:
+    """Returns the scripts of a target."""
+    return [script for script in SCRIPTS if name in targets_of(script)]
+
+
+class TestScenarios:
+    """Failures of design section 1.5, alone, in pairs and twice."""
+
+    @pytest.mark.parametrize(
+        "script", for_target("core"), ids=lambda script: script.stem
+    )
+    async def test_core(self, script: pathlib.Path):
+        """Guards against the failure that the script's comment names."""
+        target = CoreScenarioTarget(SEED, FOLDER)
+        lines = parse_scenario(script.read_text())
+        report = await run_scenario(lines, target)
+        assert report.held, report.failures()
+
+    def test_scripts_name_failures(self):
+        """Guards against scripts that no target runs or that guard nothing."""
+        for script in SCRIPTS:
+            assert set(targets_of(script)) <= {"core"}
+            assert "# Guards against" in script.read_text().splitlines()[1]
