Run scenarios on real processes

Cause: scenarios on the test clock do not show what sockets, signals and processes do.

Change: FleetScenarioTarget runs scripts on a Fleet. The fake backend server can write the ids of its runs to a file, so that the runs of killed and frozen servers count.

--- a/packages/testing/src/vanillamast_testing/__init__.py
+++ b/packages/testing/src/vanillamast_testing/__init__.py
@@ -13,6 +13,9 @@
     decode_badness,
 )
 from vanillamast_testing.core_scenario_target import CoreScenarioTarget
+from vanillamast_testing.fleet import Fleet
+from vanillamast_testing.fleet_scenario_target import FleetScenarioTarget
+from vanillamast_testing.fleet_settings import FleetSettings
 from vanillamast_testing.layout import Layout, LayoutError, load_layout
 from vanillamast_testing.load_settings import LoadSettings
 from vanillamast_testing.load_summary import LoadSummary, summarize
@@ -64,6 +67,9 @@
     "Badness",
     "BadnessError",
     "CoreScenarioTarget",
+    "Fleet",
+    "FleetScenarioTarget",
+    "FleetSettings",
     "Group",
     "Harm",
     "Layout",
--- a/packages/testing/src/vanillamast_testing/backend_app.py
+++ b/packages/testing/src/vanillamast_testing/backend_app.py
@@ -142,6 +142,12 @@
             self.slots.release()
             self.gauge.measure(self.slots.busy, loop.time())
 
+    def _note_run(self, request_id: str) -> None:
+        self.counts.started(request_id)
+        if self.settings.run_log:
+            with open(self.settings.run_log, "a") as file:
+                file.write(request_id + "\n")
+
     def _refuse(self, resp: Any, shed: bool) -> None:
         """Refuses a request that did not run."""
         if shed:
@@ -155,7 +161,7 @@
         request_id = req.get_header(REQUEST_ID_HEADER) or "none"
         now = asyncio.get_running_loop().time()
         self.gauge.measure(self.slots.busy, now)
-        self.counts.started(request_id)
+        self._note_run(request_id)
         harm = self._harm(req.path, now)
         control = connection_of(req.scope)
         work = self._work(req, resp, harm, deadline)
--- a/packages/testing/src/vanillamast_testing/backend_server.py
+++ b/packages/testing/src/vanillamast_testing/backend_server.py
@@ -77,6 +77,9 @@
     "delay_ms, after_s, under_load, prefix.",
     flag_values=FLAGS,
 )
+flags.DEFINE_string(
+    "run_log", "", "File for the ids of requests that run.", flag_values=FLAGS
+)
 flags.DEFINE_integer("seed", 1, "Seed of a partial badness.", flag_values=FLAGS)
 flags.DEFINE_float(
     "run_for_s", 3600.0, "Stops after so many seconds.", flag_values=FLAGS
@@ -99,6 +102,7 @@
         cold_factor=FLAGS.cold_factor,
         load_report=FLAGS.load_report,
         load_lag_s=FLAGS.load_lag_s,
+        run_log=FLAGS.run_log,
     )
 
 
--- a/packages/testing/src/vanillamast_testing/backend_settings.py
+++ b/packages/testing/src/vanillamast_testing/backend_settings.py
@@ -34,6 +34,8 @@
       load_lag_s: Age of the reported load.
       announce_every_s: Seconds between announcements.
       drain_limit_s: Longest wait for requests in flight at a stop.
+      run_log: File that takes the id of each request that begins to run, one
+        a line; it outlives a killed process. "" for none.
     """
 
     service: str
@@ -51,3 +53,4 @@
     load_lag_s: float = 0.0
     announce_every_s: float = 1.0
     drain_limit_s: float = 30.0
+    run_log: str = ""
--- a/packages/testing/src/vanillamast_testing/fleet.py
+++ b/packages/testing/src/vanillamast_testing/fleet.py
@@ -39,6 +39,10 @@
                 "-m",
                 "vanillamast_testing.platform_log",
                 f"--address={self.platform_address}",
+                *(
+                    f"--address={self.log_address(domain)}"
+                    for domain in settings.failure_domains
+                ),
                 f"--data={settings.directory / 'platform.data'}",
             ],
             settings.directory / "platform.out",
@@ -63,11 +67,20 @@
         """Returns the loopback address of an instance, from index 0."""
         return f"{self.settings.network}.{index + 10}"
 
+    def log_address(self, failure_domain: str) -> str:
+        """Returns the "ip:port" of the log for a failure domain."""
+        domains = self.settings.failure_domains
+        if failure_domain not in domains:
+            return self.platform_address
+        index = domains.index(failure_domain)
+        return f"{self.settings.network}.{index + 2}:{PLATFORM_PORT}"
+
     def add(self, specs: list[InstanceSpec], seeds: list[str]) -> None:
         """Adds instances without starting them."""
         for spec in specs:
+            log_url = f"http://{self.log_address(spec.failure_domain)}"
             self.instances[spec.name] = InstanceProcesses(
-                spec, self.settings, f"http://{self.platform_address}", seeds
+                spec, self.settings, log_url, seeds
             )
 
     async def start(self, names: list[str]) -> None:
--- a/packages/testing/src/vanillamast_testing/instance_processes.py
+++ b/packages/testing/src/vanillamast_testing/instance_processes.py
@@ -18,6 +18,7 @@
       node: Process of the node.
       server: Process of the backend server.
       log_path: The node's log.
+      run_log: File with the ids of all requests that the backend server ran.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         self.spec = spec
         self.settings = settings
         self.log_path = settings.directory / f"{spec.name}.log"
+        self.run_log = settings.directory / f"{spec.name}.runs"
         path = settings.directory / f"{spec.name}.yaml"
         path.write_text(yaml.safe_dump(self._node_settings(log_url, seeds)))
         self.node = ManagedProcess(
@@ -48,6 +50,7 @@
                 f"--version={spec.version}",
                 f"--node_servers={spec.servers}",
                 f"--node_callers={spec.callers}",
+                f"--run_log={self.run_log}",
                 *settings.backend_flags,
             ],
             settings.directory / f"{spec.name}.server.out",
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -5,10 +5,14 @@
 
 import os
 import pathlib
+import random
 
 import pytest
 from vanillamast_testing import (
     CoreScenarioTarget,
+    Fleet,
+    FleetScenarioTarget,
+    FleetSettings,
     parse_scenario,
     run_scenario,
 )
@@ -44,8 +48,25 @@
         report = await run_scenario(lines, target)
         assert report.held, report.failures()
 
+    @pytest.mark.parametrize(
+        "script", for_target("fleet"), ids=lambda script: script.stem
+    )
+    async def test_fleet(self, script: pathlib.Path, tmp_path: pathlib.Path):
+        """Guards against the failure that the script's comment names."""
+        settings = FleetSettings(
+            directory=tmp_path,
+            network=f"127.{random.randint(16, 250)}.{random.randint(1, 250)}",
+            failure_domains=("a", "b", "c"),
+            node_settings={"requests": {"key_margin_s": 1.0}},
+        )
+        lines = parse_scenario(script.read_text())
+        async with Fleet(settings) as fleet:
+            target = FleetScenarioTarget(fleet, FOLDER)
+            report = await run_scenario(lines, target)
+        assert report.held, report.failures()
+
     def test_scripts_name_failures(self):
         """Guards against scripts that no target runs or that guard nothing."""
         for script in SCRIPTS:
-            assert set(targets_of(script)) <= {"core"}
+            assert set(targets_of(script)) <= {"core", "fleet"}
             assert "# Guards against" in script.read_text().splitlines()[1]
