--- a/packages/core/src/vanillamast_core/control/__init__.py
+++ b/packages/core/src/vanillamast_core/control/__init__.py
@@ -28,6 +28,7 @@
     StopRequested,
     Tick,
 )
+from vanillamast_core.control.key_service import KeyService
 from vanillamast_core.control.node_core import NodeCore
 from vanillamast_core.control.queries import queries
 from vanillamast_core.control.server_lease import ServerLease
@@ -45,6 +46,7 @@
     "Effect",
     "EntriesRead",
     "Event",
+    "KeyService",
     "LinkDown",
     "LinkUp",
     "MessageReceived",
--- a/packages/core/src/vanillamast_core/control/data_plane.py
+++ b/packages/core/src/vanillamast_core/control/data_plane.py
@@ -154,13 +154,14 @@
         if move is not None:
             share = 0.0 if alarmed(move.started_at) else move.share
             return SetSplit(service, move.spec.old, move.spec.new, share)
-        applied = self.table.services[service].version
-        folded = state.configuration.services.get(service)
-        if folded is None or folded.version == applied:
+        settled = state.settled_version(service, self.table.applied_version)
+        if settled is None:
             return None
-        # The folded version is not applied yet, because the node waits for
-        # endpoints of other services; a settled move must not go back.
-        return SetSplit(service, applied, folded.version, 1.0)
+        # The version that the settled move gave the service is not applied
+        # yet, because the node waits for endpoints of other services; the
+        # traffic must not go back.
+        applied = self.table.services[service].version
+        return SetSplit(service, applied, settled, 1.0)
 
 
 def active_moves(state: MeshState) -> dict[str, Move]:
--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/key_service.py
@@ -0,0 +1,55 @@
+"""Homes of idempotency keys, and the keys whose home is this node."""
+
+from vanillamast_core.announcement import Announcement
+from vanillamast_core.peers import ClaimKey, KeyAnswer, Mesh, SettleKey
+from vanillamast_core.requests import KeyLedger, RequestSettings, key_home
+
+
+class KeyService:
+    """Finds a key's home node, and answers for the keys that live here.
+
+    Attributes:
+      mesh: Knows the members of services.
+      service: Service of the backend server beside this node, "" if none.
+      ledger: Keys whose home is this node.
+      members: Members of the service that the ledger was told last.
+    """
+
+    def __init__(
+        self, mesh: Mesh, own: Announcement, settings: RequestSettings
+    ):
+        self.mesh = mesh
+        self.service = own.service
+        self.ledger = KeyLedger(settings, own.service, own.instance)
+        self.members: list[str] = []
+
+    def refresh(self, now: float) -> None:
+        """Tells the ledger the members of this node's service."""
+        if not self.service:
+            return
+        members = self.mesh.home_candidates(self.service)
+        if members == self.members:
+            return
+        # Before the first call, all instances that the directory knows count.
+        known = {a.instance for a in self.mesh.directory.known(self.service)}
+        gone = (set(self.members) or known) - set(members)
+        vanished = any(self._vanished(instance) for instance in gone)
+        self.members = members
+        self.ledger.set_members(members, vanished, now)
+
+    def home(self, service: str, key: str) -> str:
+        """Returns a key's home node as this node sees it, "" if none."""
+        return key_home(service, key, self.mesh.home_candidates(service))
+
+    def claim(self, claim: ClaimKey, now: float, wall: float) -> KeyAnswer:
+        """Answers a claim of a key whose home is this node."""
+        self.refresh(now)
+        return self.ledger.claim(claim, now, wall)
+
+    def settle(self, settle: SettleKey, now: float) -> None:
+        """Takes the outcome of a claim of a key whose home is this node."""
+        self.ledger.settle(settle, now)
+
+    def _vanished(self, instance: str) -> bool:
+        record = self.mesh.directory.records.get(instance)
+        return record is None or not record.leaving
--- a/packages/node/src/vanillamast_node/key_desk.py
+++ b/packages/node/src/vanillamast_node/key_desk.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from vanillamast_core.control import NodeCore
+from vanillamast_core.control import KeyService, NodeCore
 from vanillamast_core.peers import (
     ClaimKey,
     KeyAnswer,
@@ -11,43 +11,28 @@
     Message,
     SettleKey,
 )
-from vanillamast_core.requests import KeyLedger, RequestSettings, key_home
+from vanillamast_core.requests import RequestSettings
 
 from vanillamast_node.peer_transport import PeerTransport
 
 
 class KeyDesk:
-    """Asks a key's home node, and answers for the keys that live here.
+    """Asks a key's home node, and answers peers for the keys that live here.
 
     Attributes:
-      core: For the members of services.
-      ledger: Keys whose home is this node.
+      core: For the name of this instance and the peers' addresses.
+      keys: Homes of keys, and the keys whose home is this node.
       transport: Links to peers; set before use.
     """
 
     def __init__(self, core: NodeCore, settings: RequestSettings):
         self.core = core
-        self.ledger = KeyLedger(
-            settings, core.settings.service, core.settings.instance
-        )
+        self.keys = KeyService(core.mesh, core.mesh.own, settings)
         self.transport: PeerTransport
-        self._members: list[str] = []
 
     def refresh(self) -> None:
-        """Tells the ledger the members of this node's service."""
-        service = self.core.settings.service
-        if not service:
-            return
-        members = self.core.mesh.home_candidates(service)
-        if members == self._members:
-            return
-        # Before the first call, all instances that the directory knows count.
-        known = {a.instance for a in self.core.mesh.directory.known(service)}
-        gone = (set(self._members) or known) - set(members)
-        vanished = any(self._vanished(instance) for instance in gone)
-        self._members = members
-        now = asyncio.get_running_loop().time()
-        self.ledger.set_members(members, vanished, now)
+        """Takes note of the members of this node's service."""
+        self.keys.refresh(asyncio.get_running_loop().time())
 
     async def claim(self, claim: ClaimKey) -> KeyAnswer:
         """Claims a key at its home node.
@@ -55,9 +40,9 @@
         Raises:
           ConnectionError: The home node did not answer or there is none.
         """
-        home = self._home(claim.service, claim.key)
+        home = self.keys.home(claim.service, claim.key)
         if home == self.core.settings.instance:
-            return self.answer_claim(claim)
+            return self._answer_claim(claim)
         reply = await self._ask(home, claim)
         if not isinstance(reply, KeyAnswer):
             raise ConnectionError(f"{home}: unexpected {type(reply).__name__}")
@@ -69,36 +54,26 @@
         Raises:
           ConnectionError: The home node did not answer or there is none.
         """
-        home = self._home(settle.service, settle.key)
+        home = self.keys.home(settle.service, settle.key)
         if home == self.core.settings.instance:
-            self.ledger.settle(settle, asyncio.get_running_loop().time())
+            self.keys.settle(settle, asyncio.get_running_loop().time())
             return
         await self._ask(home, settle)
 
     async def answer(self, message: Message) -> Message:
         """Answers a peer's question about a key."""
         if isinstance(message, ClaimKey):
-            return self.answer_claim(message)
+            return self._answer_claim(message)
         if isinstance(message, SettleKey):
-            self.ledger.settle(message, asyncio.get_running_loop().time())
+            self.keys.settle(message, asyncio.get_running_loop().time())
         return KeyAnswer(KeyState.UNCLEAR)
 
-    def answer_claim(self, claim: ClaimKey) -> KeyAnswer:
-        """Answers a claim of a key whose home is this node."""
-        self.refresh()
+    def _answer_claim(self, claim: ClaimKey) -> KeyAnswer:
         now = asyncio.get_running_loop().time()
-        return self.ledger.claim(claim, now, time.time())
-
-    def _home(self, service: str, key: str) -> str:
-        members = self.core.mesh.home_candidates(service)
-        return key_home(service, key, members)
+        return self.keys.claim(claim, now, time.time())
 
     async def _ask(self, home: str, message: Message) -> Message:
         address = self.core.mesh.peer_address(home) if home else None
         if not address:
             raise ConnectionError("no node is the key's home")
         return await self.transport.ask(address, message)
-
-    def _vanished(self, instance: str) -> bool:
-        record = self.core.mesh.directory.records.get(instance)
-        return record is None or not record.leaving
--- a/packages/testing/src/vanillamast_testing/core_host.py
+++ b/packages/testing/src/vanillamast_testing/core_host.py
@@ -14,6 +14,7 @@
 from absl import flags
 from vanillamast_core.control import (
     CoreSettings,
+    Event,
     NodeCore,
     ServerReport,
     ServerReported,
@@ -23,6 +24,7 @@
     KeyAnswer,
     KeyState,
     Message,
+    PeerSettings,
     pack_announcement,
 )
 from vanillamast_core.requests import RequestRouter, RequestSettings
@@ -40,7 +42,7 @@
 from vanillamast_testing.target_mesh import target_instances
 
 REPORT_S = 1.0
-TICK_S = 0.25
+TICK_S = 0.5  # Half as often as a real node, to save processor time.
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer(
     "first", 0, "Index of the first instance.", 0, flag_values=FLAGS
@@ -52,6 +54,20 @@
 flags.mark_flag_as_required("log_url", flag_values=FLAGS)
 
 
+class HostedTask(CoreTask):
+    """A core task that measures nothing.
+
+    One process carries 1,176 of them; the histogram of events would take a
+    third of their time.
+    """
+
+    def handle(self, event: Event) -> None:
+        """Handles one event now."""
+        now = asyncio.get_running_loop().time()
+        for effect in self.core.handle(event, now, time.time()):
+            self.perform(effect)
+
+
 class HostedNode:
     """One control side, its transport and its backend server's reports.
 
@@ -74,7 +90,7 @@
         router = RequestRouter(
             RequestSettings(), spec.failure_domain, rng, VersionSplit
         )
-        self.task = CoreTask(core, router, NodeMetrics())
+        self.task = HostedTask(core, router, NodeMetrics())
         self.transport = LocalTransport(self.task.post, refuse_key, local)
         self.task.transport = self.transport
         self.task.reader = LogReader(
@@ -145,6 +161,7 @@
         operator_address=spec.operators,
         holder=f"{spec.name}/{time.time_ns()}",
         seeds=seeds,
+        peers=PeerSettings(tick_s=TICK_S),
     )
 
 
--- a/packages/testing/src/vanillamast_testing/core_request_path.py
+++ b/packages/testing/src/vanillamast_testing/core_request_path.py
@@ -9,6 +9,7 @@
     AttemptEnded,
     ClearSplit,
     DropService,
+    KeyService,
     SetRoutes,
     SetServers,
     SetSplit,
@@ -41,7 +42,6 @@
 )
 
 from vanillamast_testing.core_adapter import WALL_START_S, CoreAdapter
-from vanillamast_testing.core_key_desk import ASK_TIMEOUT_S, CoreKeyDesk
 from vanillamast_testing.request_record import RequestRecord
 from vanillamast_testing.simulated_backend import BackendAnswer, BackendRequest
 from vanillamast_testing.simulated_call import CallResult, SimulatedCall
@@ -50,6 +50,7 @@
     from vanillamast_testing.scenario_network import ScenarioNetwork
 
 CONNECT_TIMEOUT_S = 0.5  # `ForwardingSettings.connect_timeout_s`.
+ASK_TIMEOUT_S = 1.0  # As of the node's peer transport.
 KEY_REFRESH_S = 1.0
 BODY_S = 0.001
 TIMER_MIN_S = 1e-4  # A rounded timer must not repeat at the same moment.
@@ -80,7 +81,8 @@
         settings = RequestSettings()
         rng = random.Random(network.rng.getrandbits(64))
         self.router = RequestRouter(settings, domain, rng, VersionSplit)
-        self.keys = CoreKeyDesk(network, adapter.core, settings)
+        core = adapter.core
+        self.keys = KeyService(core.mesh, core.mesh.own, settings)
         self.calls: set[SimulatedCall] = set()
         self._refresh_keys()
 
@@ -266,7 +268,7 @@
     # Keys.
 
     def _refresh_keys(self) -> None:
-        self.keys.refresh()
+        self.keys.refresh(self.network.now)
         self.later(KEY_REFRESH_S, self._refresh_keys)
 
     def _claim(self, call: SimulatedCall) -> None:
@@ -285,7 +287,8 @@
             self.deliver(lambda: self._tell(call, KeyAnswered(answer)))
 
         def ask(path: "CoreRequestPath") -> None:
-            answer = path.keys.answer_claim(claim)
+            now = self.network.now
+            answer = path.keys.claim(claim, now, WALL_START_S + now)
             self.network.carry(home, self.name, lambda: answered(answer))
 
         self.network.ask(self.name, home, ask)
@@ -297,4 +300,8 @@
             exchange.pool.service, exchange.inputs.key, call.claim_id, status
         )
         home = self.keys.home(settle.service, settle.key)
-        self.network.ask(self.name, home, lambda path: path.keys.settle(settle))
+        self.network.ask(
+            self.name,
+            home,
+            lambda path: path.keys.settle(settle, self.network.now),
+        )
--- a/packages/testing/src/vanillamast_testing/demo_run.py
+++ b/packages/testing/src/vanillamast_testing/demo_run.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import yaml
 
 from vanillamast_testing.demo_report import DemoReport
 from vanillamast_testing.deployment import Deployment
@@ -23,7 +24,6 @@
 TAKE_BACK_BOUND_S = 60.0
 RATE_PER_S = 60.0
 POST_SHARE = 0.2
-NEW_INSTANCES = 3
 POLL_S = 0.2
 QUIET_S = 10.0
 
@@ -36,6 +36,7 @@
       deployment: What is shown.
       report: The findings.
       load: The callers, while they run.
+      planned: All instances so far.
     """
 
     def __init__(self, fleet: Fleet, deployment: Deployment):
@@ -43,6 +44,7 @@
         self.deployment = deployment
         self.report = DemoReport()
         self.load: LoadGenerator | None = None
+        self.planned: list[InstanceSpec] = []
 
     async def run(self) -> DemoReport:
         """Runs all steps."""
@@ -67,42 +69,45 @@
     async def start_fleet(self) -> None:
         """Starts the platform's stand-in and all instances."""
         specs = self.old_instances()
-        say(f"starting {len(specs)} instances of {self.deployment.name}")
+        say(f"starting {len(specs)} instances of {self.deployment.layout.name}")
         await self.fleet.platform.start()
         self.fleet.add(specs, choose_seeds(specs))
         await self.fleet.start([spec.name for spec in specs])
 
     def old_instances(self) -> list[InstanceSpec]:
-        """Returns the instances of the deployment, spread over its domains."""
-        names = [
-            (service, number)
-            for service, count in self.deployment.servers.items()
-            for number in range(count)
+        """Returns the instances of the layout."""
+        placed = [
+            (service, domain)
+            for service, domains in self.deployment.layout.instances.items()
+            for domain, count in domains.items()
+            for _ in range(count)
         ]
         return [
-            self.spec(index, service, str(number + 1), "1")
-            for index, (service, number) in enumerate(names)
+            self.spec(index, service, f"{index + 1}", "1", domain)
+            for index, (service, domain) in enumerate(placed)
         ]
 
     def spec(
-        self, index: int, service: str, suffix: str, version: str
+        self, index: int, service: str, suffix: str, version: str, domain: str
     ) -> InstanceSpec:
         """Returns an instance; the first of each domain takes callers."""
-        domains = self.deployment.failure_domains
-        return InstanceSpec(
+        taken = {spec.failure_domain for spec in self.planned}
+        spec = InstanceSpec(
             name=f"{service}-{suffix}",
-            region=self.deployment.region,
-            failure_domain=domains[index % len(domains)],
+            region=self.deployment.layout.region,
+            failure_domain=domain,
             service=service,
             version=version,
             host=self.fleet.host(index),
-            edge=index < len(domains),
+            edge=domain not in taken,
         )
+        self.planned.append(spec)
+        return spec
 
     async def publish_first(self) -> None:
         """Publishes the configuration and times its way to all nodes."""
         path = self.fleet.settings.directory / "configuration.yaml"
-        path.write_text(self.deployment.configuration)
+        path.write_text(self.deployment.layout.text)
         await self.fleet.wait_for(
             self.fleet.running(), lambda status: status["offset"] > 0, 30.0
         )
@@ -132,8 +137,8 @@
                 targets=tuple(spec.callers for spec in edges),
                 rate=RATE_PER_S,
                 duration_s=600.0,
-                reads=self.deployment.reads,
-                posts=self.deployment.posts,
+                reads=self.deployment.layout.reads,
+                posts=self.deployment.layout.posts,
                 post_share=POST_SHARE,
             )
         )
@@ -144,9 +149,7 @@
         service = self.deployment.good_service
         await self.start_new_version(service, badness="{}")
         started = time.monotonic()
-        await self.command(
-            f"move {service} from 1 to 2 in {GOOD_MOVE_S}s named good"
-        )
+        await self.command(self.move_command(service, "good"))
         failures = asyncio.create_task(self.cause_failures())
         state = await self.wait_for_move(
             "good", {"done", "settled", "taken_back", "stopped"}, 90.0
@@ -187,9 +190,7 @@
         assert self.load is not None
         first = len(self.load.records)
         started = time.monotonic()
-        await self.command(
-            f"move {service} from 1 to 2 in {GOOD_MOVE_S}s named bad"
-        )
+        await self.command(self.move_command(service, "bad"))
         state = await self.wait_for_move(
             "bad", {"done", "settled", "taken_back", "stopped"}, 90.0
         )
@@ -228,9 +229,10 @@
     async def start_new_version(self, service: str, badness: str) -> None:
         """Starts instances of version 2 beside the old ones."""
         index = len(self.fleet.instances)
+        domains = self.deployment.layout.failure_domains
         specs = [
-            self.spec(index + n, service, f"new-{n + 1}", "2")
-            for n in range(NEW_INSTANCES)
+            self.spec(index + n, service, f"new-{n + 1}", "2", domain)
+            for n, domain in enumerate(domains)
         ]
         seeds = choose_seeds([i.spec for i in self.fleet.instances.values()])
         self.fleet.add(specs, seeds)
@@ -246,36 +248,18 @@
 
     async def publish_again(self) -> None:
         """Publishes one more change after the failures."""
-        path = self.fleet.settings.directory / "configuration.yaml"
-        directory = self.fleet.settings.directory / "next.yaml"
-        directory.write_text(
-            path.read_text().replace(
-                "routes:",
-                "routes:\n  help: {path: /help, service: "
-                f"{self.deployment.good_service}}}",
-                1,
-            )
-        )
-        text = await self.current_versions(directory.read_text())
-        directory.write_text(text)
-        await self.publish(directory, "second")
-
-    async def current_versions(self, text: str) -> str:
-        """Returns a configuration text with what is in effect of services.
-
-        The moves have changed versions, and a file that still names the old
-        ones would move traffic back at once.
-        """
         answer = await self.fleet.client.get(
             self.operator_address(), "/v1/configuration"
         )
         assert answer is not None
-        for name, service in answer["configuration"]["services"].items():
-            old = f'{name}: {{version: "1"'
-            text = text.replace(
-                old, f'{name}: {{version: "{service["version"]}"'
-            )
-        return text
+        configuration = answer["configuration"]
+        configuration["routes"]["help"] = {
+            "path": "/help",
+            "service": self.deployment.good_service,
+        }
+        path = self.fleet.settings.directory / "next.yaml"
+        path.write_text(yaml.safe_dump(configuration))
+        await self.publish(path, "second")
 
     async def ask(self) -> None:
         """Asks what is in force where."""
@@ -387,6 +371,13 @@
         assert answer is not None
         return answer
 
+    def move_command(self, service: str, name: str) -> str:
+        """Returns the command that starts a move from version 1 to 2."""
+        return (
+            f"move {service} from 1 to 2 in {GOOD_MOVE_S}s named {name}"
+            f" at deadline {self.deployment.layout.on_deadline}"
+        )
+
     def operator_address(self) -> str:
         """Returns the address of the node that operators use."""
         return next(iter(self.fleet.instances.values())).spec.operators
