Split the node's duties towards the log from NodeCore; sharpen its fuzz

The state machine starts with a move under way and a log longer than its retention, lets peers raise alarms and replaces all instances at once.

--- /dev/null
+++ b/packages/core/src/vanillamast_core/control/log_duties.py
@@ -0,0 +1,185 @@
+"""What a node appends to the log of its own accord."""
+
+import random
+import uuid
+from collections.abc import Iterable
+
+from vanillamast_core.control.claim_rank import ClaimRank
+from vanillamast_core.control.core_settings import CoreSettings
+from vanillamast_core.control.effects import Append
+from vanillamast_core.control.lease_group import LeaseGroup
+from vanillamast_core.control.move_control import MoveControl, moves_by_shard
+from vanillamast_core.journal import (
+    Beacon,
+    Journal,
+    LogEntry,
+    Record,
+    SnapshotChunk,
+    SnapshotWriter,
+    record_codec,
+)
+from vanillamast_core.journal.shard import LEASE_PREFIX
+from vanillamast_core.moves import Move
+from vanillamast_core.peers import LivenessState, Mesh
+
+SNAPSHOT_LEASE = "snapshot"
+# Leases are short; a claim or a step that waits longer is out of date.
+LEASE_PATIENCE_S = 6.0
+
+
+class LogDuties:
+    """Drives moves, writes snapshots and beacons; the first two by lease.
+
+    Attributes:
+      settings: Settings of the control side.
+      journal: The fold of the log.
+      mesh: Overlay and membership.
+      moves: Evidence and drivers.
+      rng: Source of the records' ids.
+      leases: Leases that this node may claim.
+      ranks: Order in which live instances claim them.
+      snapshots: Decides when the state is written to the log.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        journal: Journal,
+        mesh: Mesh,
+        moves: MoveControl,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.journal = journal
+        self.mesh = mesh
+        self.moves = moves
+        self.rng = rng
+        self.leases = LeaseGroup(settings.holder, settings.leases)
+        self.ranks = ClaimRank(settings.instance, mesh.directory)
+        self.snapshots = SnapshotWriter(settings.snapshots)
+        self._next_beacon = 0.0
+
+    def observe_leases(self, now: float) -> None:
+        """Takes note of the leases in the folded state."""
+        self.leases.observe(self.journal.state.leases, now)
+
+    def observe_entry(self, entry: LogEntry, now: float) -> None:
+        """Takes note of a folded entry, which may be part of a snapshot."""
+        record = record_codec.decode_or_none(entry.data)
+        if isinstance(record, SnapshotChunk):
+            self.snapshots.observe(record, entry.offset, now)
+
+    def drive(
+        self, active: Iterable[Move], wall: float, now: float
+    ) -> list[Append]:
+        """Returns what the drivers of active moves append."""
+        appends: list[Append] = []
+        for shard, moves in moves_by_shard(active).items():
+            lease = f"{LEASE_PREFIX}{shard}"
+            appends += self._claim(lease, now)
+            token = self.leases.token(lease, now)
+            if token is not None:
+                appends += self._drive_shard(shard, moves, token, wall, now)
+        return appends
+
+    def take_back(
+        self, started_at: int, reason: str, now: float
+    ) -> list[Append]:
+        """Returns the record of an alarm, unless it was appended lately."""
+        offset = self.journal.offset
+        record = self.moves.take_back(started_at, reason, offset, now)
+        return self._patient([record] if record is not None else [])
+
+    def snapshot(self, now: float) -> list[Append]:
+        """Returns the parts of a snapshot if it is due and this node's."""
+        if not self.snapshots.due(self.journal, now):
+            return []
+        appends = self._claim(SNAPSHOT_LEASE, now)
+        if self.leases.token(SNAPSHOT_LEASE, now) is not None:
+            appends += self._patient(self.snapshots.decide(self.journal, now))
+        return appends
+
+    def beacon(self, now: float) -> list[Append]:
+        """Returns a beacon if the failure domain's is out of date.
+
+        Beacons are part of the state and so of every snapshot; they need no
+        renewal while the instance that they name is alive.
+        """
+        if now < self._next_beacon:
+            return []
+        self._next_beacon = now + self.settings.control.beacon_period_s
+        readers = self.mesh.readers.chosen()
+        if not readers or readers[0] != self.settings.instance:
+            return []
+        own = self.mesh.own
+        known = self.journal.state.beacons.get(own.failure_domain)
+        if known is not None and known.address == own.peer_address:
+            return []
+        record = Beacon(
+            id=str(uuid.UUID(int=self.rng.getrandbits(128), version=4)),
+            based_on=self.journal.offset,
+            failure_domain=own.failure_domain,
+            instance=own.instance,
+            address=own.peer_address,
+        )
+        return self._patient([record])
+
+    def release(self) -> list[Append]:
+        """Returns the records that give up all leases of this process."""
+        return self._hasty(self.leases.release())
+
+    def _drive_shard(
+        self,
+        shard: int,
+        moves: list[Move],
+        token: int,
+        wall: float,
+        now: float,
+    ) -> list[Append]:
+        appends: list[Append] = []
+        alarms = self.mesh.alarms.moves
+        for move in moves:
+            if move.started_at in alarms:
+                reason = alarms[move.started_at]
+                appends += self.take_back(move.started_at, reason, now)
+        sound = [m for m in moves if m.started_at not in alarms]
+        records = self.moves.drive(
+            shard,
+            sound,
+            token,
+            self.mesh.directory,
+            wall,
+            now,
+            self.journal.offset,
+        )
+        return appends + self._hasty(records)
+
+    def _claim(self, lease: str, now: float) -> list[Append]:
+        """Returns a claim or renewal of a lease, if one is due."""
+        if not self.journal.offset:
+            return []
+        rank = self.ranks.of(lease, now)
+        claim = self.leases.claim(lease, now, rank, self._holder_gone(lease))
+        return self._hasty([claim] if claim is not None else [])
+
+    def _holder_gone(self, lease: str) -> bool:
+        """Returns whether a lease's holder released it or is dead."""
+        known = self.journal.state.leases.get(lease)
+        if known is None:
+            return False
+        instance = holder_instance(known.holder)
+        record = self.mesh.directory.records.get(instance)
+        dead = record is not None and record.liveness is LivenessState.DEAD
+        return not instance or dead
+
+    def _hasty(self, records: Iterable[Record]) -> list[Append]:
+        return [Append(record, LEASE_PATIENCE_S) for record in records]
+
+    def _patient(self, records: Iterable[Record]) -> list[Append]:
+        patience_s = self.settings.control.append_patience_s
+        return [Append(record, patience_s) for record in records]
+
+
+def holder_instance(holder: str) -> str:
+    """Returns the instance of a lease's holder, "instance/start"."""
+    return holder.rpartition("/")[0]
--- a/packages/core/src/vanillamast_core/control/node_core.py
+++ b/packages/core/src/vanillamast_core/control/node_core.py
@@ -1,7 +1,6 @@
 """The control side of one node, without sockets and clock."""
 
 import random
-import uuid
 from collections.abc import Callable, Iterable
 from typing import Any, TypeAlias
 
@@ -9,7 +8,6 @@
 
 from vanillamast_core.announcement import Announcement
 from vanillamast_core.configuration import RoutingTable
-from vanillamast_core.control.claim_rank import ClaimRank
 from vanillamast_core.control.core_settings import CoreSettings
 from vanillamast_core.control.data_plane import DataPlane, active_moves
 from vanillamast_core.control.effects import (
@@ -33,7 +31,7 @@
     StopRequested,
     Tick,
 )
-from vanillamast_core.control.lease_group import LeaseGroup
+from vanillamast_core.control.log_duties import LogDuties, holder_instance
 from vanillamast_core.control.log_recovery import LogRecovery
 from vanillamast_core.control.move_control import (
     MoveControl,
@@ -42,14 +40,8 @@
 from vanillamast_core.control.server_lease import ServerLease
 from vanillamast_core.journal import (
     SHARDS,
-    Beacon,
     Journal,
-    LogEntry,
     Outcome,
-    Record,
-    SnapshotChunk,
-    SnapshotWriter,
-    record_codec,
 )
 from vanillamast_core.journal.shard import LEASE_PREFIX
 from vanillamast_core.moves import Move
@@ -58,17 +50,13 @@
     DirectoryChanged,
     EntriesApplied,
     EvidenceReceived,
-    LivenessState,
     Mesh,
     PeerEffect,
     StateLoaded,
 )
 
-SNAPSHOT_LEASE = "snapshot"
 # A tick that comes later than this says that the process was paused.
 PAUSE_S = 1.0
-# Leases are short; a claim or a step that waits longer is out of date.
-LEASE_PATIENCE_S = 6.0
 
 Handler: TypeAlias = Callable[["NodeCore", Any, float, float], None]
 event_handlers: dict[type[Event], Handler] = {}
@@ -107,8 +95,7 @@
       mesh: Overlay and membership.
       data_plane: What the request path was told.
       moves: Evidence, alarms and drivers.
-      leases: Leases that this node may claim.
-      snapshots: Decides when the state is written to the log.
+      duties: What this node appends to the log of its own accord.
       server: Lease of the backend server.
       recovery: Closes gaps of the log.
       stopping: Whether the node is in a planned stop.
@@ -124,9 +111,9 @@
         table = RoutingTable(settings.service, settings.edge)
         self.data_plane = DataPlane(table, self.mesh.directory)
         self.moves = MoveControl(settings, rng)
-        self.leases = LeaseGroup(settings.holder, settings.leases)
-        self.ranks = ClaimRank(settings.instance, self.mesh.directory)
-        self.snapshots = SnapshotWriter(settings.snapshots)
+        self.duties = LogDuties(
+            settings, self.journal, self.mesh, self.moves, rng
+        )
         self.server = ServerLease(settings.control.server_lease_s)
         self.recovery = LogRecovery(self.journal)
         self.stopping = False
@@ -137,7 +124,6 @@
         self._last_tick: float | None = None
         self._next_drive = 0.0
         self._next_evidence = 0.0
-        self._next_beacon = 0.0
         self._dirty = False
 
     def handle(self, event: Event, now: float, wall: float) -> list[Effect]:
@@ -184,8 +170,8 @@
         if now >= self._next_drive:
             self._next_drive = now + self.settings.control.drive_period_s
             self._drive(now, wall)
-            self._write_snapshot(now)
-        self._write_beacon(now)
+        if not self.stopping:
+            self.out += self.duties.beacon(now)
         wake_at = self.data_plane.table.wake_at
         if wake_at is not None and now >= wake_at:
             self._dirty = True
@@ -256,7 +242,7 @@
     @on_event(StopRequested)
     def _on_stop(self, event: StopRequested, now: float, wall: float) -> None:
         self.stopping = True
-        self._append_all(self.leases.release(), LEASE_PATIENCE_S)
+        self.out += self.duties.release()
         self._take(self.mesh.leave(now), now, wall)
 
     # Effects of the mesh that concern the core.
@@ -266,7 +252,7 @@
         self, effect: EntriesApplied, now: float, wall: float
     ) -> None:
         for entry, result in zip(effect.entries, effect.results, strict=True):
-            self._note_snapshot(entry, now)
+            self.duties.observe_entry(entry, now)
             if isinstance(result, Outcome):
                 self._note_outcome(result)
         self._state_changed(now, wall)
@@ -336,7 +322,7 @@
     def _state_changed(self, now: float, wall: float) -> None:
         """Compares the folded state with what was known before."""
         state = self.journal.state
-        self.leases.observe(state.leases, now)
+        self.duties.observe_leases(now)
         self.mesh.directory.set_drained(frozenset(state.drains))
         self.server.drained = self.settings.instance in state.drains
         self._announce(now, wall)
@@ -421,114 +407,22 @@
             self._take(self.mesh.send_evidence(cells, now), now, wall)
 
     def _drive(self, now: float, wall: float) -> None:
-        """Raises alarms and takes part in driving the active moves."""
+        """Raises alarms, drives moves and writes snapshots."""
         active = self.active_moves()
-        if not active:
-            return
-        raised = self.mesh.alarms.moves
-        directory = self.mesh.directory
-        new = self.moves.alarms(active, raised, directory, wall)
-        for started_at, reason in new:
+        for started_at, reason in self.moves.alarms(
+            active, self.mesh.alarms.moves, self.mesh.directory, wall
+        ):
             effects = self.mesh.raise_alarm(started_at, reason, now)
             self._take(effects, now, wall)
-            self._record_alarm(started_at, reason, now)
-        for shard, moves in moves_by_shard(active).items():
-            self._drive_shard(shard, moves, now, wall)
-
-    def _drive_shard(
-        self, shard: int, moves: list[Move], now: float, wall: float
-    ) -> None:
-        lease = f"{LEASE_PREFIX}{shard}"
-        if not self._hold(lease, now):
+            self.out += self.duties.take_back(started_at, reason, now)
+        if self.stopping:
             return
-        token = self.leases.token(lease, now)
-        assert token is not None
-        sound = [m for m in moves if not self.is_alarmed(m.started_at)]
-        for move in moves:
-            if self.is_alarmed(move.started_at):
-                reason = self.mesh.alarms.moves[move.started_at]
-                self._record_alarm(move.started_at, reason, now)
-        records = self.moves.drive(
-            shard,
-            sound,
-            token,
-            self.mesh.directory,
-            wall,
-            now,
-            self.journal.offset,
-        )
-        self._append_all(records, LEASE_PATIENCE_S)
+        self.out += self.duties.drive(active, wall, now)
+        self.out += self.duties.snapshot(now)
         for event in self.moves.unreachable():
             fields = msgspec.to_builtins(event)
             self.out.append(Notice("move.deadline_unreachable", fields))
 
-    def _hold(self, lease: str, now: float) -> bool:
-        """Claims or renews a lease; returns whether it may be used."""
-        if self.stopping or not self.journal.offset:
-            return False
-        claim = self.leases.claim(
-            lease, now, self.ranks.of(lease, now), self._holder_gone(lease)
-        )
-        if claim is not None:
-            self._append_all([claim], LEASE_PATIENCE_S)
-        return self.leases.token(lease, now) is not None
-
-    def _holder_gone(self, lease: str) -> bool:
-        """Returns whether a lease's holder released it or is dead."""
-        known = self.journal.state.leases.get(lease)
-        if known is None:
-            return False
-        instance = holder_instance(known.holder)
-        record = self.mesh.directory.records.get(instance)
-        dead = record is not None and record.liveness is LivenessState.DEAD
-        return not instance or dead
-
-    def _record_alarm(self, started_at: int, reason: str, now: float) -> None:
-        offset = self.journal.offset
-        record = self.moves.take_back(started_at, reason, offset, now)
-        if record is not None:
-            self._append_all([record], self.settings.control.append_patience_s)
-
-    def _append_all(self, records: Iterable[Record], patience_s: float) -> None:
-        self.out += [Append(record, patience_s) for record in records]
-
-    def _write_snapshot(self, now: float) -> None:
-        if not self.snapshots.due(self.journal, now):
-            return
-        if self._hold(SNAPSHOT_LEASE, now):
-            chunks = self.snapshots.decide(self.journal, now)
-            self._append_all(chunks, self.settings.control.append_patience_s)
-
-    def _note_snapshot(self, entry: LogEntry, now: float) -> None:
-        record = record_codec.decode_or_none(entry.data)
-        if isinstance(record, SnapshotChunk):
-            self.snapshots.observe(record, entry.offset, now)
-
-    def _write_beacon(self, now: float) -> None:
-        """Appends a beacon if the failure domain's is out of date.
-
-        Beacons are part of the state and so of every snapshot; they need no
-        renewal while the instance that they name is alive.
-        """
-        if now < self._next_beacon or self.stopping:
-            return
-        self._next_beacon = now + self.settings.control.beacon_period_s
-        readers = self.mesh.readers.chosen()
-        if not readers or readers[0] != self.settings.instance:
-            return
-        own = self.mesh.own
-        beacon = self.journal.state.beacons.get(own.failure_domain)
-        if beacon is not None and beacon.address == own.peer_address:
-            return
-        record = Beacon(
-            id=str(uuid.UUID(int=self.rng.getrandbits(128), version=4)),
-            based_on=self.journal.offset,
-            failure_domain=own.failure_domain,
-            instance=own.instance,
-            address=own.peer_address,
-        )
-        self._append_all([record], self.settings.control.append_patience_s)
-
     def _move_of(self, service: str) -> Move | None:
         for move in self.journal.state.moves.values():
             if move.spec.service == service and not move.state.final:
@@ -547,8 +441,3 @@
         operator_address=settings.operator_address,
         service=settings.service,
     )
-
-
-def holder_instance(holder: str) -> str:
-    """Returns the instance of a lease's holder, "instance/start"."""
-    return holder.rpartition("/")[0]
--- a/tests/core/control/test_control_fuzz.py
+++ b/tests/core/control/test_control_fuzz.py
@@ -19,15 +19,17 @@
     SetRoute,
     SetService,
 )
+from vanillamast_core.control import MessageReceived
 from vanillamast_core.journal import DrainInstance, SnapshotSettings
 from vanillamast_core.moves import MoveState
+from vanillamast_core.peers import Alarms
 from vanillamast_testing.core_adapter import WALL_START_S
 from vanillamast_testing.core_network import CoreNetwork
 
 IN_FORCE_S = 12.0
 LEAVING_S = 3.0
-SNAPSHOT_ENTRIES = 40
-RETAINED_ENTRIES = 200
+SNAPSHOT_ENTRIES = 15
+RETAINED_ENTRIES = 60
 DOMAINS = ("a", "b", "c")
 OLD = [f"{d}{n}" for d in DOMAINS for n in range(3)]
 NEW = [f"new-{d}" for d in DOMAINS]
@@ -80,6 +82,10 @@
         self.offsets: dict[tuple[str, int], int] = {}
         self.moves = 0
         self.stopped: set[str] = set()
+        # Most examples should meet a move under way, and a log that is
+        # longer than what it retains.
+        self.start_move("a0", 0.0, 60.0)
+        self.network.run(40.0)
 
     def running(self) -> list[str]:
         """Returns the nodes that run and are not paused."""
@@ -187,6 +193,31 @@
                 self.network.start_instance(name)
                 self.stopped.discard(name)
 
+    @rule()
+    def restart_all(self) -> None:
+        """Replaces every instance while the log keeps only its tail."""
+        self.network.drop_log(RETAINED_ENTRIES)
+        for name in self.network.nodes:
+            self.network.kill(name)
+        for name in self.network.nodes:
+            self.network.start_instance(name)
+        self.stopped.clear()
+
+    @rule(name=old_names)
+    def hear_alarm(self, name: str) -> None:
+        """Lets a peer tell that a move was taken back."""
+        if name not in self.running():
+            return
+        links = sorted(self.network.nodes[name].pipes)
+        active = self.network.adapter(name).core.active_moves()
+        if links and active:
+            alarms = Alarms({active[0].started_at: "test"})
+            event = MessageReceived(links[0], alarms)
+            self.network.call(
+                name,
+                lambda core, now: core.handle(event, now),  # type: ignore[attr-defined]
+            )
+
     @rule(name=all_names)
     def restart(self, name: str) -> None:
         """Starts a node that is down."""
