Time convergence in the demo from the command to the last switch

Cause: the demo waited from the end of the operators' command, by which all nodes had switched already; 0.01 s said nothing.

Change: from the start of the command to the latest time that a node gives for the switch to that version.

--- a/packages/testing/src/vanillamast_testing/demo_run.py
+++ b/packages/testing/src/vanillamast_testing/demo_run.py
@@ -114,21 +114,42 @@
         await self.publish(path, "first")
 
     async def publish(self, path: Any, label: str) -> None:
-        """Publishes a file through one node and waits for all others."""
+        """Publishes a file through one node and waits for all others.
+
+        The time is taken from the start of the command, its own start
+        included, to the moment that the last node names for the switch.
+        """
+        started = time.time()
         result = await self.command(f'publish "{path}" as "{label}"')
         version = (await self.any_status())["version"]
-        took_s = await self.fleet.wait_for(
+        await self.fleet.wait_for(
             self.fleet.running(),
             lambda status: status["applied_version"] >= version,
             CONVERGENCE_BOUND_S * 2,
         )
+        took_s = await self.last_applied(version) - started
         self.report.add(
-            f"convergence of {label!r} after its acceptance",
+            f"from the command to the last node, {label!r}",
             f"{took_s:.2f} s",
             f"at most {CONVERGENCE_BOUND_S:.0f} s",
-            result.status == 0 and took_s <= CONVERGENCE_BOUND_S,
+            result.status == 0 and 0 < took_s <= CONVERGENCE_BOUND_S,
         )
 
+    async def last_applied(self, version: int) -> float:
+        """Returns the wall time at which the last node applied a version."""
+        addresses = [
+            self.fleet.instances[n].spec.operators for n in self.fleet.running()
+        ]
+        answers = await self.fleet.client.get_all(addresses, "/v1/events")
+        times = [
+            event["time"]
+            for answer in answers.values()
+            for event in (answer or {}).get("events", [])
+            if event["kind"] == "configuration.applied"
+            and event["version"] == version
+        ]
+        return max(times)
+
     async def start_load(self) -> None:
         """Sends reads and posts through the nodes that take callers."""
         edges = [i.spec for i in self.fleet.instances.values() if i.spec.edge]
