--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/__init__.py
@@ -0,0 +1,43 @@
+"""The node beside each backend server.
+
+A request takes two hops: `Gateway`, on the caller's machine, finds a server,
+and `ServerExecutor`, beside that server, runs it within the server's limits.
+`Mesh` connects the nodes, `OperatorWatch` follows the configuration and
+`MoveKeeper` carries out moves of traffic between versions. What a deployment
+brings comes through `Store`, `ServerApi` and `SidecarSettings`.
+"""
+
+from vanillamast_sidecar.errors import SidecarError
+from vanillamast_sidecar.field_names import FieldNames
+from vanillamast_sidecar.heartbeat import Heartbeat
+from vanillamast_sidecar.logbook import Logbook
+from vanillamast_sidecar.move_order import MoveOrder
+from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.node import Node
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.server_api import Deregistration, ServerApi
+from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
+from vanillamast_sidecar.snapshot import Snapshot
+from vanillamast_sidecar.store_port import MoveStates, OperatorUpdate, Store
+
+__all__ = [
+    "Address",
+    "Bounds",
+    "Deregistration",
+    "FieldNames",
+    "Heartbeat",
+    "Logbook",
+    "MoveOrder",
+    "MoveState",
+    "MoveStates",
+    "Node",
+    "NodeRecord",
+    "OperatorUpdate",
+    "Route",
+    "ServerApi",
+    "SidecarError",
+    "SidecarSettings",
+    "Snapshot",
+    "Store",
+]
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/call_result.py
@@ -0,0 +1,26 @@
+"""The end of an attempt at a backend server."""
+
+import dataclasses
+
+from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.reason import Reason
+
+
+@dataclasses.dataclass(slots=True)
+class CallResult:
+    """How an attempt ended.
+
+    Attributes:
+      outcome: Whether the server answered, ran it, or may have.
+      reason: Why it did not answer.
+      response: The server's answer, if there is one.
+      arrived: Whether the request was sent to a server.
+      retry_after_s: When a slot is expected, in seconds; 0 if unknown.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    response: HttpResponse | None = None
+    arrived: bool = False
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/client_connection.py
@@ -0,0 +1,268 @@
+"""One HTTP/1.1 connection to a backend server or to the store."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import httptools
+
+from vanillamast_sidecar.errors import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectionLostError,
+    MalformedAnswerError,
+)
+from vanillamast_sidecar.http_message import HttpResponse
+
+# Unacknowledged data or unanswered probes end a connection after this time,
+# in milliseconds: below the wait after which callers leave (1 s).
+TCP_USER_TIMEOUT_MS = 900
+KEEPALIVE_IDLE_S = 1  # Smallest value that the kernel takes.
+KEEPALIVE_INTERVAL_S = 1  # Smallest value that the kernel takes.
+KEEPALIVE_PROBES = 2  # One lost probe is no failure.
+NO_LINGER = struct.pack("ii", 1, 0)  # Close with a reset.
+
+
+def tune_socket(transport: asyncio.BaseTransport) -> None:
+    """Makes the kernel notice a silent peer."""
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S
+    )
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def reset(transport: asyncio.Transport | None) -> None:
+    """Closes a connection with a reset, so that held-up bytes are dropped."""
+    if transport is None or transport.is_closing():
+        return
+    sock = transport.get_extra_info("socket")
+    # The socket may be gone already when the peer closed first.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
+class ClientConnection(asyncio.Protocol):
+    """Sends one request at a time and reads its answer.
+
+    Attributes:
+      id_field: Field in which answers echo the request's id, lower case;
+        empty if they do not.
+      transport: The connection; None before and after it.
+      idle_since: When the last answer ended, in loop time.
+      idle_limit_s: How long the peer keeps an idle connection, in seconds;
+        0 if it did not say.
+      reusable: Whether another request may be sent.
+      exchanges: Requests sent so far.
+    """
+
+    def __init__(self, id_field: bytes = b""):
+        self.id_field = id_field
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = 0.0
+        self.idle_limit_s = 0.0
+        self.reusable = True
+        self.exchanges = 0
+        self.loop = asyncio.get_running_loop()
+        self.parser = httptools.HttpResponseParser(self)
+        self._waiter: asyncio.Future[HttpResponse] | None = None
+        self._expected_id = b""
+        self._head_only = False
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._reason = b""
+        self._until_close = False
+        self._begun = False
+
+    async def open(self, host: str, port: int, timeout_s: float) -> None:
+        """Connects.
+
+        Raises:
+          ConnectError: The peer refused or did not answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.loop.create_connection(lambda: self, host, port)
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise ConnectError(f"{host}:{port}: {error!r}") from error
+
+    async def exchange(
+        self,
+        data: bytes,
+        timeout_s: float,
+        expected_id: bytes = b"",
+        head_only: bool = False,
+    ) -> HttpResponse:
+        """Sends a request and returns the whole answer.
+
+        Args:
+          data: The request's bytes.
+          timeout_s: Longest wait for the end of the answer, in seconds.
+          expected_id: Id that the answer echoes; others are discarded.
+          head_only: Whether the answer has no body (HEAD).
+
+        Raises:
+          ConnectionLostError: The connection ended first.
+          MalformedAnswerError: The bytes are no answer.
+          AnswerTimeoutError: The answer did not end in time.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            raise ConnectionLostError("closed before the request was sent")
+        waiter: asyncio.Future[HttpResponse] = self.loop.create_future()
+        self._waiter = waiter
+        self._expected_id = expected_id
+        self._head_only = head_only
+        self.exchanges += 1
+        timer = self.loop.call_later(timeout_s, self._expire)
+        transport.write(data)
+        try:
+            return await waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            timer.cancel()
+            self._waiter = None
+            self.idle_since = self.loop.time()
+
+    def _expire(self) -> None:
+        self._fail(AnswerTimeoutError("no complete answer in time"))
+
+    def close(self) -> None:
+        """Ends the connection at once."""
+        self.reusable = False
+        reset(self.transport)
+
+    def usable(self, now: float, longest_idle_s: float) -> bool:
+        """Returns whether a request may be sent on the idle connection."""
+        if not self.reusable or self.transport is None:
+            return False
+        if self.transport.is_closing():
+            return False
+        return now - self.idle_since < longest_idle_s
+
+    def _fail(self, error: Exception) -> None:
+        self.reusable = False
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self.transport = transport  # type: ignore[assignment]
+        tune_socket(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(MalformedAnswerError(repr(error)))
+            self.close()
+
+    def eof_received(self) -> bool:
+        """Ends an answer that is delimited by the end of the connection."""
+        self.reusable = False
+        if self._until_close and self._begun:
+            self._finish()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fails the waiting request."""
+        self.transport = None
+        self._fail(ConnectionLostError(repr(error)))
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts an answer; one that nobody waits for ends the connection."""
+        self._headers = []
+        self._body = []
+        self._reason = b""
+        self._until_close = False
+        self._begun = True
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            self.reusable = False
+            self.loop.call_soon(self.close)
+
+    def on_status(self, reason: bytes) -> None:
+        """Keeps the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a field."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Finds out how the body is delimited."""
+        framed = any(
+            name.lower() in (b"content-length", b"transfer-encoding")
+            for name, _ in self._headers
+        )
+        status = self.parser.get_status_code()
+        self._until_close = not framed and status >= 200
+        if status in (204, 304):
+            self._until_close = False
+        if self._head_only and status >= 200:
+            self.reusable = False
+            self._finish()
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a piece of the body."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hands the answer over."""
+        self._finish()
+
+    def _finish(self) -> None:
+        if not self._begun:
+            return
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
+        self._begun = False
+        keep = self.parser.should_keep_alive() and not self._until_close
+        response = HttpResponse(
+            status, self._headers, b"".join(self._body), self._reason, keep
+        )
+        if not keep:
+            self.reusable = False
+        if not self._answers_request(response):
+            # A late or doubled answer: its own request is over, and the
+            # connection is not trusted with another one.
+            self.reusable = False
+            return
+        self._note_idle_limit(response)
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(response)
+
+    def _answers_request(self, response: HttpResponse) -> bool:
+        if not self.id_field or not self._expected_id:
+            return True
+        return response.get(self.id_field) == self._expected_id
+
+    def _note_idle_limit(self, response: HttpResponse) -> None:
+        value = response.get(b"keep-alive")
+        if value is None:
+            return
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.idle_limit_s = float(seconds)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/clock_offset.py
@@ -0,0 +1,31 @@
+"""Age of messages by the sender's monotonic clock."""
+
+BUCKET_S = 2.0  # A shift of a clock is forgotten after two buckets.
+
+
+class ClockOffset:
+    """Estimates how long messages of one sender were on their way.
+
+    The smallest difference between the two clocks of recent messages stands
+    for a message without delay.
+
+    Attributes:
+      current: Smallest difference in the running bucket.
+      previous: Smallest difference in the bucket before.
+      bucket_end: End of the running bucket.
+    """
+
+    def __init__(self) -> None:
+        self.current = float("inf")
+        self.previous = float("inf")
+        self.bucket_end = 0.0
+
+    def age_s(self, sent_s: float, now: float) -> float:
+        """Returns how much longer than the fastest message this one took."""
+        difference = now - sent_s
+        if now >= self.bucket_end:
+            self.previous = self.current
+            self.current = float("inf")
+            self.bucket_end = now + BUCKET_S
+        self.current = min(self.current, difference)
+        return difference - min(self.current, self.previous)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/decaying_share.py
@@ -0,0 +1,32 @@
+"""A share of bad events that fades when nothing happens."""
+
+import math
+
+EVENT_WEIGHT = 0.12  # About the last 16 events.
+HALF_LIFE_S = 2.0  # An unused server is tried again after a few seconds.
+
+
+class DecayingShare:
+    """Exponentially weighted share, halved by time without events.
+
+    Attributes:
+      share: Share at the last event.
+      at: When that was, in loop time.
+    """
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self.at = 0.0
+
+    def add(self, bad: bool, now: float) -> None:
+        """Counts an event."""
+        share = self.value(now) if bad else self.share
+        self.share = share + ((1.0 if bad else 0.0) - share) * EVENT_WEIGHT
+        self.at = now
+
+    def value(self, now: float) -> float:
+        """Returns the share now."""
+        if self.share < 0.001:
+            return 0.0
+        age = max(0.0, now - self.at)
+        return self.share * math.exp2(-age / HALF_LIFE_S)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/directory.py
@@ -0,0 +1,73 @@
+"""The nodes that a node knows and their servers by service."""
+
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.peer import Peer
+
+
+class Directory:
+    """Keeps the newest record of each node.
+
+    Attributes:
+      own: This node.
+      peers: All nodes by address, this one among them.
+      by_service: Nodes by the service of their server.
+    """
+
+    def __init__(self, own: NodeRecord):
+        self.own = Peer(own, near=True, is_self=True)
+        self.peers: dict[str, Peer] = {own.address: self.own}
+        self.by_service: dict[str, list[Peer]] = {}
+        self._index()
+
+    def set_own(self, record: NodeRecord) -> None:
+        """Replaces this node's own record."""
+        self.own.record = record
+        self._index()
+
+    def learn(self, record: NodeRecord, direct: bool, now: float) -> Peer | None:
+        """Takes a record; returns the peer if it is new or has changed.
+
+        Args:
+          record: The record.
+          direct: Whether the node itself sent it as the first message of a
+            connection, which overrides what was known.
+          now: Loop time, in seconds.
+        """
+        if record.address == self.own.record.address:
+            return None
+        known = self.peers.get(record.address)
+        if known is None:
+            near = record.failure_domain == self.own.record.failure_domain
+            known = Peer(record, near, is_self=False)
+            known.first_known = now
+            known.last_heard = now
+            self.peers[record.address] = known
+        elif direct or record.newer_than(known.record):
+            known.record = record
+        else:
+            return None
+        if record.instance is not None:
+            known.cold_until = now + record.instance.cold_s
+        self._index()
+        return known
+
+    def forget(self, address: str) -> None:
+        """Drops a node."""
+        if self.peers.pop(address, None) is not None:
+            self._index()
+
+    def serving(self, service: str) -> list[Peer]:
+        """Returns the nodes whose server serves a service."""
+        return self.by_service.get(service, [])
+
+    def others(self) -> list[Peer]:
+        """Returns all nodes but this one."""
+        return [peer for peer in self.peers.values() if not peer.is_self]
+
+    def _index(self) -> None:
+        index: dict[str, list[Peer]] = {}
+        for peer in self.peers.values():
+            instance = peer.record.instance
+            if instance is not None:
+                index.setdefault(instance.service, []).append(peer)
+        self.by_service = index
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -0,0 +1,248 @@
+"""HTTP/1.1 connections of callers."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import httptools
+
+from vanillamast_sidecar.caller_limits import CallerLimits
+from vanillamast_sidecar.http_message import Headers, HttpRequest, HttpResponse
+from vanillamast_sidecar.http_writer import encode_response
+
+Handler = Callable[[HttpRequest, float], Awaitable[HttpResponse]]
+
+TOO_MANY_PENDING = 32  # Pipelined requests; beyond, reading pauses.
+
+
+class HttpListener:
+    """What the connections of one listening address share.
+
+    Attributes:
+      handler: Answers a request; takes the time of its arrival, too.
+      limits: Bounds on what callers may send; replaced with each version of
+        the configuration.
+      closing: Whether answers end their connection.
+      connections: Open connections.
+      active: Requests that are being answered.
+      accepted: Connections accepted so far.
+    """
+
+    def __init__(self, handler: Handler, limits: CallerLimits | None = None):
+        self.handler = handler
+        self.limits = limits or CallerLimits()
+        self.closing = False
+        self.connections: set[HttpConnection] = set()
+        self.active = 0
+        self.accepted = 0
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Starts to accept connections."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: HttpConnection(self), host, port, backlog=1024
+        )
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+class HttpConnection(asyncio.Protocol):
+    """Reads requests one after the other and writes their answers in order.
+
+    Attributes:
+      listener: What this connection shares with others.
+      transport: The connection.
+      pending: Whole requests that wait for the one before: request, arrival,
+        keep-alive.
+      task: The request that is being answered.
+    """
+
+    def __init__(self, listener: HttpListener):
+        self.listener = listener
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.pending: deque[tuple[HttpRequest, float, bool]] = deque()
+        self.task: asyncio.Task[None] | None = None
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._in_message = False
+        self._broken = False
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the idle timer."""
+        self.transport = transport  # type: ignore[assignment]
+        self.listener.connections.add(self)
+        self.listener.accepted += 1
+        self._start_timer(self.listener.limits.idle_timeout_s, self._idle)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._broken:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except httptools.HttpParserError:
+            self._reject(400)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Gives up the request that is being answered."""
+        self.transport = None
+        self.listener.connections.discard(self)
+        self._stop_timer()
+        self.pending.clear()
+        if self.task is not None:
+            self.task.cancel()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._target = b""
+        self._headers = []
+        self._header_bytes = 0
+        self._body = []
+        self._body_bytes = 0
+        self._in_message = True
+        self._start_timer(
+            self.listener.limits.header_timeout_s, self._too_slow
+        )
+
+    def on_url(self, url: bytes) -> None:
+        """Keeps a piece of the target."""
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a field."""
+        self._headers.append((name.lower(), value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self.listener.limits.header_bytes:
+            self._reject(431)
+
+    def on_headers_complete(self) -> None:
+        """Asks for the body if the caller waits to be asked."""
+        self._stop_timer()
+        if self._broken or self.transport is None:
+            return
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Keeps a piece of the body."""
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self.listener.limits.body_bytes:
+            self._reject(413)
+
+    def on_message_complete(self) -> None:
+        """Queues the whole request."""
+        self._in_message = False
+        if self._broken:
+            return
+        request = HttpRequest(
+            self.parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+        )
+        keep = self.parser.should_keep_alive()
+        self.pending.append((request, self.loop.time(), keep))
+        if len(self.pending) > TOO_MANY_PENDING and self.transport is not None:
+            self.transport.pause_reading()
+        if self.task is None:
+            self.task = self.loop.create_task(self._answer_all())
+
+    # Answers.
+
+    async def _answer_all(self) -> None:
+        try:
+            while self.pending:
+                request, arrived, keep = self.pending.popleft()
+                self.listener.active += 1
+                try:
+                    response = await self.listener.handler(request, arrived)
+                finally:
+                    self.listener.active -= 1
+                if not self._write(request, response, keep):
+                    return
+        finally:
+            self.task = None
+        if self.transport is not None:
+            self.transport.resume_reading()
+            if not self._in_message:
+                self._start_timer(
+                    self.listener.limits.idle_timeout_s, self._idle
+                )
+
+    def _write(
+        self, request: HttpRequest, response: HttpResponse, keep: bool
+    ) -> bool:
+        """Writes an answer; returns whether the connection goes on."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        keep = keep and not self.listener.closing and not self._broken
+        transport.write(
+            encode_response(response, keep, request.method == "HEAD")
+        )
+        if not keep:
+            self._shut_down()
+        return keep
+
+    def _reject(self, status: int) -> None:
+        """Answers a request that breaks the protocol or a limit."""
+        if self._broken:
+            return
+        self._broken = True
+        transport = self.transport
+        if transport is None:
+            return
+        if self.task is None:
+            transport.write(encode_response(HttpResponse(status, []), False))
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        self._stop_timer()
+        if self.transport is not None:
+            self.transport.close()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if it carries no request."""
+        if self.task is None and not self._in_message:
+            self._shut_down()
+
+    # Timers.
+
+    def _start_timer(
+        self, delay_s: float, action: Callable[[], None]
+    ) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(delay_s, action)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _idle(self) -> None:
+        if self.task is None and not self._in_message:
+            self._shut_down()
+
+    def _too_slow(self) -> None:
+        self._reject(408)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/http_message.py
@@ -0,0 +1,85 @@
+"""HTTP messages inside the node."""
+
+import dataclasses
+
+Headers = list[tuple[bytes, bytes]]
+
+# Fields that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """A whole request.
+
+    Attributes:
+      method: Method.
+      target: Request target as received.
+      headers: Fields in order; names in lower case.
+      body: Body without transfer coding.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a field."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class HttpResponse:
+    """A whole response.
+
+    Attributes:
+      status: Status code.
+      headers: Fields in order; names as received.
+      body: Body without transfer coding.
+      reason: Reason phrase.
+      keep_alive: Whether the connection may be used again.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+    reason: bytes = b""
+    keep_alive: bool = True
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a field; the name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the fields that are forwarded to the next hop."""
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key.lower() == b"connection":
+            named.update(part.strip() for part in value.lower().split(b","))
+    return [
+        (key, value)
+        for key, value in headers
+        if key.lower() not in HOP_BY_HOP and key.lower() not in named
+    ]
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/http_writer.py
@@ -0,0 +1,43 @@
+"""Encodes HTTP/1.1 messages."""
+
+from http import HTTPStatus
+
+from vanillamast_sidecar.http_message import Headers, HttpResponse, end_to_end
+
+BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+def encode_request(
+    method: str, target: str, headers: Headers, body: bytes
+) -> bytes:
+    """Returns a request with its body's length."""
+    lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
+    lines.extend(name + b": " + value for name, value in headers)
+    if body or method not in BODILESS_METHODS:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def encode_response(
+    response: HttpResponse, keep_alive: bool, head_only: bool = False
+) -> bytes:
+    """Returns a response with its body's length.
+
+    Args:
+      response: The response.
+      keep_alive: Whether the connection stays open.
+      head_only: Whether the request was a HEAD.
+    """
+    status = response.status
+    phrase = response.reason or _PHRASES.get(status, b"Unknown")
+    lines = [b"HTTP/1.1 %d %b" % (status, phrase)]
+    lines.extend(
+        name + b": " + value for name, value in end_to_end(response.headers)
+    )
+    if status >= 200 and status != 204:
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if not keep_alive:
+        lines.append(b"Connection: close")
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if head_only else head + response.body
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -0,0 +1,404 @@
+"""Connections between nodes and what they tell each other."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+
+from vanillamast_sidecar.directory import Directory
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.logbook import Logbook
+from vanillamast_sidecar.messages import (
+    Announce,
+    AnyMessage,
+    Evidence,
+    FetchOperator,
+    Hello,
+    Message,
+    OperatorState,
+    Plan,
+    Reply,
+    Tick,
+    Welcome,
+)
+from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.peer_link import PeerLink
+from vanillamast_sidecar.peer_server import PeerServer, Runner
+from vanillamast_sidecar.settings import Address, SidecarSettings
+
+BEAT_S = 0.1  # Interval of the upkeep of connections.
+# Nodes of the failure domain hear of each other at least this often, in
+# seconds, and of a changed load at every beat.
+TICK_S = 0.25
+# A near node counts as silent after three missed ticks, in seconds.
+NEAR_SILENCE_S = 0.8
+# A far node with calls in flight is asked for a sign of life after this
+# silence, in seconds, and counts as silent if none comes for as long again.
+FAR_PING_S = 0.5
+FIRST_REDIAL_S = 0.2  # Wait before the second attempt to connect.
+LONGEST_REDIAL_S = 1.5  # Bounds how long a returned node stays unknown.
+# A node that cannot be reached for this long is forgotten, in seconds; it
+# announces itself when it returns.
+FORGET_S = 90.0
+
+
+class Mesh:
+    """Keeps a connection to every other node.
+
+    Each node uses the connections that it opened for its own calls and
+    announcements, and answers calls on those that others opened.
+
+    Attributes:
+      settings: Settings of the node.
+      directory: Nodes and their servers.
+      moves: Moves of traffic.
+      run: Runs a call on the backend server beside the node.
+      load: Returns the load of that server.
+      log: Logbook.
+      metrics: Metrics.
+      on_own_past: Takes what another node remembers of this node's server.
+      on_evidence: Takes evidence on a move, with the sender's address.
+      on_tick: Takes the tick of a near node.
+      on_operator_state: Takes what another node knows of the operator.
+      operator_state: Returns what this node knows of the operator.
+      inbound: Connections that other nodes opened.
+      wants_nodes: Whether the list of nodes could not be read yet.
+      config_version: Version of the node's configuration, -1 without one.
+      operator_offset: How far the node has read the operator's stream.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        record: NodeRecord,
+        moves: MoveBook,
+        run: Runner,
+        load: Callable[[], LoadReport],
+        log: Logbook,
+        metrics: Metrics,
+    ):
+        self.settings = settings
+        self.directory = Directory(record)
+        self.moves = moves
+        self.run = run
+        self.load = load
+        self.log = log
+        self.metrics = metrics
+        self.on_own_past: Callable[[InstanceRecord], None] = lambda _: None
+        self.on_evidence: Callable[[str, Evidence], None] = lambda *_: None
+        self.on_tick: Callable[[Peer, Tick], None] = lambda *_: None
+        self.on_operator_state: Callable[[OperatorState], None] = (
+            lambda _: None
+        )
+        self.operator_state: Callable[[], OperatorState | None] = lambda: None
+        self.loop = asyncio.get_running_loop()
+        self.inbound: set[PeerServer] = set()
+        self.wants_nodes = True
+        self.config_version = -1
+        self.operator_offset = 0
+        self.last_load: LoadReport | None = None
+        self.last_tick = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, address: Address) -> asyncio.Server:
+        """Accepts connections of other nodes."""
+        return await self.loop.create_server(
+            lambda: PeerServer(
+                self.run, self.load, self._on_inbound, self.inbound.discard
+            ),
+            address.host,
+            address.port,
+            backlog=512,
+        )
+
+    # This node's own record.
+
+    def announce(
+        self, instance: InstanceRecord | None, stopping: bool
+    ) -> NodeRecord:
+        """Tells all nodes that this node or its server has changed."""
+        own = self.directory.own.record
+        record = NodeRecord(
+            own.address,
+            own.failure_domain,
+            own.incarnation,
+            own.revision + 1,
+            stopping,
+            instance,
+        )
+        self.directory.set_own(record)
+        self.broadcast(Announce(record))
+        return record
+
+    def broadcast(self, message: Message) -> None:
+        """Sends a message to all connected nodes."""
+        for peer in self.directory.others():
+            if peer.link is not None:
+                peer.link.send(message)
+
+    def send(self, address: str, message: Message) -> bool:
+        """Sends a message to a node; returns whether it is connected."""
+        peer = self.directory.peers.get(address)
+        if peer is None or peer.link is None or not peer.link.up:
+            return False
+        peer.link.send(message)
+        return True
+
+    def learn(self, records: list[NodeRecord]) -> None:
+        """Takes records that do not come from the nodes themselves."""
+        now = self.loop.time()
+        own = self.directory.own.record
+        for record in records:
+            if record.address == own.address:
+                self._meet_own_past(record)
+            else:
+                self.directory.learn(record, direct=False, now=now)
+        self._dial_due(now)
+
+    def _meet_own_past(self, record: NodeRecord) -> None:
+        own = self.directory.own.record
+        if record.incarnation >= own.incarnation and record != own:
+            # The clock stood ahead when the earlier process started.
+            self.directory.set_own(
+                NodeRecord(
+                    own.address,
+                    own.failure_domain,
+                    record.incarnation + 1,
+                    own.revision,
+                    own.stopping,
+                    own.instance,
+                )
+            )
+        if record.instance is not None:
+            self.on_own_past(record.instance)
+
+    # Upkeep.
+
+    async def keep(self) -> None:
+        """Dials, ticks and watches until it is cancelled."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            now = self.loop.time()
+            self._dial_due(now)
+            self._tick(now)
+            self._watch(now)
+
+    def _dial_due(self, now: float) -> None:
+        for peer in self.directory.others():
+            if peer.connected or peer.dialing or now < peer.next_dial:
+                continue
+            if peer.link is None and now - peer.last_heard > FORGET_S:
+                self.directory.forget(peer.record.address)
+                continue
+            peer.dialing = True
+            task = self.loop.create_task(self._dial(peer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _dial(self, peer: Peer) -> None:
+        host, _, port = peer.record.address.rpartition(":")
+        link = PeerLink(peer.record.address, self._on_outbound, self._on_lost)
+        hello = Hello(self.directory.own.record, self.wants_nodes)
+        connected = await link.open(host, int(port), hello)
+        now = self.loop.time()
+        peer.dialing = False
+        if connected and link.up:
+            peer.link = link
+            peer.failed_dials = 0
+            peer.last_heard = now
+            peer.silent = False
+            self.log.write("peer.connected", peer=peer.record.address)
+            return
+        wait = min(LONGEST_REDIAL_S, FIRST_REDIAL_S * 2**peer.failed_dials)
+        peer.failed_dials = min(peer.failed_dials + 1, 8)
+        peer.next_dial = now + wait * random.uniform(0.8, 1.2)
+
+    def _tick(self, now: float) -> None:
+        load = self.load()
+        if load == self.last_load and now - self.last_tick < TICK_S:
+            return
+        self.last_load = load
+        self.last_tick = now
+        tick = Tick(load, self.config_version, self.operator_offset)
+        self.directory.own.report(load, now)
+        for peer in self.directory.others():
+            if peer.near and peer.link is not None:
+                peer.link.send(tick)
+
+    def _watch(self, now: float) -> None:
+        for peer in self.directory.others():
+            link = peer.link
+            if link is None or not link.up:
+                continue
+            heard = max(peer.last_heard, link.last_heard)
+            if peer.near:
+                self._set_silent(peer, now - heard > NEAR_SILENCE_S, heard)
+            elif link.pending and now - link.last_heard > FAR_PING_S:
+                link.ping(now)
+                late = now - link.pinged > FAR_PING_S
+                self._set_silent(peer, late, heard)
+            elif peer.silent and not link.pinged:
+                self._set_silent(peer, False, heard)
+
+    def _set_silent(self, peer: Peer, silent: bool, heard: float) -> None:
+        if silent == peer.silent:
+            if silent and peer.link is not None:
+                peer.link.give_up_idempotent()
+            return
+        peer.silent = silent
+        kind = "peer.silent" if silent else "peer.heard"
+        self.log.write(
+            kind,
+            peer=peer.record.address,
+            age_s=round(self.loop.time() - heard, 3),
+        )
+        if silent and peer.link is not None:
+            count = peer.link.give_up_idempotent()
+            self.metrics.count("peer_silences")
+            self.log.write(
+                "peer.calls_given_up", peer=peer.record.address, calls=count
+            )
+
+    def reset_links(self) -> None:
+        """Drops all connections after this process was suspended."""
+        for peer in self.directory.others():
+            if peer.link is not None:
+                peer.link.close()
+            peer.next_dial = 0.0
+        for connection in list(self.inbound):
+            connection.close()
+
+    # Messages.
+
+    def _on_lost(self, link: PeerLink) -> None:
+        peer = self._peer_of(link)
+        if peer is not None:
+            peer.link = None
+            peer.next_dial = 0.0
+            self.log.write("peer.lost", peer=peer.record.address)
+
+    def _on_outbound(self, link: PeerLink, message: AnyMessage) -> None:
+        peer = self._peer_of(link)
+        if peer is None:
+            if isinstance(message, Welcome):
+                self._welcome(message)
+            return
+        now = self.loop.time()
+        peer.last_heard = now
+        if isinstance(message, Reply):
+            peer.report(message.load, now)
+        elif isinstance(message, Welcome):
+            self._welcome(message)
+        elif isinstance(message, OperatorState):
+            self.on_operator_state(message)
+
+    def _peer_of(self, link: PeerLink) -> Peer | None:
+        peer = self.directory.peers.get(link.address)
+        return peer if peer is not None and peer.link is link else None
+
+    def _welcome(self, message: Welcome) -> None:
+        now = self.loop.time()
+        peer = self.directory.learn(message.record, direct=True, now=now)
+        if peer is not None:
+            peer.report(message.load, now)
+        for plan in message.plans:
+            self.moves.take_plan(plan, now)
+        self.learn(message.others)
+
+    def _on_inbound(self, connection: PeerServer, message: AnyMessage) -> None:
+        now = self.loop.time()
+        if isinstance(message, Hello):
+            self._greet(connection, message)
+            return
+        peer = self.directory.peers.get(connection.origin)
+        if peer is None:
+            return
+        peer.last_heard = now
+        if isinstance(message, Tick):
+            peer.report(message.load, now)
+            self.on_tick(peer, message)
+        elif isinstance(message, Announce):
+            self._take_announcement(message.record)
+        elif isinstance(message, Plan):
+            if self.moves.take_plan(message.plan, now):
+                self._log_plan(message)
+        elif isinstance(message, Evidence):
+            self.on_evidence(connection.origin, message)
+        elif isinstance(message, FetchOperator):
+            state = self.operator_state()
+            if state is not None:
+                connection.send(state)
+
+    def _take_announcement(self, record: NodeRecord) -> None:
+        if self.directory.learn(record, False, self.loop.time()) is None:
+            return
+        instance = record.instance
+        self.log.write(
+            "peer.changed",
+            peer=record.address,
+            revision=record.revision,
+            stopping=record.stopping,
+            instance=instance.id if instance is not None else None,
+            ready=instance.ready if instance is not None else False,
+            version=instance.version if instance is not None else None,
+        )
+
+    def _log_plan(self, message: Plan) -> None:
+        plan = message.plan
+        self.log.write(
+            "move.plan",
+            service=plan.service,
+            order=plan.order_id,
+            to=plan.to_version,
+            state=plan.state,
+            share=plan.share,
+            elapsed_s=plan.elapsed_s,
+        )
+
+    def _greet(self, connection: PeerServer, message: Hello) -> None:
+        now = self.loop.time()
+        address = message.record.address
+        known = self.directory.peers.get(address)
+        others: list[NodeRecord] = []
+        if known is not None:
+            past = known.record
+            if past.incarnation != message.record.incarnation:
+                others.append(past)
+        if message.wants_nodes:
+            others.extend(
+                peer.record
+                for peer in self.directory.others()
+                if peer.record.address != address and peer.connected
+            )
+        peer = self.directory.learn(message.record, direct=True, now=now)
+        if peer is not None:
+            peer.last_heard = now
+            peer.next_dial = 0.0
+        self.inbound.add(connection)
+        plans = [
+            move.plan
+            for move in self.moves.moves.values()
+            if move.plan is not None
+        ]
+        connection.send(
+            Welcome(self.directory.own.record, others, plans, self.load())
+        )
+        self._dial_due(now)
+
+
+def compress(raw: bytes) -> bytes:
+    """Packs a configuration for the way between nodes."""
+    return zlib.compress(raw, 6)
+
+
+def decompress(data: bytes) -> bytes:
+    """Unpacks a configuration.
+
+    Raises:
+      zlib.error: The bytes are damaged.
+    """
+    return zlib.decompress(data)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -0,0 +1,267 @@
+"""Messages between nodes.
+
+A frame is four bytes of length, big-endian, and a msgpack array whose first
+element is the message's tag.
+"""
+
+import struct
+
+import msgspec
+
+from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.move_plan import MovePlan
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.version_evidence import VersionEvidence
+
+LENGTH = struct.Struct(">I")
+# Far above the largest body that the limits of callers allow.
+MAX_FRAME_BYTES = 96 * 1024 * 1024
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True):
+    """Base of all messages."""
+
+
+class Hello(Message, tag=1, frozen=True):
+    """First message of the node that connects.
+
+    Attributes:
+      record: The connecting node.
+      wants_nodes: Whether it could not read the list of nodes.
+    """
+
+    record: NodeRecord
+    wants_nodes: bool
+
+
+class Welcome(Message, tag=2, frozen=True):
+    """Answer to a hello.
+
+    Attributes:
+      record: The answering node.
+      others: Nodes that it knows, if asked for, and what it remembers of
+        the connecting node's earlier incarnation.
+      plans: Moves that it knows.
+      load: Load of its backend server.
+    """
+
+    record: NodeRecord
+    others: list[NodeRecord]
+    plans: list[MovePlan]
+    load: LoadReport
+
+
+class Announce(Message, tag=3, frozen=True):
+    """A change of the sending node.
+
+    Attributes:
+      record: The sending node.
+    """
+
+    record: NodeRecord
+
+
+class Tick(Message, tag=4, frozen=True):
+    """Sign of life within a failure domain.
+
+    Attributes:
+      load: Load of the sender's backend server.
+      config_version: Version of the sender's configuration.
+      operator_offset: How far it has read the operator's stream.
+    """
+
+    load: LoadReport
+    config_version: int
+    operator_offset: int
+
+
+class Call(Message, tag=5, frozen=True):
+    """A request for the backend server beside the receiver.
+
+    Attributes:
+      id: Id of the call on this connection.
+      sent_s: Sender's monotonic clock, in seconds.
+      remaining_s: Time left from then on, in seconds.
+      patience_s: Longest expected wait for a slot, in seconds.
+      request_id: Id of the caller's attempt.
+      instance_id: Id of the server.
+      born_ms: Incarnation of the server.
+      route: Name of the route.
+      priority: Rank in the queue, 0 is the highest.
+      idempotent: Whether it may run more than once.
+      method: Method.
+      target: Request target.
+      headers: Fields to forward.
+      body: Body.
+    """
+
+    id: int
+    sent_s: float
+    remaining_s: float
+    patience_s: float
+    request_id: bytes
+    instance_id: str
+    born_ms: int
+    route: str
+    priority: int
+    idempotent: bool
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Cancel(Message, tag=6, frozen=True):
+    """The sender no longer waits for a call.
+
+    Attributes:
+      id: Id of the call.
+    """
+
+    id: int
+
+
+class Reply(Message, tag=7, frozen=True):
+    """The end of a call.
+
+    Attributes:
+      id: Id of the call.
+      outcome: Whether the server answered, ran it, or may have.
+      reason: Why it did not answer.
+      arrived: Whether the request was sent to the server.
+      retry_after_s: When a slot is expected, in seconds.
+      load: Load of the server.
+      status: Status of the answer, 0 without one.
+      phrase: Reason phrase of the answer.
+      headers: Fields of the answer.
+      body: Body of the answer.
+    """
+
+    id: int
+    outcome: Outcome
+    reason: Reason
+    arrived: bool
+    retry_after_s: float
+    load: LoadReport
+    status: int = 0
+    phrase: bytes = b""
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+
+
+class Ping(Message, tag=8, frozen=True):
+    """Asks for a sign of life on this connection."""
+
+
+class Pong(Message, tag=9, frozen=True):
+    """Answers a ping."""
+
+
+class Plan(Message, tag=10, frozen=True):
+    """State of a move, from its driver.
+
+    Attributes:
+      plan: The move.
+    """
+
+    plan: MovePlan
+
+
+class Evidence(Message, tag=11, frozen=True):
+    """Outcomes at the sender's backend server, for the driver of a move.
+
+    Attributes:
+      service: Service of the move.
+      order_id: Order of the move.
+      evidence: Cumulative outcomes.
+    """
+
+    service: str
+    order_id: int
+    evidence: VersionEvidence
+
+
+class FetchOperator(Message, tag=12, frozen=True):
+    """Asks for the newest that the operator has published."""
+
+
+class OperatorState(Message, tag=13, frozen=True):
+    """The newest that the operator has published.
+
+    Attributes:
+      offset: How far the sender has read.
+      config: Newest configuration, compressed; empty if unknown.
+      orders: Newest orders: service, version, seconds, order id.
+    """
+
+    offset: int
+    config: bytes
+    orders: list[tuple[str, str, float, int]]
+
+
+AnyMessage = (
+    Hello
+    | Welcome
+    | Announce
+    | Tick
+    | Call
+    | Cancel
+    | Reply
+    | Ping
+    | Pong
+    | Plan
+    | Evidence
+    | FetchOperator
+    | OperatorState
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
+    AnyMessage
+)
+
+
+def encode_frame(message: Message) -> bytes:
+    """Returns a message as a frame."""
+    payload = _encoder.encode(message)
+    return LENGTH.pack(len(payload)) + payload
+
+
+class FrameReader:
+    """Cuts a byte stream into messages.
+
+    Attributes:
+      buffer: Bytes of incomplete frames.
+    """
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[AnyMessage]:
+        """Returns the messages that are complete now.
+
+        Raises:
+          FrameError: The bytes are no messages.
+        """
+        buffer = self.buffer
+        buffer += data
+        messages: list[AnyMessage] = []
+        start = 0
+        while len(buffer) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise FrameError(f"frame of {length} bytes")
+            end = start + LENGTH.size + length
+            if len(buffer) < end:
+                break
+            payload = bytes(buffer[start + LENGTH.size : end])
+            try:
+                messages.append(_decoder.decode(payload))
+            except msgspec.DecodeError as error:
+                raise FrameError(str(error)) from error
+            start = end
+        del buffer[:start]
+        return messages
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/move_order.py
@@ -0,0 +1,21 @@
+"""An operator's order to move a service's traffic to a version."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MoveOrder:
+    """A move of traffic.
+
+    Attributes:
+      service: Service whose traffic moves.
+      to_version: Version that it moves to.
+      over_s: Time until which the move must be done, in seconds.
+      order_id: Position of the order in the operator's stream; a later order
+        replaces an earlier one.
+    """
+
+    service: str
+    to_version: str
+    over_s: float
+    order_id: int
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/move_plan.py
@@ -0,0 +1,25 @@
+"""How much of a service's traffic the new version gets now."""
+
+import msgspec
+
+from vanillamast_sidecar.move_state import MoveState
+
+
+class MovePlan(msgspec.Struct, array_like=True, frozen=True):
+    """State of a move, as its driver announces it.
+
+    Attributes:
+      service: Service whose traffic moves.
+      order_id: Order that the plan carries out.
+      to_version: Version that the traffic moves to.
+      state: How far the move is.
+      share: Share of the requests that the new version gets.
+      elapsed_s: Time since the order was seen, in seconds.
+    """
+
+    service: str
+    order_id: int
+    to_version: str
+    state: MoveState
+    share: float
+    elapsed_s: float
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -0,0 +1,378 @@
+"""A sidecar node: the tasks, listeners and state of one process."""
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from vanillamast_sidecar.errors import (
+    InvalidHeartbeatError,
+    InvalidSettingsError,
+    StoreError,
+)
+from vanillamast_sidecar.gateway import Gateway
+from vanillamast_sidecar.heartbeat import Heartbeat
+from vanillamast_sidecar.http_listener import Handler, HttpListener
+from vanillamast_sidecar.http_message import HttpRequest, HttpResponse
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.logbook import Logbook
+from vanillamast_sidecar.mesh import Mesh
+from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.move_keeper import MoveKeeper
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.operator_watch import OperatorWatch
+from vanillamast_sidecar.server_api import Deregistration, ServerApi
+from vanillamast_sidecar.server_executor import ServerExecutor
+from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.server_selector import ServerSelector
+from vanillamast_sidecar.settings import Address, SidecarSettings
+from vanillamast_sidecar.snapshot import Snapshot
+from vanillamast_sidecar.store_port import Store
+
+UPKEEP_S = 0.25  # Interval of checks for missing heartbeats and settings.
+# A boot clock that runs ahead of the steady one by this much within one
+# check tells that the machine was suspended, in seconds.
+SUSPENDED_S = 0.3
+NODES_RETRY_S = 0.5  # Wait after a failed read of the list of nodes.
+NODES_REFRESH_S = 120.0  # Finds nodes that neither side has heard of.
+# Questions for readiness that must be denied before callers stay away.
+DENIALS_BEFORE_EXIT = 2
+# What callers sent before they noticed arrives within this time, in seconds.
+LAST_REQUESTS_S = 0.3
+# Part of the time before the kill that requests may use.
+GRACE_PART = 0.9
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+class Node:
+    """Wires the parts of a node together and runs them until a stop.
+
+    Attributes:
+      settings: Settings of the node.
+      store: The store.
+      server_api: Decodes the calls of the backend server.
+      reload_settings: Reads the settings file again.
+      log: Logbook.
+      metrics: Metrics.
+      registry: Which server runs beside the node.
+      moves: Moves of traffic.
+      executor: Runs requests on that server.
+      mesh: Other nodes.
+      gateway: Answers the requests of the machine.
+      watch: Follows the operator.
+      keeper: Carries out moves.
+      nodes_known: Whether the list of nodes was read.
+      stop_requested: Set by the stop signal.
+      denials: Questions for readiness denied since the stop signal.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        store: Store,
+        server_api: ServerApi,
+        reload_settings: Callable[[], SidecarSettings],
+        log: Logbook,
+    ):
+        self.settings = settings
+        self.store = store
+        self.server_api = server_api
+        self.reload_settings = reload_settings
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.metrics = Metrics()
+        self.registry = ServerRegistry(settings.heartbeat_s)
+        self.moves = MoveBook(self._version_opened_or_closed)
+        self.executor = ServerExecutor(
+            settings,
+            self.registry,
+            self.moves,
+            log,
+            self.metrics,
+            self._server_unreachable,
+        )
+        record = NodeRecord(
+            str(settings.peer_listener),
+            settings.failure_domain,
+            int(time.time() * 1000),
+            0,
+            False,
+            None,
+        )
+        self.mesh = Mesh(
+            settings,
+            record,
+            self.moves,
+            self.executor.run,
+            self.executor.load,
+            log,
+            self.metrics,
+        )
+        self.mesh.on_own_past = self._adopt_past
+        self.gateway = Gateway(
+            settings,
+            self.mesh,
+            self.executor,
+            ServerSelector(self.moves, random.Random()),
+            log,
+            self.metrics,
+        )
+        self.callers = HttpListener(self.gateway.handle)
+        self.watch = OperatorWatch(
+            store, self.mesh, self.moves, self._apply, log, self.metrics
+        )
+        self.keeper = MoveKeeper(
+            self.mesh, self.moves, self.executor, store, log, self.metrics
+        )
+        self.nodes_known = False
+        self.stop_requested = asyncio.Event()
+        self.stopping = False
+        self.denials = 0
+        self.boot_shift = _boot_shift()
+
+    async def run(self) -> int:
+        """Runs until the stop signal; returns the exit status."""
+        self.loop.set_exception_handler(self._log_exception)
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        servers = await self._listen()
+        self.log.write(
+            "node.started",
+            address=str(self.settings.peer_listener),
+            failure_domain=self.settings.failure_domain,
+            service=self.settings.service,
+        )
+        tasks = [
+            self.loop.create_task(work)
+            for work in (
+                self.mesh.keep(),
+                self.watch.follow(),
+                self.watch.watch_path(),
+                self.keeper.keep(),
+                self._find_nodes(),
+                self._upkeep(),
+            )
+        ]
+        await self.stop_requested.wait()
+        await self._stop()
+        for task in tasks:
+            task.cancel()
+        for server in servers:
+            server.close()
+        self.log.write("node.stopped", active=self.callers.active)
+        self.log.flush()
+        return 0
+
+    async def _listen(self) -> list[asyncio.Server]:
+        settings = self.settings
+        handlers: list[tuple[Address, Handler]] = [
+            (settings.server_listener, self._serve_server),
+            (settings.ready_listener, self._serve_readiness),
+            (settings.metrics_listener, self._serve_metrics),
+        ]
+        servers = [await self.mesh.listen(settings.peer_listener)]
+        servers.append(await self._listen_http(self.callers, settings.caller_listener))
+        for address, handler in handlers:
+            servers.append(
+                await self._listen_http(HttpListener(handler), address)
+            )
+        return servers
+
+    async def _listen_http(
+        self, listener: HttpListener, address: Address
+    ) -> asyncio.Server:
+        return await listener.listen(address.host, address.port)
+
+    # Events of the parts.
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        self.gateway.apply(snapshot)
+        self.callers.limits = snapshot.limits
+
+    def _version_opened_or_closed(self, service: str) -> None:
+        del service  # The executor knows its own.
+        self.executor.close_version()
+
+    def _server_unreachable(self) -> None:
+        if self.registry.unreachable():
+            self._server_changed("unreachable")
+
+    def _adopt_past(self, record: InstanceRecord) -> None:
+        if self.registry.adopt(record):
+            self._server_changed("remembered_by_peer")
+
+    def _server_changed(self, cause: str) -> None:
+        self.executor.server_changed()
+        current = self.registry.current
+        self.mesh.announce(current, self.stopping)
+        self.log.write(
+            "server.changed",
+            cause=cause,
+            instance=current.id if current is not None else None,
+            born_ms=current.born_ms if current is not None else 0,
+            sequence=current.sequence if current is not None else 0,
+            service=current.service if current is not None else None,
+            version=current.version if current is not None else None,
+            ready=current.ready if current is not None else False,
+            leaving=current.leaving if current is not None else False,
+        )
+
+    # Listeners beside the callers' one.
+
+    async def _serve_server(
+        self, request: HttpRequest, arrived: float
+    ) -> HttpResponse:
+        """Takes a call of the backend server."""
+        try:
+            said = self.server_api.decode(request)
+        except InvalidHeartbeatError as error:
+            self.log.write("server.invalid_call", error=str(error))
+            return HttpResponse(BAD_REQUEST, [])
+        if said is None:
+            return HttpResponse(NOT_FOUND, [])
+        if isinstance(said, Deregistration):
+            if self.registry.deregister(said.id, said.born_ms):
+                self._server_changed("deregistered")
+        else:
+            self._take_heartbeat(said, arrived)
+        return HttpResponse(OK, [(b"Content-Type", b"application/json")], b"{}")
+
+    def _take_heartbeat(self, beat: Heartbeat, arrived: float) -> None:
+        host = beat.address.rpartition(":")[0]
+        if host != self.settings.server_address.host:
+            self.log.write(
+                "server.foreign_heartbeat",
+                instance=beat.id,
+                address=beat.address,
+            )
+            return
+        if self.registry.heartbeat(beat, arrived):
+            self._server_changed("heartbeat")
+
+    async def _serve_readiness(
+        self, request: HttpRequest, arrived: float
+    ) -> HttpResponse:
+        """Says whether the machine's callers may come."""
+        ready = self.gateway.snapshot is not None and not self.stopping
+        ready = ready and (self.nodes_known or self._has_peers())
+        if self.stopping:
+            self.denials += 1
+        return HttpResponse(OK if ready else UNAVAILABLE, [])
+
+    def _has_peers(self) -> bool:
+        return any(peer.connected for peer in self.mesh.directory.others())
+
+    async def _serve_metrics(
+        self, request: HttpRequest, arrived: float
+    ) -> HttpResponse:
+        """Shows the metrics."""
+        load = self.executor.load()
+        self.metrics.set("server_running", load.running)
+        self.metrics.set("server_waiting", load.waiting)
+        self.metrics.set("peers", len(self.mesh.directory.peers) - 1)
+        self.metrics.set("caller_connections", len(self.callers.connections))
+        return HttpResponse(
+            OK,
+            [(b"Content-Type", b"text/plain; version=0.0.4")],
+            self.metrics.exposition(),
+        )
+
+    # Tasks.
+
+    async def _find_nodes(self) -> None:
+        """Announces this node in the store and reads the others."""
+        announced = False
+        while True:
+            try:
+                records = await self.store.nodes()
+                own = str(self.settings.peer_listener)
+                if not announced and all(r.address != own for r in records):
+                    await self.store.put_node(self.mesh.directory.own.record)
+                    # A node that read before this write is read now.
+                    records = await self.store.nodes()
+                announced = True
+                self.nodes_known = True
+                self.mesh.wants_nodes = False
+                self.mesh.learn(records)
+                self.log.write("nodes.read", count=len(records))
+                await asyncio.sleep(NODES_REFRESH_S)
+            except StoreError as error:
+                self.log.write("nodes.not_read", error=str(error))
+                await asyncio.sleep(NODES_RETRY_S)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            now = self.loop.time()
+            if self.registry.expire(now):
+                self._server_changed("silent")
+            shift = _boot_shift()
+            if shift - self.boot_shift > SUSPENDED_S:
+                self.log.write(
+                    "node.suspended", seconds=round(shift - self.boot_shift, 2)
+                )
+                self.mesh.reset_links()
+                self.store.reset()
+            self.boot_shift = shift
+            self._reload_if_changed()
+
+    def _reload_if_changed(self) -> None:
+        """Notices settings that change without a signal."""
+
+    def _reload(self) -> None:
+        try:
+            settings = self.reload_settings()
+        except InvalidSettingsError as error:
+            self.log.write("settings.invalid", error=str(error))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.gateway.settings = settings
+        self.executor.settings = settings
+        self.mesh.settings = settings
+        self.log.write("settings.reloaded", service=settings.service)
+
+    # The end.
+
+    async def _stop(self) -> None:
+        """Lets requests end; leaves when callers stay away."""
+        started = self.loop.time()
+        self.stopping = True
+        self.callers.closing = True
+        self.mesh.announce(self.registry.current, stopping=True)
+        self.log.write("node.stopping", active=self.callers.active)
+        end = started + self.settings.bounds.grace_s * GRACE_PART
+        quiet_since = 0.0
+        while self.loop.time() < end:
+            await asyncio.sleep(0.05)
+            now = self.loop.time()
+            busy = self.callers.active or self.executor.load().running
+            if busy or self.denials < DENIALS_BEFORE_EXIT:
+                quiet_since = now
+                continue
+            if now - quiet_since >= LAST_REQUESTS_S:
+                break
+        self.callers.close_idle()
+        await asyncio.sleep(0)
+
+    def _log_exception(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Logs what a task or callback did not handle."""
+        self.log.write(
+            "node.unhandled",
+            message=str(context.get("message")),
+            error=repr(context.get("exception")),
+        )
+
+
+def _boot_shift() -> float:
+    """Returns how far the boot clock is ahead of the steady one."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/node_record.py
@@ -0,0 +1,33 @@
+"""A node and the backend server beside it."""
+
+import msgspec
+
+from vanillamast_sidecar.instance_record import InstanceRecord
+
+
+class NodeRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What a node tells the others about itself.
+
+    Attributes:
+      address: host:port of the node's peer listener; identifies the node.
+      failure_domain: Failure domain of the node.
+      incarnation: Start of the process in Unix milliseconds; higher ones
+        replace lower ones.
+      revision: Counter of changes within the incarnation.
+      stopping: Whether the node takes no new requests from other nodes.
+      instance: The backend server beside it, None while none is known.
+    """
+
+    address: str
+    failure_domain: str
+    incarnation: int
+    revision: int
+    stopping: bool
+    instance: InstanceRecord | None
+
+    def newer_than(self, other: "NodeRecord") -> bool:
+        """Returns whether this record replaces another of the same node."""
+        return (self.incarnation, self.revision) > (
+            other.incarnation,
+            other.revision,
+        )
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -0,0 +1,88 @@
+"""Another node, as this node knows it."""
+
+import math
+
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.peer_link import NO_LOAD, PeerLink
+
+# Load that others put on a server fades when no report renews it.
+LOAD_HALF_LIFE_S = 0.7
+COLD_FACTOR = 2.0  # How much longer a server takes after its start.
+DEFAULT_MEAN_S = 0.1  # Mean duration before the first report.
+
+
+class Peer:
+    """A node with the backend server beside it.
+
+    Attributes:
+      record: What the node says of itself.
+      is_self: Whether it is this node.
+      near: Whether it is in this node's failure domain.
+      link: Connection to it, None while there is none.
+      load: Newest report of its server.
+      load_at: When that came, in loop time.
+      outstanding: Calls of this node in flight to it.
+      others: Load that other nodes had put on it by that report.
+      last_heard: When the node last sent anything, in loop time.
+      silent: Whether it does not answer although its connection is open.
+      cold_until: When its server is warm, in loop time.
+      refused_until: Until when its server counts as full, in loop time.
+      next_dial: When to connect again, in loop time.
+      failed_dials: Attempts to connect since the last success.
+      dialing: Whether an attempt is under way.
+      first_known: When the node became known, in loop time.
+    """
+
+    def __init__(self, record: NodeRecord, near: bool, is_self: bool):
+        self.record = record
+        self.is_self = is_self
+        self.near = near
+        self.link: PeerLink | None = None
+        self.load = NO_LOAD
+        self.load_at = 0.0
+        self.outstanding = 0
+        self.others = 0.0
+        self.last_heard = 0.0
+        self.silent = False
+        self.cold_until = 0.0
+        self.refused_until = 0.0
+        self.next_dial = 0.0
+        self.failed_dials = 0
+        self.dialing = False
+        self.first_known = 0.0
+
+    @property
+    def connected(self) -> bool:
+        """Returns whether calls can be sent."""
+        return self.is_self or (self.link is not None and self.link.up)
+
+    @property
+    def usable(self) -> bool:
+        """Returns whether its server takes requests of this node."""
+        instance = self.record.instance
+        return (
+            instance is not None
+            and instance.ready
+            and not self.record.stopping
+            and not self.silent
+            and self.connected
+        )
+
+    def report(self, load: LoadReport, now: float) -> None:
+        """Takes a report of the server's load."""
+        self.load = load
+        self.load_at = now
+        busy = load.running + load.waiting
+        self.others = max(0.0, float(busy - self.outstanding))
+
+    def expected_s(self, now: float) -> tuple[float, float]:
+        """Returns the expected wait for a slot and the time in it."""
+        instance = self.record.instance
+        slots = max(1, instance.slots if instance is not None else 1)
+        mean = self.load.mean_s or DEFAULT_MEAN_S
+        age = max(0.0, now - self.load_at)
+        others = self.others * math.exp2(-age / LOAD_HALF_LIFE_S)
+        excess = others + self.outstanding + 1 - slots
+        wait = max(0.0, excess) * mean / slots
+        return wait, mean * COLD_FACTOR if now < self.cold_until else mean
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -0,0 +1,172 @@
+"""Connections that other nodes open to this node."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.client_connection import reset, tune_socket
+from vanillamast_sidecar.clock_offset import ClockOffset
+from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.messages import (
+    AnyMessage,
+    Call,
+    Cancel,
+    FrameReader,
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    Reply,
+    encode_frame,
+)
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.server_call import ServerCall
+
+# A call that was on its way for longer than the fastest one by this much is
+# rejected, in seconds: its sender may have given it up behind a cut.
+STALE_S = 0.35
+
+Runner = Callable[[ServerCall], Awaitable[CallResult]]
+
+
+class PeerServer(asyncio.Protocol):
+    """Runs the calls of one node and hands on its other messages.
+
+    Attributes:
+      run: Runs a call on the backend server.
+      load: Returns the load of the server.
+      on_message: Takes messages other than calls, with this connection.
+      on_end: Called when the connection has ended.
+      origin: Address of the node, empty before its hello.
+      transport: The connection.
+      tasks: Calls that run, by id.
+    """
+
+    def __init__(
+        self,
+        run: Runner,
+        load: Callable[[], LoadReport],
+        on_message: Callable[["PeerServer", AnyMessage], None],
+        on_end: Callable[["PeerServer"], None],
+    ):
+        self.run = run
+        self.load = load
+        self.on_message = on_message
+        self.on_end = on_end
+        self.loop = asyncio.get_running_loop()
+        self.origin = ""
+        self.transport: asyncio.Transport | None = None
+        self.reader = FrameReader()
+        self.clock = ClockOffset()
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+
+    def send(self, message: Message) -> None:
+        """Sends a message if the connection is there."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.write(encode_frame(message))
+
+    def close(self) -> None:
+        """Ends the connection with a reset."""
+        reset(self.transport)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self.transport = transport  # type: ignore[assignment]
+        tune_socket(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Starts calls and hands on the other messages."""
+        try:
+            messages = self.reader.feed(data)
+        except FrameError:
+            # The stream cannot be resynchronized; the node dials again.
+            self.close()
+            return
+        for message in messages:
+            if isinstance(message, Call):
+                self._start(message)
+            elif isinstance(message, Cancel):
+                task = self.tasks.get(message.id)
+                if task is not None:
+                    task.cancel()
+            elif isinstance(message, Ping):
+                self.send(Pong())
+            else:
+                if isinstance(message, Hello):
+                    self.origin = message.record.address
+                self.on_message(self, message)
+
+    def _start(self, call: Call) -> None:
+        now = self.loop.time()
+        age = self.clock.age_s(call.sent_s, now)
+        if age > STALE_S:
+            self._reply(call.id, CallResult(Outcome.NOT_RUN, Reason.STALE))
+            return
+        task = self.loop.create_task(self._serve(call, now - age))
+        self.tasks[call.id] = task
+
+    async def _serve(self, call: Call, sent: float) -> None:
+        try:
+            result = await self.run(
+                ServerCall(
+                    call.request_id,
+                    call.instance_id,
+                    call.born_ms,
+                    call.route,
+                    call.priority,
+                    call.idempotent,
+                    sent + call.remaining_s,
+                    call.patience_s,
+                    call.method,
+                    call.target,
+                    call.headers,
+                    call.body,
+                )
+            )
+        finally:
+            self.tasks.pop(call.id, None)
+        self._reply(call.id, result)
+
+    def _reply(self, number: int, result: CallResult) -> None:
+        load = self.load()
+        response = result.response
+        if response is None:
+            self.send(
+                Reply(
+                    number,
+                    result.outcome,
+                    result.reason,
+                    result.arrived,
+                    result.retry_after_s,
+                    load,
+                )
+            )
+            return
+        self.send(
+            Reply(
+                number,
+                result.outcome,
+                result.reason,
+                result.arrived,
+                result.retry_after_s,
+                load,
+                response.status,
+                response.reason,
+                response.headers,
+                response.body,
+            )
+        )
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Gives up the calls of the node.
+
+        Those that wait for a slot never run; those that may not run twice
+        are left to end.
+        """
+        self.transport = None
+        for task in list(self.tasks.values()):
+            task.cancel()
+        self.on_end(self)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/route_table.py
@@ -0,0 +1,37 @@
+"""Longest-prefix lookup of routes."""
+
+from collections.abc import Iterable
+
+from vanillamast_sidecar.route import Route
+
+
+class RouteTable:
+    """Finds the route of a host and path.
+
+    Attributes:
+      hosts: Routes by path prefix, by host.
+    """
+
+    def __init__(self, routes: Iterable[Route]):
+        self.hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self.hosts.setdefault(route.host, {})[route.path_prefix] = route
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Returns the route with the longest prefix of the path.
+
+        Args:
+          host: Value of the Host header; a port is ignored.
+          target: Request target with an optional query.
+        """
+        prefixes = self.hosts.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -0,0 +1,361 @@
+"""Runs requests on the backend server beside the node."""
+
+import asyncio
+from collections.abc import Callable
+
+from vanillamast_sidecar.admission_queue import AdmissionQueue
+from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.client_connection import ClientConnection
+from vanillamast_sidecar.connection_pool import ConnectionPool
+from vanillamast_sidecar.decaying_share import DecayingShare
+from vanillamast_sidecar.errors import (
+    AnswerTimeoutError,
+    ConnectError,
+    ConnectionLostError,
+    MalformedAnswerError,
+)
+from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.http_writer import encode_request
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.logbook import Logbook
+from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.server_call import ServerCall
+from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.settings import SidecarSettings
+
+CONNECT_TIMEOUT_S = 0.5  # The server is on the same machine.
+# A server answers by itself when its time is over; its answer may take this
+# much longer, in seconds.
+ANSWER_GRACE_S = 0.15
+MISDIRECTED = 421
+# A request with less time than this is not sent, in seconds: no server
+# answers faster.
+SHORTEST_ATTEMPT_S = 0.005
+
+
+class ServerExecutor:
+    """The only sender of requests to its backend server.
+
+    It therefore knows the server's load exactly, holds its concurrency limit
+    and stops sending at the moment at which it acknowledges a leave.
+
+    Attributes:
+      settings: Settings of the node.
+      registry: Which server runs beside the node.
+      moves: Moves of traffic, which may close a version.
+      log: Logbook.
+      metrics: Metrics.
+      on_unreachable: Called when the server refused a connection.
+      queue: Slots and waiting requests.
+      pool: Kept connections; None before the first heartbeat.
+      identity: Incarnation to which queue and pool belong.
+      failing: Recent share of failed requests.
+      stopping: Whether the node stops.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        registry: ServerRegistry,
+        moves: MoveBook,
+        log: Logbook,
+        metrics: Metrics,
+        on_unreachable: Callable[[], None],
+    ):
+        self.settings = settings
+        self.registry = registry
+        self.moves = moves
+        self.log = log
+        self.metrics = metrics
+        self.on_unreachable = on_unreachable
+        self.loop = asyncio.get_running_loop()
+        self.queue: AdmissionQueue[asyncio.Future[Reason]] = AdmissionQueue(1)
+        self.pool: ConnectionPool | None = None
+        self.identity: tuple[str, int] = ("", 0)
+        self.failing = DecayingShare()
+        self.stopping = False
+
+    def load(self) -> LoadReport:
+        """Returns how busy the server is."""
+        queue = self.queue
+        return LoadReport(
+            queue.running,
+            queue.size,
+            round(queue.mean_s, 4),
+            round(self.failing.value(self.loop.time()), 3),
+        )
+
+    def server_changed(self) -> None:
+        """Follows the registry: a new incarnation, a leave or a crash."""
+        current = self.registry.current
+        if current is None:
+            return
+        if self.identity != (current.id, current.born_ms):
+            self._adopt(current)
+        self.queue.slots = max(1, current.slots)
+        if not current.ready:
+            self._reject_waiting(
+                Reason.LEAVING if current.leaving else Reason.NO_SERVER
+            )
+            if self.pool is not None:
+                self.pool.drop_idle()
+        self._grant()
+
+    def _adopt(self, current: InstanceRecord) -> None:
+        self._reject_waiting(Reason.WRONG_INSTANCE)
+        if self.pool is not None:
+            self.pool.drop_idle()
+        host, _, port = current.address.rpartition(":")
+        self.pool = ConnectionPool(
+            host, int(port), self.settings.fields.request_id
+        )
+        running = self.queue.running
+        self.queue = AdmissionQueue(max(1, current.slots))
+        # Requests that the old incarnation still runs return their slots to
+        # the queue that they took them from.
+        self.metrics.set("server_slots_lost", running)
+        self.identity = (current.id, current.born_ms)
+
+    def _reject_waiting(self, reason: Reason) -> None:
+        for future in self.queue.drain():
+            if not future.done():
+                future.set_result(reason)
+
+    def close_version(self) -> None:
+        """Rejects waiting requests after a move closed the version."""
+        current = self.registry.current
+        if current is not None and not self.moves.open_at_server(current):
+            self._reject_waiting(Reason.VERSION_CLOSED)
+
+    # One request.
+
+    async def run(self, call: ServerCall) -> CallResult:
+        """Runs a request within its limits and returns how it ended."""
+        reason = self._refusal(call)
+        if reason:
+            return self._not_run(call, reason)
+        queue = self.queue
+        if not queue.take_slot():
+            wait_s = queue.expected_wait_s(call.priority)
+            if wait_s > call.patience_s:
+                return self._not_run(call, Reason.OVERLOADED, wait_s)
+            reason = await self._wait(call, queue)
+            if reason:
+                return self._not_run(
+                    call, reason, queue.expected_wait_s(call.priority)
+                )
+        if call.idempotent:
+            return await self._run_in_slot(call, queue)
+        # A caller that leaves does not break off what may not run twice.
+        task = self.loop.create_task(self._run_in_slot(call, queue))
+        return await asyncio.shield(task)
+
+    def _refusal(self, call: ServerCall) -> Reason:
+        current = self.registry.current
+        if current is None:
+            return Reason.NO_SERVER
+        if (current.id, current.born_ms) != (call.instance_id, call.born_ms):
+            return Reason.WRONG_INSTANCE
+        if current.leaving:
+            return Reason.LEAVING
+        if not current.ready:
+            return Reason.NO_SERVER
+        if not self.moves.open_at_server(current):
+            return Reason.VERSION_CLOSED
+        if call.deadline - self.loop.time() < SHORTEST_ATTEMPT_S:
+            return Reason.TIMEOUT
+        return Reason.NONE
+
+    def _not_run(
+        self, call: ServerCall, reason: Reason, wait_s: float = 0.0
+    ) -> CallResult:
+        self.metrics.count("server_refusals", reason=reason)
+        self.log.write(
+            "server.refused",
+            request=call.request_id.decode("latin-1"),
+            reason=reason,
+            instance=call.instance_id,
+            running=self.queue.running,
+            waiting=self.queue.size,
+            wait_s=round(wait_s, 3),
+            patience_s=round(call.patience_s, 3),
+        )
+        return CallResult(Outcome.NOT_RUN, reason, retry_after_s=wait_s)
+
+    async def _wait(
+        self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
+    ) -> Reason:
+        """Waits for a slot; returns why there is none."""
+        future: asyncio.Future[Reason] = self.loop.create_future()
+        order = queue.push(call.priority, future)
+        latest = call.deadline - queue.expected_duration_s(call.route)
+        timer = self.loop.call_at(latest, _give_up, future)
+        try:
+            reason = await future
+        except asyncio.CancelledError:
+            queue.remove(order)
+            if future.done() and not future.cancelled() and not future.result():
+                queue.release()
+                self._grant()
+            raise
+        finally:
+            timer.cancel()
+        if reason:
+            queue.remove(order)
+        return reason
+
+    def _grant(self) -> None:
+        while True:
+            future = self.queue.pop()
+            if future is None:
+                return
+            if future.done():
+                self.queue.release()
+                continue
+            future.set_result(Reason.NONE)
+
+    async def _run_in_slot(
+        self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
+    ) -> CallResult:
+        started = self.loop.time()
+        result: CallResult | None = None
+        try:
+            result = await self._attempt(call)
+            return result
+        finally:
+            queue.release()
+            self._grant()
+            self._record(call, result, queue, self.loop.time() - started)
+
+    def _record(
+        self,
+        call: ServerCall,
+        result: CallResult | None,
+        queue: AdmissionQueue[asyncio.Future[Reason]],
+        held_s: float,
+    ) -> None:
+        if result is None or not result.arrived:
+            return
+        current = self.registry.current
+        if result.outcome is Outcome.NOT_RUN:
+            # A server that sheds although its limit is kept is failing.
+            self.failing.add(True, self.loop.time())
+            return
+        failed = result.outcome is not Outcome.ANSWERED or (
+            result.response is not None and result.response.status >= 500
+        )
+        self.failing.add(failed, self.loop.time())
+        if not failed or held_s > queue.mean_s:
+            queue.record(call.route, held_s)
+        self.metrics.observe("server_duration", held_s)
+        if current is not None and self.identity == (
+            call.instance_id,
+            call.born_ms,
+        ):
+            cold = self.loop.time() < self.registry.cold_until
+            self.moves.record(current, call.route, failed, held_s, cold)
+
+    async def _attempt(self, call: ServerCall) -> CallResult:
+        pool = self.pool
+        if pool is None:
+            return self._not_run(call, Reason.NO_SERVER)
+        now = self.loop.time()
+        try:
+            connection = await pool.acquire(
+                now, call.idempotent, CONNECT_TIMEOUT_S
+            )
+        except ConnectError as error:
+            self.log.write("server.unreachable", error=str(error))
+            self.on_unreachable()
+            return self._not_run(call, Reason.CONNECT_FAILED)
+        # The server may have left while the connection was opened.
+        reason = self._refusal(call)
+        if reason:
+            pool.release(connection)
+            return self._not_run(call, reason)
+        return await self._exchange(call, pool, connection)
+
+    async def _exchange(
+        self,
+        call: ServerCall,
+        pool: ConnectionPool,
+        connection: ClientConnection,
+    ) -> CallResult:
+        remaining_s = call.deadline - self.loop.time()
+        fields = self.settings.fields
+        data = encode_request(
+            call.method,
+            call.target,
+            [
+                *call.headers,
+                (fields.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
+                (fields.expected_instance, call.instance_id.encode()),
+            ],
+            call.body,
+        )
+        outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
+        try:
+            response = await connection.exchange(
+                data,
+                remaining_s + ANSWER_GRACE_S,
+                call.request_id,
+                call.method == "HEAD",
+            )
+            pool.release(connection)
+            return self._classify(call, response)
+        except AnswerTimeoutError:
+            outcome, reason = Outcome.EXPIRED, Reason.TIMEOUT
+            # Kept connections may have gone silent together.
+            pool.drop_idle()
+        except MalformedAnswerError:
+            reason = Reason.MALFORMED
+        except ConnectionLostError:
+            reason = Reason.CONNECTION_LOST
+        self.metrics.count("server_failures", reason=reason)
+        self.log.write(
+            "server.failed",
+            request=call.request_id.decode("latin-1"),
+            reason=reason,
+            instance=call.instance_id,
+            exchanges=connection.exchanges,
+        )
+        return CallResult(outcome, reason, arrived=True)
+
+    def _classify(
+        self, call: ServerCall, response: HttpResponse
+    ) -> CallResult:
+        """Tells an answer of the server from a refusal and from garbage."""
+        fields = self.settings.fields
+        if response.status == MISDIRECTED:
+            self.on_unreachable()
+            return CallResult(
+                Outcome.NOT_RUN, Reason.WRONG_INSTANCE, arrived=True
+            )
+        if response.get(fields.not_executed) is not None:
+            return CallResult(
+                Outcome.NOT_RUN, Reason.SHED_BY_SERVER, response, arrived=True
+            )
+        signed = response.get(fields.signature) is not None
+        encoded = response.get(b"content-encoding") is not None
+        if encoded or (not signed and response.status < 400):
+            self.metrics.count("server_failures", reason=Reason.MALFORMED)
+            self.log.write(
+                "server.failed",
+                request=call.request_id.decode("latin-1"),
+                reason=Reason.MALFORMED,
+                instance=call.instance_id,
+                status=response.status,
+            )
+            return CallResult(Outcome.UNKNOWN, Reason.MALFORMED, arrived=True)
+        return CallResult(
+            Outcome.ANSWERED, response=response, arrived=True
+        )
+
+
+def _give_up(future: "asyncio.Future[Reason]") -> None:
+    if not future.done():
+        future.set_result(Reason.OVERLOADED)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -0,0 +1,147 @@
+"""Which backend server runs beside the node."""
+
+from vanillamast_sidecar.heartbeat import Heartbeat
+from vanillamast_sidecar.instance_record import InstanceRecord
+
+# Heartbeats that may be missing before the server counts as down; a single
+# one may come seconds late.
+MISSED_HEARTBEATS = 4.0
+
+
+class ServerRegistry:
+    """Orders heartbeats, leaves and crashes of the server on the machine.
+
+    A leave sticks to the incarnation: a late heartbeat cannot undo it. Newer
+    incarnations replace older ones, whatever arrives first.
+
+    Attributes:
+      heartbeat_s: Interval of heartbeats, in seconds.
+      current: The newest incarnation, None before the first heartbeat.
+      last_heard: When its last heartbeat arrived, in loop time.
+      cold_until: When it is warm, in loop time.
+      down: Whether it refused a connection or fell silent since then.
+      left: Incarnations that have left.
+    """
+
+    def __init__(self, heartbeat_s: float):
+        self.heartbeat_s = heartbeat_s
+        self.current: InstanceRecord | None = None
+        self.last_heard = 0.0
+        self.cold_until = 0.0
+        self.down = False
+        self.left: set[tuple[str, int]] = set()
+
+    def heartbeat(self, beat: Heartbeat, now: float) -> bool:
+        """Takes a heartbeat; returns whether the server's state changed."""
+        if beat.draining:
+            self.left.add((beat.id, beat.born_ms))
+        known = self.current
+        if known is not None:
+            if beat.born_ms < known.born_ms:
+                return False
+            if self._is_current(beat.id, beat.born_ms):
+                if beat.sequence <= known.sequence:
+                    return self._refresh()
+        self.last_heard = now
+        self.down = False
+        self.cold_until = now + max(0.0, beat.cold_s)
+        self.current = self._record(beat)
+        return known is None or _visible(known) != _visible(self.current)
+
+    def deregister(self, instance_id: str, born_ms: int) -> bool:
+        """Takes a leave; returns whether the server's state changed.
+
+        Args:
+          instance_id: Id of the server.
+          born_ms: Its incarnation; 0 stands for the known one.
+        """
+        known = self.current
+        if born_ms == 0 and known is not None and known.id == instance_id:
+            born_ms = known.born_ms
+        self.left.add((instance_id, born_ms))
+        return self._refresh()
+
+    def adopt(self, record: InstanceRecord) -> bool:
+        """Takes what another node remembers; returns whether it matters.
+
+        Only leaves are taken over: everything else the server says itself.
+        """
+        if not record.leaving:
+            return False
+        self.left.add((record.id, record.born_ms))
+        return self._refresh()
+
+    def unreachable(self) -> bool:
+        """Notes that the server refused a connection."""
+        if self.down or self.current is None:
+            return False
+        self.down = True
+        return self._refresh()
+
+    def expire(self, now: float) -> bool:
+        """Notes missing heartbeats; returns whether the state changed."""
+        if self.current is None or self.down:
+            return False
+        if now - self.last_heard < MISSED_HEARTBEATS * self.heartbeat_s:
+            return False
+        self.down = True
+        return self._refresh()
+
+    def _is_current(self, instance_id: str, born_ms: int) -> bool:
+        known = self.current
+        return known is not None and (known.id, known.born_ms) == (
+            instance_id,
+            born_ms,
+        )
+
+    def _refresh(self) -> bool:
+        """Recomputes the flags of the current record."""
+        known = self.current
+        if known is None:
+            return False
+        leaving = (known.id, known.born_ms) in self.left
+        ready = not leaving and not self.down
+        if (known.leaving, known.ready) == (leaving, ready):
+            return False
+        self.current = InstanceRecord(
+            known.id,
+            known.born_ms,
+            known.sequence,
+            known.service,
+            known.version,
+            known.slots,
+            ready,
+            leaving,
+            known.cold_s,
+            known.address,
+        )
+        return True
+
+    def _record(self, beat: Heartbeat) -> InstanceRecord:
+        leaving = (beat.id, beat.born_ms) in self.left
+        return InstanceRecord(
+            beat.id,
+            beat.born_ms,
+            beat.sequence,
+            beat.service,
+            beat.version,
+            beat.slots,
+            not leaving,
+            leaving,
+            beat.cold_s,
+            beat.address,
+        )
+
+
+def _visible(record: InstanceRecord) -> tuple[object, ...]:
+    """Returns what other nodes have to know at once."""
+    return (
+        record.id,
+        record.born_ms,
+        record.service,
+        record.version,
+        record.slots,
+        record.ready,
+        record.leaving,
+        record.address,
+    )
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -0,0 +1,127 @@
+"""Chooses the backend server for an attempt."""
+
+import random
+from collections.abc import Iterable
+
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.peer import Peer
+
+# A server in another failure domain is chosen when it is expected to answer
+# this much sooner, in seconds: crossing costs bytes between domains.
+REMOTE_PENALTY_S = 0.1
+# A server that fails all its requests is passed over for one that answers
+# this much later, in seconds.
+FAILING_PENALTY_S = 1.0
+# Servers within this much of the best one share the requests, in seconds.
+TIE_S = 0.002
+
+
+class ServerSelector:
+    """Picks the server that is expected to answer first.
+
+    Attributes:
+      moves: Moves of traffic between versions.
+      rng: Random source for ties.
+    """
+
+    def __init__(self, moves: MoveBook, rng: random.Random):
+        self.moves = moves
+        self.rng = rng
+
+    def choose(
+        self, peers: Iterable[Peer], tried: set[str], service: str, now: float
+    ) -> Peer | None:
+        """Returns the node beside the best server, None without any.
+
+        Args:
+          peers: Nodes whose server serves the service.
+          tried: Ids of servers to leave out.
+          service: The service.
+          now: Loop time, in seconds.
+        """
+        ready = [
+            peer
+            for peer in peers
+            if peer.record.instance is not None and peer.record.instance.ready
+        ]
+        wants_new = self.moves.prefers_new(service)
+        if wants_new is None:
+            groups = [_of_oldest_version(ready)]
+        else:
+            groups = self._by_version(ready, wants_new)
+        for group in groups:
+            best = self._best(
+                [peer for peer in group if _takes(peer, tried, now)], now
+            )
+            if best is not None:
+                return best
+        return None
+
+    def _by_version(
+        self, peers: list[Peer], wants_new: bool
+    ) -> list[list[Peer]]:
+        """Returns the servers that may get the request, preferred first.
+
+        Requests beyond the share never go to the new version; the old one
+        stands in for it as long as the old servers are open.
+        """
+        new: list[Peer] = []
+        old: list[Peer] = []
+        for peer in peers:
+            instance = peer.record.instance
+            if instance is not None:
+                (new if self.moves.is_new(instance) else old).append(peer)
+        return [new, old] if wants_new else [old]
+
+    def _best(self, peers: list[Peer], now: float) -> Peer | None:
+        if not peers:
+            return None
+        costs = [(self.cost_s(peer, now), peer) for peer in peers]
+        limit = min(cost for cost, _ in costs) + TIE_S
+        ties = [peer for cost, peer in costs if cost <= limit]
+        return ties[0] if len(ties) == 1 else self.rng.choice(ties)
+
+    def cost_s(self, peer: Peer, now: float) -> float:
+        """Returns the expected time to an answer with its penalties."""
+        wait, duration = peer.expected_s(now)
+        cost = wait + duration + peer.load.failing * FAILING_PENALTY_S
+        return cost if peer.near else cost + REMOTE_PENALTY_S
+
+
+def _takes(peer: Peer, tried: set[str], now: float) -> bool:
+    instance = peer.record.instance
+    return (
+        instance is not None
+        and peer.usable
+        and instance.id not in tried
+        and peer.refused_until <= now
+    )
+
+
+def _of_oldest_version(peers: list[Peer]) -> list[Peer]:
+    """Returns the servers of the version that was there first.
+
+    Servers of a new version may announce themselves before the order that
+    moves traffic to them is known.
+    """
+    oldest_born = None
+    oldest_version = ""
+    mixed = False
+    for peer in peers:
+        instance = peer.record.instance
+        if instance is None:
+            continue
+        if oldest_born is None:
+            oldest_born, oldest_version = instance.born_ms, instance.version
+            continue
+        mixed = mixed or instance.version != oldest_version
+        if instance.born_ms < oldest_born:
+            oldest_born, oldest_version = instance.born_ms, instance.version
+    if not mixed:
+        return peers
+    return [
+        peer
+        for peer in peers
+        if peer.record.instance is not None
+        and peer.record.instance.version == oldest_version
+    ]
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/version_judge.py
@@ -0,0 +1,127 @@
+"""Judges a new version by the old one's answers at the same time."""
+
+import dataclasses
+import math
+
+from vanillamast_sidecar.version_evidence import (
+    BIN_COUNT,
+    BINS_PER_OCTAVE,
+    RouteEvidence,
+)
+
+MIN_SAMPLES = 10  # Fewer answers of the new version do not convict it.
+MIN_BAD = 5  # Single failures do not convict it.
+# Standard scores beyond which a difference is no chance: about one in
+# 30,000 looks, with some hundred looks a move.
+ERROR_SCORE = 4.0
+SLOW_SCORE = 4.0
+MIN_ERROR_EXCESS = 0.1  # Smaller excess of failures is tolerated.
+MIN_SLOW_EXCESS = 0.3  # Servers of one version differ by less than this.
+# An answer is slow beyond this multiple of the old version's median;
+# servers of one version differ in speed by up to three times.
+SLOW_FACTOR = 3.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Badness:
+    """Why a version is judged bad.
+
+    Attributes:
+      symptom: "errors" or "slow".
+      route: Route on which it shows; "*" for all together.
+      new_bad: Bad answers of the new version.
+      new_count: Answers of the new version.
+      old_bad: Bad answers of the old version.
+      old_count: Answers of the old version.
+    """
+
+    symptom: str
+    route: str
+    new_bad: int
+    new_count: int
+    old_bad: int
+    old_count: int
+
+
+def judge(
+    old: dict[str, RouteEvidence], new: dict[str, RouteEvidence]
+) -> Badness | None:
+    """Returns why the new version is bad, None if nothing shows it."""
+    for route, evidence in new.items():
+        baseline = old.get(route, RouteEvidence(0, 0, [0] * BIN_COUNT))
+        found = _judge_route(route, baseline, evidence)
+        if found is not None:
+            return found
+    return _judge_errors("*", _total(old), _total(new))
+
+
+def _judge_route(
+    route: str, old: RouteEvidence, new: RouteEvidence
+) -> Badness | None:
+    return _judge_errors(route, old, new) or _judge_slowness(route, old, new)
+
+
+def _judge_errors(
+    route: str, old: RouteEvidence, new: RouteEvidence
+) -> Badness | None:
+    bad = Badness("errors", route, new.errors, new.count, old.errors, old.count)
+    return bad if _exceeds(bad, ERROR_SCORE, MIN_ERROR_EXCESS) else None
+
+
+def _judge_slowness(
+    route: str, old: RouteEvidence, new: RouteEvidence
+) -> Badness | None:
+    answered = sum(old.bins)
+    if answered < MIN_SAMPLES:
+        return None
+    threshold = _median_bin(old.bins) + round(
+        math.log2(SLOW_FACTOR) * BINS_PER_OCTAVE
+    )
+    bad = Badness(
+        "slow",
+        route,
+        sum(new.bins[threshold + 1 :]),
+        sum(new.bins),
+        sum(old.bins[threshold + 1 :]),
+        answered,
+    )
+    return bad if _exceeds(bad, SLOW_SCORE, MIN_SLOW_EXCESS) else None
+
+
+def _median_bin(bins: list[int]) -> int:
+    half = sum(bins) / 2.0
+    seen = 0
+    for index, value in enumerate(bins):
+        seen += value
+        if seen >= half:
+            return index
+    return BIN_COUNT - 1
+
+
+def _exceeds(bad: Badness, score: float, excess: float) -> bool:
+    """Tests whether the new version's share of bad answers is higher."""
+    if bad.new_count < MIN_SAMPLES or bad.new_bad < MIN_BAD:
+        return False
+    # One imaginary good answer keeps an empty baseline from convicting.
+    old_count = bad.old_count + 1
+    new_share = bad.new_bad / bad.new_count
+    old_share = bad.old_bad / old_count
+    if new_share - old_share < excess:
+        return False
+    pooled = (bad.new_bad + bad.old_bad) / (bad.new_count + old_count)
+    spread = math.sqrt(
+        pooled * (1.0 - pooled) * (1.0 / bad.new_count + 1.0 / old_count)
+    )
+    if spread == 0.0:
+        return False
+    if bad.old_count < MIN_SAMPLES:
+        return bad.new_bad >= MIN_SAMPLES
+    return (new_share - old_share) / spread > score
+
+
+def _total(routes: dict[str, RouteEvidence]) -> RouteEvidence:
+    return RouteEvidence(
+        sum(evidence.count for evidence in routes.values()),
+        sum(evidence.errors for evidence in routes.values()),
+        [],
+    )
