Give requests that others wait for the first slots, and stay in the domain

Change: slots by rank and due time; nested calls first; near servers as long as they answer in time; streams between domains compressed; calls that may not run twice are confirmed before they run; joined servers get a first request.

--- a/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
@@ -1,6 +1,6 @@
 """Slots of a backend server and the requests that wait for one."""
 
-import heapq
+import bisect
 import itertools
 from typing import Generic, TypeVar
 
@@ -13,7 +13,7 @@
 
 
 class AdmissionQueue(Generic[T]):
-    """Grants slots by priority, then by arrival.
+    """Grants slots by rank, then by the time at which a request is due.
 
     The queue decides only; its owner runs what it grants.
 
@@ -22,8 +22,8 @@
       running: Requests that hold a slot.
       mean_s: Mean time that a request holds a slot, in seconds.
       route_mean_s: The same by route.
-      waiting: Heap of (priority, order, item).
-      removed: Orders of entries that left the heap's set but not the heap.
+      waiting: Sorted (rank, due, order) of the waiting requests.
+      items: Item and expected duration of each, by order.
     """
 
     def __init__(self, slots: int):
@@ -31,69 +31,62 @@
         self.running = 0
         self.mean_s = INITIAL_MEAN_S
         self.route_mean_s: dict[str, float] = {}
-        self.waiting: list[tuple[int, int, T]] = []
-        self.removed: set[int] = set()
+        self.waiting: list[tuple[int, float, int]] = []
+        self.items: dict[int, tuple[T, float]] = {}
         self.order = itertools.count()
 
     @property
     def size(self) -> int:
         """Returns the number of waiting requests."""
-        return len(self.waiting) - len(self.removed)
+        return len(self.waiting)
 
     def take_slot(self) -> bool:
         """Takes a slot if one is free and nobody waits."""
-        if self.running >= self.slots or self.size:
+        if self.running >= self.slots or self.waiting:
             return False
         self.running += 1
         return True
 
-    def expected_wait_s(self, priority: int) -> float:
-        """Returns how long a request of a priority would wait for a slot."""
+    def expected_wait_s(self, rank: int, due: float) -> float:
+        """Returns how long a request would wait for a slot."""
+        if self.running < self.slots and not self.waiting:
+            return 0.0
         ahead = sum(
-            1
-            for rank, order, _ in self.waiting
-            if rank <= priority and order not in self.removed
+            self.items[order][1]
+            for place, at, order in self.waiting
+            if (place, at) <= (rank, due)
         )
-        excess = self.running + ahead - self.slots + 1
-        if excess <= 0:
-            return 0.0
-        return excess * self.mean_s / max(1, self.slots)
+        return (ahead + self.mean_s) / max(1, self.slots)
 
     def expected_duration_s(self, route: str) -> float:
         """Returns how long a request of a route holds a slot."""
         return self.route_mean_s.get(route, self.mean_s)
 
-    def push(self, priority: int, item: T) -> int:
+    def push(self, rank: int, due: float, duration_s: float, item: T) -> int:
         """Makes an item wait; returns its order."""
         order = next(self.order)
-        heapq.heappush(self.waiting, (priority, order, item))
+        bisect.insort(self.waiting, (rank, due, order))
+        self.items[order] = (item, duration_s)
         return order
 
     def remove(self, order: int) -> None:
         """Takes a waiting item out."""
-        if any(entry[1] == order for entry in self.waiting):
-            self.removed.add(order)
+        if self.items.pop(order, None) is not None:
+            self.waiting = [e for e in self.waiting if e[2] != order]
 
     def pop(self) -> T | None:
         """Grants a free slot to the next item; None if there is none."""
-        while self.waiting and self.running < self.slots:
-            _, order, item = heapq.heappop(self.waiting)
-            if order in self.removed:
-                self.removed.discard(order)
-                continue
-            self.running += 1
-            return item
-        return None
+        if not self.waiting or self.running >= self.slots:
+            return None
+        _, _, order = self.waiting.pop(0)
+        self.running += 1
+        return self.items.pop(order)[0]
 
     def drain(self) -> list[T]:
         """Takes out all waiting items."""
-        items = [
-            item
-            for _, order, item in sorted(self.waiting, key=lambda e: e[:2])
-            if order not in self.removed
-        ]
+        items = [self.items[order][0] for _, _, order in self.waiting]
         self.waiting.clear()
-        self.removed.clear()
+        self.items.clear()
         return items
 
     def release(self) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -60,6 +60,8 @@
       request_id: Id of the caller's attempt.
       arrived: When it was read, in loop time.
       deadline: When the caller must have an answer, in loop time.
+      objective: When it is due by its latency objective, in loop time.
+      nested: Whether the backend server beside the node sent it.
       headers: Fields to forward.
       tried: Servers that were offered the request.
       attempts: Attempts that arrived at a server.
@@ -75,6 +77,8 @@
     request_id: bytes
     arrived: float
     deadline: float
+    objective: float
+    nested: bool
     headers: Headers
     tried: set[str]
     attempts: int = 0
@@ -98,7 +102,7 @@
       table: Its routes.
       splits: Shares of the services of a route, by route and split.
       budgets: Retry budgets by service.
-      service: Service on this machine, named as the origin of requests.
+      stops_at: When the process ends at the latest, in loop time.
     """
 
     def __init__(
@@ -121,6 +125,7 @@
         self.table = RouteTable(())
         self.splits: dict[str, TrafficSplit] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.stops_at = float("inf")
 
     def apply(self, snapshot: Snapshot) -> None:
         """Puts a configuration in force, whole and at once."""
@@ -150,6 +155,11 @@
         if route is None:
             return self._no_route(request_id, host, request.target)
         exchange = self._exchange(request, route, request_id, arrived)
+        if exchange.deadline > self.stops_at:
+            # It could be cut off when the process ends.
+            return self._refuse(
+                request_id, Reason.STOPPING, SHORTEST_RETRY_AFTER_S
+            )
         budget = self._budget(exchange.service)
         budget.count_first(arrived)
         try:
@@ -202,6 +212,8 @@
             request_id,
             arrived,
             arrived + timeout_s,
+            arrived + min(timeout_s, route.target_latency_s),
+            self.executor.is_nested(request_id),
             self._forwarded(request),
             set(),
         )
@@ -240,6 +252,7 @@
                 self.mesh.directory.serving(exchange.service),
                 exchange.tried,
                 exchange.service,
+                exchange.deadline if exchange.nested else exchange.objective,
                 now,
             )
             if peer is None or now >= exchange.deadline:
@@ -259,15 +272,14 @@
         assert instance is not None
         route = exchange.route
         exchange.tried.add(instance.id)
-        wait_s, duration_s = peer.expected_s(now)
-        objective = exchange.arrived + route.target_latency_s
-        patience_s = max(0.0, objective - now - duration_s)
+        wait_s, _ = peer.expected_s(now)
         peer.outstanding += 1
+        peer.used = (instance.id, instance.born_ms)
         try:
             if peer.is_self:
-                result = await self._run_here(exchange, instance, patience_s)
+                result = await self._run_here(exchange)
             else:
-                result = await self._run_there(exchange, peer, patience_s)
+                result = await self._run_there(exchange, peer)
         finally:
             peer.outstanding -= 1
         ended = self.loop.time()
@@ -304,11 +316,9 @@
             hold = min(LONGEST_REFUSAL_S, result.retry_after_s)
             peer.refused_until = now + hold
 
-    async def _run_here(
-        self, exchange: Exchange, instance: object, patience_s: float
-    ) -> CallResult:
+    async def _run_here(self, exchange: Exchange) -> CallResult:
         own = self.mesh.directory.own.record.instance
-        assert own is not None and own is instance
+        assert own is not None
         request = exchange.request
         call = ServerCall(
             exchange.request_id,
@@ -318,7 +328,8 @@
             exchange.route.priority,
             exchange.route.idempotent,
             exchange.deadline,
-            patience_s,
+            exchange.objective,
+            exchange.nested,
             request.method,
             request.target,
             exchange.headers,
@@ -327,7 +338,7 @@
         return await self.executor.run(call)
 
     async def _run_there(
-        self, exchange: Exchange, peer: Peer, patience_s: float
+        self, exchange: Exchange, peer: Peer
     ) -> CallResult:
         instance = peer.record.instance
         link = peer.link
@@ -342,7 +353,8 @@
                 number,
                 now,
                 remaining_s,
-                patience_s,
+                exchange.objective - now,
+                exchange.nested,
                 exchange.request_id,
                 instance.id,
                 instance.born_ms,
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -31,14 +31,11 @@
 from vanillamast_sidecar.settings import Address, SidecarSettings
 
 BEAT_S = 0.1  # Interval of the upkeep of connections.
-# Nodes of the failure domain hear of each other at least this often, in
-# seconds, and of a changed load at every beat.
-TICK_S = 0.25
-# A near node counts as silent after three missed ticks, in seconds.
-NEAR_SILENCE_S = 0.8
+# A near node counts as silent after four missed ticks, in seconds.
+NEAR_SILENCE_S = 0.45
 # A far node with calls in flight is asked for a sign of life after this
 # silence, in seconds, and counts as silent if none comes for as long again.
-FAR_PING_S = 0.5
+FAR_PING_S = 0.25
 FIRST_REDIAL_S = 0.2  # Wait before the second attempt to connect.
 LONGEST_REDIAL_S = 1.5  # Bounds how long a returned node stays unknown.
 # A node that cannot be reached for this long is forgotten, in seconds; it
@@ -100,8 +97,6 @@
         self.wants_nodes = True
         self.config_version = -1
         self.operator_offset = 0
-        self.last_load: LoadReport | None = None
-        self.last_tick = 0.0
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> asyncio.Server:
@@ -201,7 +196,12 @@
 
     async def _dial(self, peer: Peer) -> None:
         host, _, port = peer.record.address.rpartition(":")
-        link = PeerLink(peer.record.address, self._on_outbound, self._on_lost)
+        link = PeerLink(
+            peer.record.address,
+            not peer.near,
+            self._on_outbound,
+            self._on_lost,
+        )
         hello = Hello(self.directory.own.record, self.wants_nodes)
         connected = await link.open(host, int(port), hello)
         now = self.loop.time()
@@ -219,10 +219,6 @@
 
     def _tick(self, now: float) -> None:
         load = self.load()
-        if load == self.last_load and now - self.last_tick < TICK_S:
-            return
-        self.last_load = load
-        self.last_tick = now
         tick = Tick(load, self.config_version, self.operator_offset)
         self.directory.own.report(load, now)
         for peer in self.directory.others():
@@ -247,7 +243,7 @@
     def _set_silent(self, peer: Peer, silent: bool, heard: float) -> None:
         if silent == peer.silent:
             if silent and peer.link is not None:
-                peer.link.give_up_idempotent()
+                peer.link.give_up_movable()
             return
         peer.silent = silent
         kind = "peer.silent" if silent else "peer.heard"
@@ -257,7 +253,7 @@
             age_s=round(self.loop.time() - heard, 3),
         )
         if silent and peer.link is not None:
-            count = peer.link.give_up_idempotent()
+            count = peer.link.give_up_movable()
             self.metrics.count("peer_silences")
             self.log.write(
                 "peer.calls_given_up", peer=peer.record.address, calls=count
@@ -387,6 +383,8 @@
         connection.send(
             Welcome(self.directory.own.record, others, plans, self.load())
         )
+        if message.record.failure_domain != self.settings.failure_domain:
+            connection.codec.compress()
         self._dial_due(now)
 
 
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -1,14 +1,7 @@
-"""Messages between nodes.
-
-A frame is four bytes of length, big-endian, and a msgpack array whose first
-element is the message's tag.
-"""
-
-import struct
+"""Messages between nodes."""
 
 import msgspec
 
-from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.move_plan import MovePlan
 from vanillamast_sidecar.node_record import NodeRecord
@@ -16,10 +9,6 @@
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.version_evidence import VersionEvidence
 
-LENGTH = struct.Struct(">I")
-# Far above the largest body that the limits of callers allow.
-MAX_FRAME_BYTES = 96 * 1024 * 1024
-
 
 class Message(msgspec.Struct, array_like=True, frozen=True):
     """Base of all messages."""
@@ -85,7 +74,8 @@
       id: Id of the call on this connection.
       sent_s: Sender's monotonic clock, in seconds.
       remaining_s: Time left from then on, in seconds.
-      patience_s: Longest expected wait for a slot, in seconds.
+      objective_s: Time left until it is due by its latency objective.
+      nested: Whether a request that holds a slot elsewhere waits for it.
       request_id: Id of the caller's attempt.
       instance_id: Id of the server.
       born_ms: Incarnation of the server.
@@ -101,7 +91,8 @@
     id: int
     sent_s: float
     remaining_s: float
-    patience_s: float
+    objective_s: float
+    nested: bool
     request_id: bytes
     instance_id: str
     born_ms: int
@@ -202,6 +193,29 @@
     orders: list[tuple[str, str, float, int]]
 
 
+class Granted(Message, tag=14, frozen=True):
+    """A call that may not run twice has a slot and waits for its sender.
+
+    Attributes:
+      id: Id of the call.
+    """
+
+    id: int
+
+
+class Confirm(Message, tag=15, frozen=True):
+    """The sender of a granted call still wants it.
+
+    Without this message the call never runs, so that a sender that has not
+    sent it can truthfully say so.
+
+    Attributes:
+      id: Id of the call.
+    """
+
+    id: int
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -216,52 +230,6 @@
     | Evidence
     | FetchOperator
     | OperatorState
+    | Granted
+    | Confirm
 )
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
-    AnyMessage
-)
-
-
-def encode_frame(message: Message) -> bytes:
-    """Returns a message as a frame."""
-    payload = _encoder.encode(message)
-    return LENGTH.pack(len(payload)) + payload
-
-
-class FrameReader:
-    """Cuts a byte stream into messages.
-
-    Attributes:
-      buffer: Bytes of incomplete frames.
-    """
-
-    def __init__(self) -> None:
-        self.buffer = bytearray()
-
-    def feed(self, data: bytes) -> list[AnyMessage]:
-        """Returns the messages that are complete now.
-
-        Raises:
-          FrameError: The bytes are no messages.
-        """
-        buffer = self.buffer
-        buffer += data
-        messages: list[AnyMessage] = []
-        start = 0
-        while len(buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(buffer, start)
-            if length > MAX_FRAME_BYTES:
-                raise FrameError(f"frame of {length} bytes")
-            end = start + LENGTH.size + length
-            if len(buffer) < end:
-                break
-            payload = bytes(buffer[start + LENGTH.size : end])
-            try:
-                messages.append(_decoder.decode(payload))
-            except msgspec.DecodeError as error:
-                raise FrameError(str(error)) from error
-            start = end
-        del buffer[:start]
-        return messages
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -43,7 +43,7 @@
 # What callers sent before they noticed arrives within this time, in seconds.
 LAST_REQUESTS_S = 0.3
 # Part of the time before the kill that requests may use.
-GRACE_PART = 0.9
+GRACE_PART = 0.93
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -349,7 +349,8 @@
         self.mesh.announce(self.registry.current, stopping=True)
         self.log.write("node.stopping", active=self.callers.active)
         end = started + self.settings.bounds.grace_s * GRACE_PART
-        quiet_since = 0.0
+        self.gateway.stops_at = end
+        quiet_since = started
         while self.loop.time() < end:
             await asyncio.sleep(0.05)
             now = self.loop.time()
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -23,6 +23,7 @@
       load: Newest report of its server.
       load_at: When that came, in loop time.
       outstanding: Calls of this node in flight to it.
+      used: Incarnation of the server that this node last used.
       others: Load that other nodes had put on it by that report.
       last_heard: When the node last sent anything, in loop time.
       silent: Whether it does not answer although its connection is open.
@@ -42,6 +43,7 @@
         self.load = NO_LOAD
         self.load_at = 0.0
         self.outstanding = 0
+        self.used: tuple[str, int] | None = None
         self.others = 0.0
         self.last_heard = 0.0
         self.silent = False
@@ -69,6 +71,13 @@
             and self.connected
         )
 
+    def unproven(self, now: float) -> bool:
+        """Returns whether the server is warm and was never used from here."""
+        instance = self.record.instance
+        if instance is None or now < self.cold_until:
+            return False
+        return self.used != (instance.id, instance.born_ms)
+
     def report(self, load: LoadReport, now: float) -> None:
         """Takes a report of the server's load."""
         self.load = load
--- a/packages/sidecar/src/vanillamast_sidecar/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_link.py
@@ -1,21 +1,23 @@
 """The connection that a node opens to another node."""
 
 import asyncio
-import contextlib
+import dataclasses
 from collections.abc import Callable
 
 from vanillamast_sidecar.client_connection import reset, tune_socket
 from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.frame_codec import FrameCodec
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.messages import (
     AnyMessage,
     Call,
     Cancel,
-    FrameReader,
+    Confirm,
+    Granted,
     Message,
     Ping,
     Reply,
-    encode_frame,
+    Welcome,
 )
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
@@ -24,15 +26,46 @@
 NO_LOAD = LoadReport(0, 0, 0.0, 0.0)
 
 
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call without a reply.
+
+    Attributes:
+      future: Takes the reply.
+      idempotent: Whether the call may run more than once.
+      confirmed: Whether the peer was told to run a call that may not run
+        twice.
+    """
+
+    future: asyncio.Future[Reply]
+    idempotent: bool
+    confirmed: bool = False
+
+    def end(self, number: int, outcome: Outcome, reason: Reason) -> None:
+        """Gives the call up; one that was not confirmed never runs."""
+        if self.future.done():
+            return
+        if not self.idempotent and not self.confirmed:
+            outcome = Outcome.NOT_RUN
+        self.future.set_result(_lost(number, outcome, reason))
+
+    @property
+    def may_move(self) -> bool:
+        """Returns whether the request may run elsewhere."""
+        return self.idempotent or not self.confirmed
+
+
 class PeerLink(asyncio.Protocol):
     """Carries calls to one node; any number at a time.
 
     Attributes:
       address: Address of the node.
+      compressed: Whether the connection is compressed.
       on_message: Takes every message, after replies met their calls.
       on_lost: Called when the connection has ended.
       transport: The connection; None while there is none.
-      pending: Calls without a reply, by id: future and idempotency.
+      welcomed: Whether the peer has answered the hello.
+      pending: Calls without a reply, by id.
       last_heard: When the peer last sent anything, in loop time.
       pinged: When an unanswered ping was sent, 0 without one.
     """
@@ -40,42 +73,54 @@
     def __init__(
         self,
         address: str,
+        compressed: bool,
         on_message: Callable[["PeerLink", AnyMessage], None],
         on_lost: Callable[["PeerLink"], None],
     ):
         self.address = address
+        self.compressed = compressed
         self.on_message = on_message
         self.on_lost = on_lost
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
-        self.reader = FrameReader()
-        self.pending: dict[int, tuple[asyncio.Future[Reply], bool]] = {}
+        self.codec = FrameCodec()
+        self.welcomed = False
+        self.pending: dict[int, PendingCall] = {}
         self.last_heard = 0.0
         self.pinged = 0.0
         self.next_id = 0
+        self._greeted: asyncio.Future[None] = self.loop.create_future()
 
     @property
     def up(self) -> bool:
         """Returns whether messages can be sent."""
-        return self.transport is not None and not self.transport.is_closing()
-
-    async def open(self, host: str, port: int, first: Message) -> bool:
-        """Connects and sends the first message; returns whether it did."""
+        return (
+            self.welcomed
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
+
+    async def open(self, host: str, port: int, hello: Message) -> bool:
+        """Connects and waits for the welcome; returns whether it came."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self.loop.create_connection(lambda: self, host, port)
+                self._write(hello)
+                await self._greeted
         except (OSError, TimeoutError):
-            # The owner logs the loss and dials again later.
+            # The owner dials again later.
             self.close()
             return False
-        self.send(first)
-        return True
+        return self.up
 
     def send(self, message: Message) -> None:
         """Sends a message if the connection is there."""
-        transport = self.transport
-        if transport is not None and not transport.is_closing():
-            transport.write(encode_frame(message))
+        if self.up:
+            self._write(message)
+
+    def _write(self, message: Message) -> None:
+        if self.transport is not None:
+            self.transport.write(self.codec.encode(message))
 
     async def call(
         self, make: Callable[[int], Call], idempotent: bool, timeout_s: float
@@ -87,19 +132,19 @@
 
         Args:
           make: Makes the message from the call's id.
-          idempotent: Whether the call may be given up early.
+          idempotent: Whether the call may run more than once.
           timeout_s: Longest wait for the reply, in seconds.
         """
         if not self.up:
             return _lost(0, Outcome.NOT_RUN, Reason.CONNECT_FAILED)
         self.next_id += 1
         number = self.next_id
-        future: asyncio.Future[Reply] = self.loop.create_future()
-        self.pending[number] = (future, idempotent)
+        pending = PendingCall(self.loop.create_future(), idempotent)
+        self.pending[number] = pending
         timer = self.loop.call_later(timeout_s, self._expire, number)
         self.send(make(number))
         try:
-            return await future
+            return await pending.future
         except asyncio.CancelledError:
             self.send(Cancel(number))
             raise
@@ -108,20 +153,18 @@
             self.pending.pop(number, None)
 
     def _expire(self, number: int) -> None:
-        entry = self.pending.get(number)
-        if entry is not None and not entry[0].done():
+        pending = self.pending.get(number)
+        if pending is not None and not pending.future.done():
             self.send(Cancel(number))
-            entry[0].set_result(_lost(number, Outcome.EXPIRED, Reason.TIMEOUT))
+            pending.end(number, Outcome.EXPIRED, Reason.TIMEOUT)
 
-    def give_up_idempotent(self) -> int:
+    def give_up_movable(self) -> int:
         """Ends the calls that may run elsewhere; returns how many."""
         count = 0
-        for number, (future, idempotent) in list(self.pending.items()):
-            if idempotent and not future.done():
+        for number, pending in list(self.pending.items()):
+            if pending.may_move and not pending.future.done():
                 self.send(Cancel(number))
-                future.set_result(
-                    _lost(number, Outcome.UNKNOWN, Reason.PEER_SILENT)
-                )
+                pending.end(number, Outcome.UNKNOWN, Reason.PEER_SILENT)
                 count += 1
         return count
 
@@ -148,28 +191,44 @@
         self.last_heard = self.loop.time()
         self.pinged = 0.0
         try:
-            messages = self.reader.feed(data)
+            messages = self.codec.feed(data)
         except FrameError:
             # The stream cannot be resynchronized; the owner logs the loss.
             self.close()
             return
         for message in messages:
-            if isinstance(message, Reply):
-                entry = self.pending.get(message.id)
-                if entry is not None and not entry[0].done():
-                    entry[0].set_result(message)
-            self.on_message(self, message)
+            self._take(message)
+
+    def _take(self, message: AnyMessage) -> None:
+        if isinstance(message, Reply):
+            pending = self.pending.get(message.id)
+            if pending is not None and not pending.future.done():
+                pending.future.set_result(message)
+        elif isinstance(message, Granted):
+            self._confirm(message.id)
+        elif isinstance(message, Welcome) and not self.welcomed:
+            self.welcomed = True
+            if self.compressed:
+                self.codec.compress()
+            if not self._greeted.done():
+                self._greeted.set_result(None)
+        self.on_message(self, message)
+
+    def _confirm(self, number: int) -> None:
+        pending = self.pending.get(number)
+        if pending is not None and not pending.future.done():
+            pending.confirmed = True
+            self.send(Confirm(number))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the calls in flight."""
         self.transport = None
-        for number, (future, _) in list(self.pending.items()):
-            if not future.done():
-                future.set_result(
-                    _lost(number, Outcome.UNKNOWN, Reason.PEER_LOST)
-                )
-        with contextlib.suppress(asyncio.CancelledError):
-            self.on_lost(self)
+        if not self._greeted.done():
+            self._greeted.set_exception(ConnectionResetError())
+            self._greeted.exception()  # Nobody may wait for it any more.
+        for number, pending in list(self.pending.items()):
+            pending.end(number, Outcome.UNKNOWN, Reason.PEER_LOST)
+        self.on_lost(self)
 
 
 def _lost(number: int, outcome: Outcome, reason: Reason) -> Reply:
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -7,18 +7,19 @@
 from vanillamast_sidecar.client_connection import reset, tune_socket
 from vanillamast_sidecar.clock_offset import ClockOffset
 from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.frame_codec import FrameCodec
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.messages import (
     AnyMessage,
     Call,
     Cancel,
-    FrameReader,
+    Confirm,
+    Granted,
     Hello,
     Message,
     Ping,
     Pong,
     Reply,
-    encode_frame,
 )
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
@@ -28,6 +29,10 @@
 # rejected, in seconds: its sender may have given it up behind a cut.
 STALE_S = 0.35
 
+# Longest wait for the sender's word while a slot is held, in seconds: many
+# round trips between failure domains.
+CONFIRM_TIMEOUT_S = 0.3
+
 Runner = Callable[[ServerCall], Awaitable[CallResult]]
 
 
@@ -42,6 +47,7 @@
       origin: Address of the node, empty before its hello.
       transport: The connection.
       tasks: Calls that run, by id.
+      confirmations: Calls that wait for their sender's word, by id.
     """
 
     def __init__(
@@ -58,7 +64,8 @@
         self.loop = asyncio.get_running_loop()
         self.origin = ""
         self.transport: asyncio.Transport | None = None
-        self.reader = FrameReader()
+        self.codec = FrameCodec()
+        self.confirmations: dict[int, asyncio.Future[bool]] = {}
         self.clock = ClockOffset()
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
@@ -66,7 +73,7 @@
         """Sends a message if the connection is there."""
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write(encode_frame(message))
+            transport.write(self.codec.encode(message))
 
     def close(self) -> None:
         """Ends the connection with a reset."""
@@ -80,7 +87,7 @@
     def data_received(self, data: bytes) -> None:
         """Starts calls and hands on the other messages."""
         try:
-            messages = self.reader.feed(data)
+            messages = self.codec.feed(data)
         except FrameError:
             # The stream cannot be resynchronized; the node dials again.
             self.close()
@@ -92,6 +99,10 @@
                 task = self.tasks.get(message.id)
                 if task is not None:
                     task.cancel()
+            elif isinstance(message, Confirm):
+                confirmation = self.confirmations.get(message.id)
+                if confirmation is not None and not confirmation.done():
+                    confirmation.set_result(True)
             elif isinstance(message, Ping):
                 self.send(Pong())
             else:
@@ -109,6 +120,11 @@
         self.tasks[call.id] = task
 
     async def _serve(self, call: Call, sent: float) -> None:
+        now = self.loop.time()
+
+        async def confirm() -> bool:
+            return await self._confirm(call.id)
+
         try:
             result = await self.run(
                 ServerCall(
@@ -119,17 +135,33 @@
                     call.priority,
                     call.idempotent,
                     sent + call.remaining_s,
-                    call.patience_s,
+                    now + call.objective_s,
+                    call.nested,
                     call.method,
                     call.target,
                     call.headers,
                     call.body,
+                    None if call.idempotent else confirm,
                 )
             )
         finally:
             self.tasks.pop(call.id, None)
         self._reply(call.id, result)
 
+    async def _confirm(self, number: int) -> bool:
+        """Asks the sender of a call whether it still wants it."""
+        confirmation: asyncio.Future[bool] = self.loop.create_future()
+        self.confirmations[number] = confirmation
+        self.send(Granted(number))
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                return await confirmation
+        except TimeoutError:
+            # The sender is cut off or has given the call up.
+            return False
+        finally:
+            del self.confirmations[number]
+
     def _reply(self, number: int, result: CallResult) -> None:
         load = self.load()
         response = result.response
--- a/packages/sidecar/src/vanillamast_sidecar/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/reason.py
@@ -24,5 +24,6 @@
     MALFORMED = "malformed"
     TIMEOUT = "timeout"
     CALLER_GONE = "caller_gone"
+    NOT_CONFIRMED = "not_confirmed"
     BUDGET_SPENT = "budget_spent"
     SERVER_ERROR = "server_error"
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -32,6 +32,7 @@
 # much longer, in seconds.
 ANSWER_GRACE_S = 0.15
 MISDIRECTED = 421
+NESTED_RANK = -1  # Before all priorities.
 # A request with less time than this is not sent, in seconds: no server
 # answers faster.
 SHORTEST_ATTEMPT_S = 0.005
@@ -54,6 +55,7 @@
       pool: Kept connections; None before the first heartbeat.
       identity: Incarnation to which queue and pool belong.
       failing: Recent share of failed requests.
+      running_ids: Ids of the requests that the server runs.
       stopping: Whether the node stops.
     """
 
@@ -77,6 +79,7 @@
         self.pool: ConnectionPool | None = None
         self.identity: tuple[str, int] = ("", 0)
         self.failing = DecayingShare()
+        self.running_ids: set[bytes] = set()
         self.stopping = False
 
     def load(self) -> LoadReport:
@@ -89,6 +92,17 @@
             round(self.failing.value(self.loop.time()), 3),
         )
 
+    def is_nested(self, request_id: bytes) -> bool:
+        """Returns whether a request that the server runs waits for this one.
+
+        A server derives the ids of its own calls from the id of the request
+        that it runs. Calls that do not show it are treated like any others.
+        """
+        return any(
+            request_id.startswith(parent) and len(request_id) > len(parent)
+            for parent in self.running_ids
+        )
+
     def server_changed(self) -> None:
         """Follows the registry: a new incarnation, a leave or a crash."""
         current = self.registry.current
@@ -140,13 +154,15 @@
             return self._not_run(call, reason)
         queue = self.queue
         if not queue.take_slot():
-            wait_s = queue.expected_wait_s(call.priority)
-            if wait_s > call.patience_s:
+            rank, due = _place(call)
+            wait_s = queue.expected_wait_s(rank, due)
+            duration_s = queue.expected_duration_s(call.route)
+            if self.loop.time() + wait_s + duration_s > due:
                 return self._not_run(call, Reason.OVERLOADED, wait_s)
             reason = await self._wait(call, queue)
             if reason:
                 return self._not_run(
-                    call, reason, queue.expected_wait_s(call.priority)
+                    call, reason, queue.expected_wait_s(rank, due)
                 )
         if call.idempotent:
             return await self._run_in_slot(call, queue)
@@ -182,7 +198,7 @@
             running=self.queue.running,
             waiting=self.queue.size,
             wait_s=round(wait_s, 3),
-            patience_s=round(call.patience_s, 3),
+            due_s=round(_place(call)[1] - self.loop.time(), 3),
         )
         return CallResult(Outcome.NOT_RUN, reason, retry_after_s=wait_s)
 
@@ -191,8 +207,9 @@
     ) -> Reason:
         """Waits for a slot; returns why there is none."""
         future: asyncio.Future[Reason] = self.loop.create_future()
-        order = queue.push(call.priority, future)
-        latest = call.deadline - queue.expected_duration_s(call.route)
+        duration_s = queue.expected_duration_s(call.route)
+        order = queue.push(*_place(call), duration_s, future)
+        latest = call.deadline - duration_s
         timer = self.loop.call_at(latest, _give_up, future)
         try:
             reason = await future
@@ -272,8 +289,12 @@
             self.log.write("server.unreachable", error=str(error))
             self.on_unreachable()
             return self._not_run(call, Reason.CONNECT_FAILED)
-        # The server may have left while the connection was opened.
+        # The server may have left while the connection was opened, and the
+        # sender may be cut off.
+        confirmed = call.confirm is None or await call.confirm()
         reason = self._refusal(call)
+        if not confirmed:
+            reason = Reason.NOT_CONFIRMED
         if reason:
             pool.release(connection)
             return self._not_run(call, reason)
@@ -298,6 +319,8 @@
             call.body,
         )
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
+        if call.request_id:
+            self.running_ids.add(call.request_id)
         try:
             response = await connection.exchange(
                 data,
@@ -315,6 +338,8 @@
             reason = Reason.MALFORMED
         except ConnectionLostError:
             reason = Reason.CONNECTION_LOST
+        finally:
+            self.running_ids.discard(call.request_id)
         self.metrics.count("server_failures", reason=reason)
         self.log.write(
             "server.failed",
@@ -356,6 +381,17 @@
         )
 
 
+def _place(call: ServerCall) -> tuple[int, float]:
+    """Returns a request's rank in the queue and when it is due.
+
+    Requests that others wait for with a slot of their own go first: without
+    them, the work of those is lost.
+    """
+    if call.nested:
+        return NESTED_RANK, call.deadline
+    return call.priority, call.objective
+
+
 def _give_up(future: "asyncio.Future[Reason]") -> None:
     if not future.done():
         future.set_result(Reason.OVERLOADED)
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -6,9 +6,12 @@
 from vanillamast_sidecar.move_book import MoveBook
 from vanillamast_sidecar.peer import Peer
 
-# A server in another failure domain is chosen when it is expected to answer
-# this much sooner, in seconds: crossing costs bytes between domains.
-REMOTE_PENALTY_S = 0.1
+# Among servers that are all late or failing, one in another failure domain is
+# chosen if it is expected to answer this much sooner, in seconds: crossing
+# costs bytes between domains.
+FAR_PENALTY_S = 0.2
+# A server that fails a larger share than this is not good enough.
+MAX_FAILING = 0.25
 # A server that fails all its requests is passed over for one that answers
 # this much later, in seconds.
 FAILING_PENALTY_S = 1.0
@@ -29,7 +32,12 @@
         self.rng = rng
 
     def choose(
-        self, peers: Iterable[Peer], tried: set[str], service: str, now: float
+        self,
+        peers: Iterable[Peer],
+        tried: set[str],
+        service: str,
+        due: float,
+        now: float,
     ) -> Peer | None:
         """Returns the node beside the best server, None without any.
 
@@ -37,6 +45,7 @@
           peers: Nodes whose server serves the service.
           tried: Ids of servers to leave out.
           service: The service.
+          due: When the request is due, in loop time.
           now: Loop time, in seconds.
         """
         ready = [
@@ -51,7 +60,7 @@
             groups = self._by_version(ready, wants_new)
         for group in groups:
             best = self._best(
-                [peer for peer in group if _takes(peer, tried, now)], now
+                [peer for peer in group if _takes(peer, tried, now)], due, now
             )
             if best is not None:
                 return best
@@ -73,19 +82,47 @@
                 (new if self.moves.is_new(instance) else old).append(peer)
         return [new, old] if wants_new else [old]
 
-    def _best(self, peers: list[Peer], now: float) -> Peer | None:
+    def _best(self, peers: list[Peer], due: float, now: float) -> Peer | None:
+        """Returns the best near server that is good enough, or the best.
+
+        A request crosses to another failure domain only if no near server is
+        expected to answer in time.
+        """
+        near = [peer for peer in peers if peer.near]
+        for peer in near:
+            # Its speed shows only in use.
+            if peer.unproven(now) and _good_enough(peer, due, now):
+                return peer
+        best = self._cheapest(near, now)
+        if best is not None and _good_enough(best, due, now):
+            return best
+        far = [
+            peer
+            for peer in peers
+            if not peer.near and _good_enough(peer, due, now)
+        ]
+        return self._cheapest(far, now) or self._cheapest(peers, now)
+
+    def _cheapest(self, peers: list[Peer], now: float) -> Peer | None:
         if not peers:
             return None
-        costs = [(self.cost_s(peer, now), peer) for peer in peers]
+        costs = [(cost_s(peer, now), peer) for peer in peers]
         limit = min(cost for cost, _ in costs) + TIE_S
         ties = [peer for cost, peer in costs if cost <= limit]
         return ties[0] if len(ties) == 1 else self.rng.choice(ties)
 
-    def cost_s(self, peer: Peer, now: float) -> float:
-        """Returns the expected time to an answer with its penalties."""
-        wait, duration = peer.expected_s(now)
-        cost = wait + duration + peer.load.failing * FAILING_PENALTY_S
-        return cost if peer.near else cost + REMOTE_PENALTY_S
+
+def cost_s(peer: Peer, now: float) -> float:
+    """Returns the expected time to an answer with its penalties."""
+    wait, duration = peer.expected_s(now)
+    cost = wait + duration + peer.load.failing * FAILING_PENALTY_S
+    return cost if peer.near else cost + FAR_PENALTY_S
+
+
+def _good_enough(peer: Peer, due: float, now: float) -> bool:
+    """Returns whether a server is expected to answer in time."""
+    wait, duration = peer.expected_s(now)
+    return now + wait + duration <= due and peer.load.failing < MAX_FAILING
 
 
 def _takes(peer: Peer, tried: set[str], now: float) -> bool:
