Judge slow versions by two thresholds and start moves at a larger share

Change: slow answers count beyond 3.5 and 6 times the old median with an excess of 0.15 and 0.08; first share 0.07; requests of a move whose share is 1 never go to closed servers; a handler's failure is answered and logged.

--- a/packages/sidecar/src/vanillamast_sidecar/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/client_connection.py
@@ -32,9 +32,7 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
     )
--- a/packages/sidecar/src/vanillamast_sidecar/directory.py
+++ b/packages/sidecar/src/vanillamast_sidecar/directory.py
@@ -24,7 +24,9 @@
         self.own.record = record
         self._index()
 
-    def learn(self, record: NodeRecord, direct: bool, now: float) -> Peer | None:
+    def learn(
+        self, record: NodeRecord, direct: bool, now: float
+    ) -> Peer | None:
         """Takes a record; returns the peer if it is new or has changed.
 
         Args:
--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -41,8 +41,8 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
-        self.compressor: "zlib._Compress | None" = None
-        self.decompressor: "zlib._Decompress | None" = None
+        self.compressor: zlib._Compress | None = None
+        self.decompressor: zlib._Decompress | None = None
 
     def compress(self) -> None:
         """Compresses everything from here on, in both directions."""
@@ -58,9 +58,7 @@
         compressor = self.compressor
         if compressor is None:
             return frame
-        return compressor.compress(frame) + compressor.flush(
-            zlib.Z_SYNC_FLUSH
-        )
+        return compressor.compress(frame) + compressor.flush(zlib.Z_SYNC_FLUSH)
 
     def feed(self, data: bytes) -> list[AnyMessage]:
         """Returns the messages that are complete now.
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -235,7 +235,9 @@
         if budget is None:
             bounds = self.settings.bounds
             budget = RetryBudget(
-                bounds.retry_ratio * RETRY_RATIO_SHARE, 0.0, bounds.retry_window_s
+                bounds.retry_ratio * RETRY_RATIO_SHARE,
+                0.0,
+                bounds.retry_window_s,
             )
             self.budgets[service] = budget
         nodes = max(1, len(self.mesh.directory.peers))
@@ -337,9 +339,7 @@
         )
         return await self.executor.run(call)
 
-    async def _run_there(
-        self, exchange: Exchange, peer: Peer
-    ) -> CallResult:
+    async def _run_there(self, exchange: Exchange, peer: Peer) -> CallResult:
         instance = peer.record.instance
         link = peer.link
         assert instance is not None and link is not None
@@ -435,9 +435,7 @@
         self._log_end(exchange, UNAVAILABLE, reason)
         return self._refuse(exchange.request_id, reason, wait_s)
 
-    def _log_end(
-        self, exchange: Exchange, status: int, reason: Reason
-    ) -> None:
+    def _log_end(self, exchange: Exchange, status: int, reason: Reason) -> None:
         version = self.snapshot.version if self.snapshot is not None else -1
         self.log.write(
             "request.failed",
--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -115,9 +115,7 @@
         self._body = []
         self._body_bytes = 0
         self._in_message = True
-        self._start_timer(
-            self.listener.limits.header_timeout_s, self._too_slow
-        )
+        self._start_timer(self.listener.limits.header_timeout_s, self._too_slow)
 
     def on_url(self, url: bytes) -> None:
         """Keeps a piece of the target."""
@@ -177,6 +175,10 @@
                 self.listener.active += 1
                 try:
                     response = await self.listener.handler(request, arrived)
+                except Exception:
+                    # The caller gets an answer; the loop's handler logs it.
+                    self._write(request, HttpResponse(500, []), False)
+                    raise
                 finally:
                     self.listener.active -= 1
                 if not self._write(request, response, keep):
@@ -229,9 +231,7 @@
 
     # Timers.
 
-    def _start_timer(
-        self, delay_s: float, action: Callable[[], None]
-    ) -> None:
+    def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._stop_timer()
         self._timer = self.loop.call_later(delay_s, action)
 
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -88,9 +88,7 @@
         self.on_own_past: Callable[[InstanceRecord], None] = lambda _: None
         self.on_evidence: Callable[[str, Evidence], None] = lambda *_: None
         self.on_tick: Callable[[Peer, Tick], None] = lambda *_: None
-        self.on_operator_state: Callable[[OperatorState], None] = (
-            lambda _: None
-        )
+        self.on_operator_state: Callable[[OperatorState], None] = lambda _: None
         self.operator_state: Callable[[], OperatorState | None] = lambda: None
         self.loop = asyncio.get_running_loop()
         self.inbound: set[PeerServer] = set()
--- a/packages/sidecar/src/vanillamast_sidecar/move_book.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_book.py
@@ -114,6 +114,11 @@
             return False
         return move.share >= 1.0 or move.chooser.choose() == "new"
 
+    def old_is_open(self, service: str) -> bool:
+        """Returns whether the old version of a move still has a share."""
+        move = self.moves.get(service)
+        return move is not None and move.share < 1.0
+
     def is_new(self, record: InstanceRecord) -> bool:
         """Returns whether a server is of a move's new version."""
         move = self.moves.get(record.service)
--- a/packages/sidecar/src/vanillamast_sidecar/move_driver.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_driver.py
@@ -9,7 +9,7 @@
 # Shares of the new version by the elapsed part of the move's time. The first
 # ones keep a version that turns bad late within the exposure bound (a tenth);
 # the last one leaves a third of the time for the old servers to empty.
-STAGES = ((0.0, 0.04), (0.36, 0.12), (0.44, 0.3), (0.52, 0.6), (0.6, 1.0))
+STAGES = ((0.0, 0.07), (0.32, 0.15), (0.42, 0.3), (0.5, 0.6), (0.58, 1.0))
 # The move may end from here on, as a part of its time.
 EARLIEST_END = 0.72
 # Old servers that are not heard of do not keep a move open beyond this part.
@@ -34,7 +34,9 @@
         """Takes the cumulative outcomes of a node's server."""
         self.evidence[node] = evidence
 
-    def decide(self, now: float, old_nodes: set[str], has_new: bool) -> MovePlan:
+    def decide(
+        self, now: float, old_nodes: set[str], has_new: bool
+    ) -> MovePlan:
         """Returns the plan that is in force now.
 
         A plan whose state is complete is a proposal: it comes into force
@@ -58,10 +60,12 @@
         share = self.move.share
         target = max(share_at(part), share)
         if not has_new:
-            return self._plan(MoveState.ACTIVE, min(target, STAGES[0][1]), elapsed)
-        if share >= 1.0 and part >= EARLIEST_END:
-            if self._emptied(old_nodes) or part >= LATEST_END:
-                return self._plan(MoveState.COMPLETE, 1.0, elapsed)
+            return self._plan(
+                MoveState.ACTIVE, min(target, STAGES[0][1]), elapsed
+            )
+        emptied = part >= EARLIEST_END and self._emptied(old_nodes)
+        if share >= 1.0 and (emptied or part >= LATEST_END):
+            return self._plan(MoveState.COMPLETE, 1.0, elapsed)
         return self._plan(MoveState.ACTIVE, target, elapsed)
 
     def _plan(self, state: MoveState, share: float, elapsed: float) -> MovePlan:
--- a/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
@@ -109,7 +109,8 @@
         alive = sorted(
             peer.record.address
             for peer in self.mesh.directory.peers.values()
-            if _may_drive(peer) and self.demoted.get(peer.record.address, 0.0) <= now
+            if _may_drive(peer)
+            and self.demoted.get(peer.record.address, 0.0) <= now
         )
         if not alive:
             return own
@@ -125,9 +126,7 @@
             )
         return alive[0]
 
-    def _own_evidence(
-        self, service: str, move: Move
-    ) -> VersionEvidence | None:
+    def _own_evidence(self, service: str, move: Move) -> VersionEvidence | None:
         instance = self.mesh.directory.own.record.instance
         if instance is None or instance.service != service:
             return None
@@ -250,12 +249,11 @@
         try:
             known = await self.store.move_states()
             found = known.states.get(order.service)
-            if found is not None and found[1:] == (
-                order.to_version,
-                order.order_id,
-            ):
-                if found[0] is not MoveState.ACTIVE or found[0] is state:
-                    self._settle(move, found[0])
+            wanted = (order.to_version, order.order_id)
+            if found is not None and found[1:] == wanted:
+                recorded = found[0]
+                if recorded is state or recorded is not MoveState.ACTIVE:
+                    self._settle(move, recorded)
                     return
             await self.store.put_move_state(order, state, known.end_offset)
             self._settle(move, state)
@@ -305,6 +303,4 @@
 
 
 def _may_drive(peer: Peer) -> bool:
-    return (
-        peer.connected and not peer.silent and not peer.record.stopping
-    )
+    return peer.connected and not peer.silent and not peer.record.stopping
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -177,7 +177,9 @@
             (settings.metrics_listener, self._serve_metrics),
         ]
         servers = [await self.mesh.listen(settings.peer_listener)]
-        servers.append(await self._listen_http(self.callers, settings.caller_listener))
+        servers.append(
+            await self._listen_http(self.callers, settings.caller_listener)
+        )
         for address, handler in handlers:
             servers.append(
                 await self._listen_http(HttpListener(handler), address)
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -144,6 +144,10 @@
                     None if call.idempotent else confirm,
                 )
             )
+        except Exception:
+            # The sender gets an answer; the loop's handler logs it.
+            self._reply(call.id, CallResult(Outcome.UNKNOWN, Reason.MALFORMED))
+            raise
         finally:
             self.tasks.pop(call.id, None)
         self._reply(call.id, result)
--- a/packages/sidecar/src/vanillamast_sidecar/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_call.py
@@ -5,7 +5,6 @@
 
 from vanillamast_sidecar.http_message import Headers
 
-
 Confirm = Callable[[], Awaitable[bool]]
 
 
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -350,9 +350,7 @@
         )
         return CallResult(outcome, reason, arrived=True)
 
-    def _classify(
-        self, call: ServerCall, response: HttpResponse
-    ) -> CallResult:
+    def _classify(self, call: ServerCall, response: HttpResponse) -> CallResult:
         """Tells an answer of the server from a refusal and from garbage."""
         fields = self.settings.fields
         if response.status == MISDIRECTED:
@@ -376,9 +374,7 @@
                 status=response.status,
             )
             return CallResult(Outcome.UNKNOWN, Reason.MALFORMED, arrived=True)
-        return CallResult(
-            Outcome.ANSWERED, response=response, arrived=True
-        )
+        return CallResult(Outcome.ANSWERED, response=response, arrived=True)
 
 
 def _place(call: ServerCall) -> tuple[int, float]:
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -36,12 +36,11 @@
         if beat.draining:
             self.left.add((beat.id, beat.born_ms))
         known = self.current
-        if known is not None:
-            if beat.born_ms < known.born_ms:
-                return False
-            if self._is_current(beat.id, beat.born_ms):
-                if beat.sequence <= known.sequence:
-                    return self._refresh()
+        if known is not None and beat.born_ms < known.born_ms:
+            return False
+        same = self._is_current(beat.id, beat.born_ms)
+        if known is not None and same and beat.sequence <= known.sequence:
+            return self._refresh()
         self.last_heard = now
         self.down = False
         self.cold_until = now + max(0.0, beat.cold_s)
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -57,7 +57,7 @@
         if wants_new is None:
             groups = [_of_oldest_version(ready)]
         else:
-            groups = self._by_version(ready, wants_new)
+            groups = self._by_version(ready, service, wants_new)
         for group in groups:
             best = self._best(
                 [peer for peer in group if _takes(peer, tried, now)], due, now
@@ -67,12 +67,12 @@
         return None
 
     def _by_version(
-        self, peers: list[Peer], wants_new: bool
+        self, peers: list[Peer], service: str, wants_new: bool
     ) -> list[list[Peer]]:
         """Returns the servers that may get the request, preferred first.
 
         Requests beyond the share never go to the new version; the old one
-        stands in for it as long as the old servers are open.
+        stands in for it while it still has a share.
         """
         new: list[Peer] = []
         old: list[Peer] = []
@@ -80,7 +80,9 @@
             instance = peer.record.instance
             if instance is not None:
                 (new if self.moves.is_new(instance) else old).append(peer)
-        return [new, old] if wants_new else [old]
+        if not wants_new:
+            return [old]
+        return [new, old] if self.moves.old_is_open(service) else [new]
 
     def _best(self, peers: list[Peer], due: float, now: float) -> Peer | None:
         """Returns the best near server that is good enough, or the best.
--- a/packages/sidecar/src/vanillamast_sidecar/store_port.py
+++ b/packages/sidecar/src/vanillamast_sidecar/store_port.py
@@ -44,7 +44,9 @@
         """Returns the newest configuration and all newest orders."""
         ...
 
-    async def follow_operator(self, offset: int, wait_s: float) -> OperatorUpdate:
+    async def follow_operator(
+        self, offset: int, wait_s: float
+    ) -> OperatorUpdate:
         """Returns what was published from an offset on; waits for some."""
         ...
 
--- a/packages/sidecar/src/vanillamast_sidecar/version_judge.py
+++ b/packages/sidecar/src/vanillamast_sidecar/version_judge.py
@@ -14,12 +14,12 @@
 # Standard scores beyond which a difference is no chance: about one in
 # 30,000 looks, with some hundred looks a move.
 ERROR_SCORE = 4.0
-SLOW_SCORE = 4.0
+SLOW_SCORE = 3.5
 MIN_ERROR_EXCESS = 0.1  # Smaller excess of failures is tolerated.
-MIN_SLOW_EXCESS = 0.3  # Servers of one version differ by less than this.
-# An answer is slow beyond this multiple of the old version's median;
-# servers of one version differ in speed by up to three times.
-SLOW_FACTOR = 3.5
+# An answer is slow beyond a multiple of the old version's median. Servers of
+# one version differ in speed by up to three times, which makes up for less
+# than the excess that goes with each multiple.
+SLOW_TESTS = ((3.5, 0.15), (6.0, 0.08))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,18 +74,20 @@
     answered = sum(old.bins)
     if answered < MIN_SAMPLES:
         return None
-    threshold = _median_bin(old.bins) + round(
-        math.log2(SLOW_FACTOR) * BINS_PER_OCTAVE
-    )
-    bad = Badness(
-        "slow",
-        route,
-        sum(new.bins[threshold + 1 :]),
-        sum(new.bins),
-        sum(old.bins[threshold + 1 :]),
-        answered,
-    )
-    return bad if _exceeds(bad, SLOW_SCORE, MIN_SLOW_EXCESS) else None
+    median = _median_bin(old.bins)
+    for factor, excess in SLOW_TESTS:
+        limit = median + round(math.log2(factor) * BINS_PER_OCTAVE)
+        bad = Badness(
+            "slow",
+            route,
+            sum(new.bins[limit + 1 :]) + new.errors,
+            new.count,
+            sum(old.bins[limit + 1 :]) + old.errors,
+            old.count,
+        )
+        if _exceeds(bad, SLOW_SCORE, excess):
+            return bad
+    return None
 
 
 def _median_bin(bins: list[int]) -> int:
