Emulate the platform and test the whole path on real nodes

Change: vanillamast_testing.emulator (store with keyed log and conditional appends, servers, operator, callers, real node processes on loopback) and tests of decisions, request path, configuration and moves.

--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -0,0 +1,203 @@
+"""An emulated backend server."""
+
+import asyncio
+import dataclasses
+import itertools
+import json
+import time
+
+import aiohttp
+from aiohttp import web
+
+ID = "X-Vanillamast-Request-Id"
+DEADLINE = "X-Vanillamast-Deadline-Ms"
+EXPECT = "X-Vanillamast-Expect-Instance"
+CALLER = "X-Vanillamast-Caller"
+SIGNATURE = "X-Vanillamast-Response-Signature"
+NOT_EXECUTED = "X-Vanillamast-Not-Executed"
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that a server began to work on.
+
+    Attributes:
+      request_id: Its id.
+      method: Its method.
+      path: Its path and query.
+      body: Its body.
+      caller: Service that it came from.
+      deadline_ms: Time that the server was given.
+      at: When it arrived, in monotonic seconds.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes
+    caller: str
+    deadline_ms: int
+    at: float
+
+
+class Backend:
+    """Runs requests, and announces itself to the node on its machine.
+
+    Attributes:
+      id: Id of the server.
+      service: Service that it serves.
+      version: Version of its software.
+      host: Address of its machine.
+      port: Port of the server.
+      control: Where its heartbeats go.
+      zone: Failure domain of its machine.
+      work_s: Time that a request takes, in seconds.
+      slots: Requests that it runs at once.
+      heartbeat_s: Interval of heartbeats, in seconds.
+      fail_every: Every so many requests end with 500; 0 for none.
+      garble_every: Every so many answers break off; 0 for none.
+      runs: Requests that it began to work on.
+      most_running: Highest number of requests at once.
+      acknowledged: When a leave was acknowledged, None before.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        service: str,
+        host: str,
+        port: int,
+        control: int,
+        zone: str,
+        version: str = "v1",
+    ):
+        self.id = instance_id
+        self.service = service
+        self.version = version
+        self.host = host
+        self.port = port
+        self.control = control
+        self.zone = zone
+        self.work_s = 0.01
+        self.slots = 4
+        self.heartbeat_s = 0.3
+        self.fail_every = 0
+        self.garble_every = 0
+        self.born = int(time.time() * 1000)
+        self.sequence = itertools.count(1)
+        self.state = "ready"
+        self.runs: list[Run] = []
+        self.running = 0
+        self.most_running = 0
+        self.acknowledged: float | None = None
+        self.runner: web.AppRunner | None = None
+        self.beats: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to listen and to announce itself."""
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_route("*", "/{tail:.*}", self._serve)
+        self.runner = web.AppRunner(
+            app, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, self.port).start()
+        self.beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Crashes: closes everything and says nothing."""
+        if self.beats is not None:
+            self.beats.cancel()
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def drain(self) -> bool:
+        """Says that it leaves; returns whether that was acknowledged."""
+        self.state = "draining"
+        if await self.heartbeat():
+            self.acknowledged = time.monotonic()
+            return True
+        return False
+
+    async def heartbeat(self, sequence: int | None = None) -> bool:
+        """Sends a heartbeat; returns whether it was acknowledged."""
+        body = {
+            "service": self.service,
+            "addr": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "version": self.version,
+            "max_concurrency": self.slots,
+            "state": self.state,
+            "cold_left_s": 0,
+            "sequence": next(self.sequence) if sequence is None else sequence,
+            "born": self.born,
+        }
+        return await self._say("heartbeat", body)
+
+    async def deregister(self) -> bool:
+        """Says that it is gone; returns whether that was acknowledged."""
+        if await self._say("deregister", {"born": self.born}):
+            self.acknowledged = time.monotonic()
+            return True
+        return False
+
+    async def _say(self, action: str, body: dict[str, object]) -> bool:
+        url = (
+            f"http://{self.host}:{self.control}/api/instances/{self.id}"
+            f"/{action}"
+        )
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(url, data=json.dumps(body)) as answer,
+            ):
+                return answer.status == 200
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def _beat(self) -> None:
+        while True:
+            await self.heartbeat()
+            await asyncio.sleep(self.heartbeat_s)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        headers = {ID: request.headers.get(ID, "")}
+        expected = request.headers.get(EXPECT)
+        if expected is not None and expected != self.id:
+            return web.Response(status=421, headers=headers)
+        if self.running >= self.slots:
+            headers[NOT_EXECUTED] = "1"
+            return web.Response(status=503, headers=headers)
+        body = await request.read()
+        self.runs.append(
+            Run(
+                request.headers.get(ID, ""),
+                request.method,
+                request.path_qs,
+                body,
+                request.headers.get(CALLER, ""),
+                int(request.headers.get(DEADLINE, "-1")),
+                time.monotonic(),
+            )
+        )
+        number = len(self.runs)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        headers[SIGNATURE] = f"{self.id}.{number}"
+        if self.fail_every and number % self.fail_every == 0:
+            return web.Response(status=500, headers=headers)
+        text = f"{self.id} {request.method} {request.path_qs} {len(body)}"
+        if self.garble_every and number % self.garble_every == 0:
+            headers["Content-Length"] = str(len(text) + 10)
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(text.encode())
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        return web.Response(text=text, headers=headers)
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/caller.py
@@ -0,0 +1,88 @@
+"""The emulated callers."""
+
+import dataclasses
+import itertools
+import secrets
+
+import aiohttp
+
+from vanillamast_testing.emulator.backend import DEADLINE, ID, SIGNATURE
+from vanillamast_testing.emulator.machine import Machine
+from vanillamast_testing.emulator.operator import HOST
+
+CLOSED = 0  # Status of a request whose connection ended without an answer.
+
+
+@dataclasses.dataclass
+class CallerAnswer:
+    """What a caller got.
+
+    Attributes:
+      request_id: Id of the request.
+      status: Status, 0 if the connection ended without an answer.
+      body: Body.
+      signature: The server's signature, "" without one.
+      echoed_id: Id in the answer.
+      retry_after_s: When to come back, None if not said.
+    """
+
+    request_id: str
+    status: int
+    body: str = ""
+    signature: str = ""
+    echoed_id: str = ""
+    retry_after_s: float | None = None
+
+
+class Caller:
+    """Sends requests to machines.
+
+    Attributes:
+      session: HTTP session.
+    """
+
+    def __init__(self) -> None:
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        self.numbers = itertools.count(1)
+        self.prefix = secrets.token_hex(4)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.session.close()
+
+    async def send(
+        self,
+        machine: Machine,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 2000,
+        headers: dict[str, str] | None = None,
+    ) -> CallerAnswer:
+        """Sends a request to the node of a machine."""
+        request_id = f"{self.prefix}{next(self.numbers):08x}"
+        fields = {"Host": HOST, ID: request_id, DEADLINE: str(deadline_ms)}
+        fields.update(headers or {})
+        timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000.0 + 1.0)
+        try:
+            async with self.session.request(
+                method,
+                machine.url("outbound", path),
+                data=body or None,
+                headers=fields,
+                timeout=timeout,
+            ) as answer:
+                text = (await answer.read()).decode()
+                after = answer.headers.get("Retry-After")
+                return CallerAnswer(
+                    request_id,
+                    answer.status,
+                    text,
+                    answer.headers.get(SIGNATURE, ""),
+                    answer.headers.get(ID, ""),
+                    float(after) if after is not None else None,
+                )
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            return CallerAnswer(request_id, CLOSED)
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/operator.py
@@ -0,0 +1,73 @@
+"""The emulated operator."""
+
+import json
+from typing import Any
+
+from vanillamast_testing.emulator.store import EmulatedStore
+
+HOST = "tintero.example"
+
+
+class Operator:
+    """Publishes configurations and orders moves of traffic.
+
+    Attributes:
+      store: The store.
+      version: Version of the last configuration.
+      routes: Routes of the last configuration by name.
+    """
+
+    def __init__(self, store: EmulatedStore):
+        self.store = store
+        self.version = 0
+        self.routes: dict[str, dict[str, Any]] = {}
+
+    def route(self, name: str, service: str, **fields: Any) -> None:
+        """Adds or replaces a route of the next configuration."""
+        spec = {
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": "idempotent",
+            "timeout_s": 2.0,
+            "target_latency_s": 0.8,
+            "priority": 1,
+            "max_attempts": 2,
+            "service": service,
+        }
+        spec.update(fields)
+        self.routes[name] = spec
+
+    async def publish(self) -> int:
+        """Publishes a configuration; returns its version."""
+        self.version += 3
+        resources: list[dict[str, Any]] = [
+            {"entry_type": "routes", "metadata": {"name": name}, "spec": spec}
+            for name, spec in self.routes.items()
+        ]
+        resources.append(
+            {
+                "entry_type": "limits",
+                "metadata": {},
+                "spec": {
+                    "header_bytes": 16384,
+                    "max_body_bytes": 1 << 20,
+                    "header_timeout_s": 3,
+                    "idle_timeout_s": 15,
+                },
+            }
+        )
+        value = {"version": self.version, "resources": resources}
+        await self.store.put("keyed.op", "config", json.dumps(value).encode())
+        return self.version
+
+    async def move(self, service: str, version: str, over_s: float) -> None:
+        """Orders a move of a service's traffic to a version."""
+        value = {"service": service, "to": version, "over_s": over_s}
+        await self.store.put(
+            "keyed.op", f"rollout/{service}", json.dumps(value).encode()
+        )
+
+    def move_state(self, service: str) -> str:
+        """Returns the recorded state of a move, "" without one."""
+        value = self.store.newest("keyed.status", f"rollout/{service}")
+        return json.loads(value)["state"] if value is not None else ""
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/partition.py
@@ -0,0 +1,122 @@
+"""One partition of the emulated store."""
+
+import dataclasses
+
+PRODUCER_MEMORY = 5  # Repeats of this many appends get their first answer.
+
+
+@dataclasses.dataclass
+class Producer:
+    """What the store remembers of a producer.
+
+    Attributes:
+      epoch: Highest epoch seen.
+      sequence: Last sequence number, -1 before the first append.
+      answers: Offsets of the last appends by sequence number.
+    """
+
+    epoch: int
+    sequence: int = -1
+    answers: dict[int, int] = dataclasses.field(default_factory=dict)
+
+
+class FencedError(Exception):
+    """The producer's epoch is lower than one already seen."""
+
+
+class SequenceError(Exception):
+    """The sequence number does not follow the last one.
+
+    Attributes:
+      expected: The number that would.
+    """
+
+    def __init__(self, expected: int):
+        super().__init__(str(expected))
+        self.expected = expected
+
+
+class OffsetError(Exception):
+    """The partition does not end at the offset that the append names."""
+
+
+class Partition:
+    """Records with offsets, and the newest record of each key.
+
+    Attributes:
+      keyed: Whether records have keys.
+      first: Offset of the oldest record.
+      records: Records from the oldest on.
+      newest: Newest record of each key with its offset; never expires.
+      producers: Producers by id.
+    """
+
+    def __init__(self, keyed: bool):
+        self.keyed = keyed
+        self.first = 0
+        self.records: list[bytes] = []
+        self.newest: dict[str, tuple[bytes, int]] = {}
+        self.producers: dict[str, Producer] = {}
+
+    @property
+    def end(self) -> int:
+        """Returns the offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, records: list[bytes], at: int | None = None) -> int:
+        """Appends records; returns the offset of the first.
+
+        Raises:
+          OffsetError: The partition does not end at `at`.
+        """
+        if at is not None and at != self.end:
+            raise OffsetError
+        offset = self.end
+        for record in records:
+            if self.keyed:
+                self._note_key(record)
+            self.records.append(record)
+        return offset
+
+    def append_fenced(
+        self, producer_id: str, epoch: int, sequence: int, records: list[bytes]
+    ) -> int:
+        """Appends for a producer; returns the offset of the first record.
+
+        Raises:
+          FencedError: A higher epoch was seen.
+          SequenceError: The sequence number does not follow.
+        """
+        known = self.producers.get(producer_id)
+        if known is None or epoch > known.epoch:
+            known = Producer(epoch, sequence - 1)
+            self.producers[producer_id] = known
+        if epoch < known.epoch:
+            raise FencedError
+        if not records:
+            return self.end
+        if sequence in known.answers:
+            return known.answers[sequence]
+        if sequence != known.sequence + 1:
+            raise SequenceError(known.sequence + 1)
+        offset = self.append(records)
+        known.sequence = sequence
+        known.answers[sequence] = offset
+        for old in sorted(known.answers)[:-PRODUCER_MEMORY]:
+            del known.answers[old]
+        return offset
+
+    def trim(self, before: int) -> None:
+        """Deletes the records before an offset."""
+        count = min(max(0, before - self.first), len(self.records))
+        del self.records[:count]
+        self.first += count
+
+    def _note_key(self, record: bytes) -> None:
+        length = record[0]
+        key = record[1 : 1 + length].decode()
+        value = record[1 + length :]
+        if value:
+            self.newest[key] = (value, self.end)
+        else:
+            self.newest.pop(key, None)
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/platform.py
@@ -0,0 +1,118 @@
+"""The emulated platform as a whole."""
+
+import asyncio
+import pathlib
+from types import TracebackType
+
+import aiohttp
+
+from vanillamast_testing.emulator.backend import Backend
+from vanillamast_testing.emulator.caller import Caller
+from vanillamast_testing.emulator.machine import PORTS, Machine
+from vanillamast_testing.emulator.operator import Operator
+from vanillamast_testing.emulator.store import EmulatedStore
+
+STORE_PORT = 18309
+READY_TIMEOUT_S = 30.0  # Only a hang takes this long.
+
+
+class EmulatedPlatform:
+    """Store, machines, backend servers, operator and callers.
+
+    Each machine has a loopback address of its own, all with the same ports.
+
+    Attributes:
+      network: First two numbers of the addresses; tests that run at the same
+        time use different ones.
+      folder: Where settings and logs are.
+      store: The store.
+      operator: The operator.
+      caller: The callers.
+      machines: Machines by name.
+      backends: Backend servers by the name of their machine.
+    """
+
+    def __init__(self, folder: pathlib.Path, network: str = "127.10"):
+        self.network = network
+        self.folder = folder
+        self.store = EmulatedStore(f"{network}.0.9", STORE_PORT)
+        self.operator = Operator(self.store)
+        self.machines: dict[str, Machine] = {}
+        self.backends: dict[str, Backend] = {}
+        self.caller: Caller
+
+    async def __aenter__(self) -> "EmulatedPlatform":
+        """Starts the store."""
+        await self.store.start()
+        self.caller = Caller()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends all that was started."""
+        await self.caller.close()
+        for machine in self.machines.values():
+            await machine.process.kill()
+        for backend in self.backends.values():
+            await backend.stop()
+        await self.store.stop()
+
+    async def add(
+        self, zone: int, service: str, version: str = "v1", node: bool = True
+    ) -> Machine:
+        """Adds a machine with a backend server and starts its node."""
+        number = len(self.machines) + 1
+        name = f"m{number}"
+        host = f"{self.network}.{zone + 1}.{number}"
+        machine = Machine(
+            name,
+            host,
+            f"z{zone}",
+            service,
+            f"{self.store.host}:{self.store.port}",
+            self.folder,
+        )
+        self.machines[name] = machine
+        if node:
+            await machine.process.start()
+        backend = Backend(
+            f"i-{name}",
+            service,
+            host,
+            PORTS["app"],
+            PORTS["control"],
+            machine.zone,
+            version,
+        )
+        self.backends[name] = backend
+        await backend.start()
+        return machine
+
+    async def is_ready(self, machine: Machine) -> bool:
+        """Asks a node whether callers may come."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(machine.url("ready", "/api/ready")) as answer,
+            ):
+                return answer.status == 200
+        except (OSError, aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def all_ready(self) -> None:
+        """Waits until each node is ready and its server is known."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for machine in self.machines.values():
+                while not await self.is_ready(machine):
+                    await asyncio.sleep(0.05)
+        # A heartbeat and its announcement to the other nodes.
+        await asyncio.sleep(0.8)
+
+    def log_of(self, name: str) -> str:
+        """Returns what a node has written."""
+        return self.machines[name].process.log_path.read_text()
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -0,0 +1,233 @@
+"""The emulated store, over HTTP."""
+
+import asyncio
+import base64
+import collections
+import struct
+from typing import Any
+
+from aiohttp import web
+
+from vanillamast_testing.emulator.partition import (
+    FencedError,
+    OffsetError,
+    Partition,
+    SequenceError,
+)
+
+OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
+LONGEST_WAIT_S = 30.0
+
+
+class EmulatedStore:
+    """Topics, groups and the faults that tests put on them.
+
+    Attributes:
+      host: Address to listen on.
+      port: Port to listen on.
+      partitions: Partitions by topic and number.
+      groups: Generation and members of each group.
+      calls: Calls by path.
+      down: How the store fails: "" for not at all, "busy" (503), "reset"
+        (closed connections) or "silent".
+      refused_hosts: Machines that are treated as if the store were down.
+      delay_s: Time before each answer, in seconds.
+      lose_answers: Share of writes that are done and not answered, as one
+        in so many; 0 for none.
+    """
+
+    def __init__(self, host: str, port: int):
+        self.host = host
+        self.port = port
+        self.partitions: dict[tuple[str, int], Partition] = {}
+        self.groups: dict[str, tuple[int, dict[str, float]]] = {}
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.down = ""
+        self.refused_hosts: set[str] = set()
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.writes = 0
+        self.changed = asyncio.Condition()
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        app = web.Application(
+            middlewares=[self._fault], client_max_size=4 << 20
+        )
+        app.router.add_post("/api/log-append", self._append)
+        app.router.add_get("/api/log-read", self._read)
+        app.router.add_get("/api/log-newest", self._newest)
+        app.router.add_post("/api/log-join", self._join)
+        app.router.add_post("/api/log-leave", self._leave)
+        app.router.add_post("/api/log-trim", self._trim)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, self.port).start()
+
+    async def stop(self) -> None:
+        """Stops to listen."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def partition(self, topic: str, part: int) -> Partition:
+        """Returns a partition, made on first use."""
+        key = (topic, part)
+        if key not in self.partitions:
+            self.partitions[key] = Partition(topic.startswith("keyed."))
+        return self.partitions[key]
+
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Appends a keyed record as the operator does; returns its offset."""
+        name = key.encode()
+        offset = self.partition(topic, 0).append(
+            [bytes((len(name),)) + name + value]
+        )
+        await self._notify()
+        return offset
+
+    def newest(self, topic: str, key: str) -> bytes | None:
+        """Returns the newest value of a key."""
+        found = self.partition(topic, 0).newest.get(key)
+        return found[0] if found is not None else None
+
+    async def _notify(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
+
+    @web.middleware
+    async def _fault(self, request: web.Request, handler: Any) -> Any:
+        self.calls[request.path] += 1
+        down = self.down
+        if not down and request.remote in self.refused_hosts:
+            down = "busy"
+        if down == "busy":
+            return web.json_response({}, status=503)
+        if down == "reset":
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
+        if down == "silent":
+            await asyncio.sleep(LONGEST_WAIT_S)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        return await handler(request)
+
+    async def _append(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        topic = query["topic"]
+        if topic in OPERATOR_TOPICS:
+            return web.json_response({}, status=403)
+        partition = self.partition(topic, int(query.get("part", 0)))
+        records = _records(await request.read())
+        try:
+            if "producer_id" in query:
+                offset = partition.append_fenced(
+                    query["producer_id"],
+                    int(query["epoch"]),
+                    int(query.get("sequence", 0)),
+                    records,
+                )
+            else:
+                at = int(query["at"]) if "at" in query else None
+                offset = partition.append(records, at)
+        except OffsetError:
+            return web.json_response({"end_offset": partition.end}, status=412)
+        except FencedError:
+            return web.json_response({"why": "fenced"}, status=409)
+        except SequenceError as error:
+            return web.json_response(
+                {"why": "seq", "sequence": error.expected}, status=409
+            )
+        await self._notify()
+        self.writes += 1
+        if self.lose_answers and self.writes % self.lose_answers == 0:
+            if request.transport is not None:
+                request.transport.abort()
+        return web.json_response(
+            {"offset": offset, "end_offset": partition.end}
+        )
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        partition = self.partition(query["topic"], int(query.get("part", 0)))
+        start = int(query["from"])
+        wait_s = min(LONGEST_WAIT_S, int(query.get("wait_ms", 0)) / 1000.0)
+        if start < partition.first:
+            return web.json_response(
+                {"first_offset": partition.first}, status=410
+            )
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                while partition.end <= start:
+                    await self.changed.wait()
+        except TimeoutError:
+            # Nothing came: the answer has no records.
+            pass
+        head = struct.pack(">QQ", partition.end, partition.first)
+        records = partition.records[max(0, start - partition.first) :]
+        body = b"".join(struct.pack(">I", len(r)) + r for r in records)
+        return web.Response(body=head + body)
+
+    async def _newest(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        partition = self.partition(query["topic"], int(query.get("part", 0)))
+        after = query.get("after", "")
+        items: list[dict[str, Any]] = []
+        size = 0
+        more = False
+        for key in sorted(partition.newest):
+            if key <= after:
+                continue
+            value, offset = partition.newest[key]
+            if len(items) >= PAGE_ITEMS or size > PAGE_BYTES:
+                more = True
+                break
+            text = base64.b64encode(value).decode()
+            size += len(text)
+            items.append({"key": key, "value": text, "offset": offset})
+        return web.json_response(
+            {"items": items, "more": more, "end_offset": partition.end}
+        )
+
+    async def _join(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        now = asyncio.get_running_loop().time()
+        generation, members = self.groups.get(body["group"], (0, {}))
+        alive = {name: end for name, end in members.items() if end > now}
+        if alive.keys() != members.keys() or body["member_id"] not in alive:
+            generation += 1
+        alive[body["member_id"]] = now + float(body["ttl_s_time"])
+        self.groups[body["group"]] = (generation, alive)
+        return web.json_response(
+            {
+                "generation": generation,
+                "ttl_s_time": body["ttl_s_time"],
+                "parts": [],
+            }
+        )
+
+    async def _leave(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        generation, members = self.groups.get(body["group"], (0, {}))
+        members.pop(body["member_id"], None)
+        self.groups[body["group"]] = (generation + 1, members)
+        return web.json_response({})
+
+    async def _trim(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        partition = self.partition(query["topic"], int(query.get("part", 0)))
+        partition.trim(int(query["before_offset"]))
+        return web.json_response({})
+
+
+def _records(body: bytes) -> list[bytes]:
+    records = []
+    at = 0
+    while at < len(body):
+        (length,) = struct.unpack_from(">I", body, at)
+        records.append(body[at + 4 : at + 4 + length])
+        at += 4 + length
+    return records
--- a/packages/testing/src/vanillamast_testing/managed_process.py
+++ b/packages/testing/src/vanillamast_testing/managed_process.py
@@ -4,7 +4,7 @@
 import ctypes
 import pathlib
 import signal
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 PR_SET_PDEATHSIG = 1
 KILL_WAIT_S = 10.0
@@ -24,15 +24,21 @@
       name: Name for messages.
       arguments: Program and arguments.
       log_path: File that takes its output, appended at each start.
+      environment: Variables of the process, None for the harness's own.
       process: The running process, None before the first start.
     """
 
     def __init__(
-        self, name: str, arguments: Sequence[str], log_path: pathlib.Path
+        self,
+        name: str,
+        arguments: Sequence[str],
+        log_path: pathlib.Path,
+        environment: Mapping[str, str] | None = None,
     ):
         self.name = name
         self.arguments = tuple(arguments)
         self.log_path = log_path
+        self.environment = environment
         self.process: asyncio.subprocess.Process | None = None
 
     @property
@@ -48,6 +54,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env=self.environment,
                 preexec_fn=_die_with_parent,
             )
 
--- /dev/null
+++ b/tests/platform_path/test_configuration_path.py
@@ -0,0 +1,223 @@
+"""Tests of configurations and moves: real nodes, emulated platform."""
+
+import asyncio
+import time
+
+import pytest
+
+from vanillamast_testing.emulator import EmulatedPlatform
+
+IN_FORCE_S = 2.0  # Stated bound of the deployments.
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Starts one service on three machines in two failure domains."""
+    async with EmulatedPlatform(tmp_path, "127.22") as platform:
+        platform.operator.route("page", "browse")
+        await platform.operator.publish()
+        for zone in (0, 0, 1):
+            await platform.add(zone, "browse")
+        await platform.all_ready()
+        yield platform
+
+
+async def until(check, timeout_s=20.0):
+    """Waits until a check holds; a hang fails the test."""
+    async with asyncio.timeout(timeout_s):
+        while not await check():
+            await asyncio.sleep(0.05)
+
+
+async def statuses(fleet, path):
+    """Returns the status that each machine answers a path with."""
+    return [
+        (await fleet.caller.send(machine, path)).status
+        for machine in fleet.machines.values()
+        if machine.process.running
+    ]
+
+
+class TestConfigurationPath:
+    """From the operator's record to the routes of every node."""
+
+    async def test_a_change_comes_into_force_everywhere(self, fleet):
+        """Guards against a node that keeps an older version."""
+        fleet.operator.route("extra", "browse")
+        await fleet.operator.publish()
+
+        async def served():
+            return set(await statuses(fleet, "/extra/1")) == {200}
+
+        await until(served)
+        del fleet.operator.routes["extra"]
+        await fleet.operator.publish()
+
+        async def gone():
+            return set(await statuses(fleet, "/extra/1")) == {404}
+
+        await until(gone)
+
+    async def test_an_older_version_changes_nothing(self, fleet):
+        """Guards against a step back after a reordered record."""
+        fleet.operator.route("extra", "browse")
+        newest = await fleet.operator.publish()
+
+        async def served():
+            return set(await statuses(fleet, "/extra/1")) == {200}
+
+        await until(served)
+        del fleet.operator.routes["extra"]
+        fleet.operator.version = newest - 5
+        await fleet.operator.publish()
+        await asyncio.sleep(1.0)
+        assert set(await statuses(fleet, "/extra/1")) == {200}
+
+    async def test_a_deleted_history_is_read_from_its_newest_records(
+        self, fleet
+    ):
+        """Guards against a node that stops following after a compaction."""
+        partition = fleet.store.partition("keyed.op", 0)
+        for _ in range(3):
+            partition.append([b"\x04junk" + b"x"])
+        partition.trim(partition.end)
+        fleet.operator.route("extra", "browse")
+        await fleet.operator.publish()
+
+        async def served():
+            return set(await statuses(fleet, "/extra/1")) == {200}
+
+        await until(served)
+
+    async def test_an_undecodable_record_changes_nothing(self, fleet):
+        """Guards against a version that is applied in part."""
+        await fleet.store.put("keyed.op", "config", b'{"version": 99, "res')
+        await asyncio.sleep(0.5)
+        assert set(await statuses(fleet, "/page/1")) == {200}
+        fleet.operator.version = 100
+        fleet.operator.route("extra", "browse")
+        await fleet.operator.publish()
+
+        async def served():
+            return set(await statuses(fleet, "/extra/1")) == {200}
+
+        await until(served)
+
+    async def test_requests_are_served_while_the_store_is_down(self, fleet):
+        """Guards against a fleet that needs the store to serve."""
+        fleet.store.down = "busy"
+        assert set(await statuses(fleet, "/page/1")) == {200}
+
+    async def test_a_restarted_node_learns_from_others_without_the_store(
+        self, fleet
+    ):
+        """Guards against a node that stays useless while the store is away."""
+        fleet.store.down = "reset"
+        machine = fleet.machines["m2"]
+        await machine.process.kill()
+        await machine.process.start()
+
+        async def ready():
+            return await fleet.is_ready(machine)
+
+        await until(ready)
+        answer = await fleet.caller.send(machine, "/page/1")
+        assert answer.status == 200
+
+    async def test_one_cut_off_machine_gets_changes_from_its_domain(
+        self, fleet
+    ):
+        """Guards against an old version on a node that lost the store."""
+        fleet.store.refused_hosts.add(fleet.machines["m1"].host)
+        await asyncio.sleep(1.5)
+        fleet.operator.route("extra", "browse")
+        await fleet.operator.publish()
+
+        async def served():
+            return set(await statuses(fleet, "/extra/1")) == {200}
+
+        await until(served)
+
+
+async def load(fleet, answers, stop):
+    """Sends requests until it is told to stop."""
+    while not stop.is_set():
+        for machine in list(fleet.machines.values()):
+            answers.append(
+                asyncio.create_task(fleet.caller.send(machine, "/page/1"))
+            )
+        await asyncio.sleep(0.03)
+
+
+class TestMoves:
+    """Moves of traffic from their order to their end."""
+
+    async def test_a_good_version_takes_over(self, fleet):
+        """Guards against requests lost when old servers stop."""
+        for zone in (0, 1):
+            await fleet.add(zone, "browse", "v2")
+        await fleet.all_ready()
+        answers, stop = [], asyncio.Event()
+        task = asyncio.create_task(load(fleet, answers, stop))
+        await fleet.operator.move("browse", "v2", 6.0)
+        started = time.monotonic()
+
+        async def complete():
+            return fleet.operator.move_state("browse") == "complete"
+
+        await until(complete)
+        took_s = time.monotonic() - started
+        for name in ("m1", "m2", "m3"):
+            await fleet.backends[name].stop()
+        await asyncio.sleep(0.5)
+        stop.set()
+        await task
+        results = await asyncio.gather(*answers)
+        assert {answer.status for answer in results} == {200}
+        assert took_s < 6.0
+        assert fleet.backends["m4"].runs
+
+    async def test_a_bad_version_is_taken_back(self, fleet):
+        """Guards against a bad version that keeps its traffic."""
+        for zone in (0, 1):
+            machine = await fleet.add(zone, "browse", "v2")
+            fleet.backends[machine.name].fail_every = 2
+        await fleet.all_ready()
+        answers, stop = [], asyncio.Event()
+        task = asyncio.create_task(load(fleet, answers, stop))
+        await fleet.operator.move("browse", "v2", 12.0)
+
+        async def reverted():
+            return fleet.operator.move_state("browse") == "reverted"
+
+        await until(reverted)
+        exposed = sum(len(fleet.backends[n].runs) for n in ("m4", "m5"))
+        total = sum(len(b.runs) for b in fleet.backends.values())
+        await asyncio.sleep(0.5)
+        after = sum(len(fleet.backends[n].runs) for n in ("m4", "m5"))
+        stop.set()
+        await task
+        await asyncio.gather(*answers)
+        assert exposed <= 0.1 * total + 50
+        assert after == exposed
+
+    async def test_a_version_without_an_order_gets_nothing(self, fleet):
+        """Guards against traffic to servers that nobody has released."""
+        await fleet.add(0, "browse", "v2")
+        await fleet.all_ready()
+        for _ in range(20):
+            await statuses(fleet, "/page/1")
+        assert fleet.backends["m4"].runs == []
+
+    async def test_a_killed_driver_is_replaced(self, fleet):
+        """Guards against a move that ends with its driver's process."""
+        await fleet.add(1, "browse", "v2")
+        await fleet.all_ready()
+        await fleet.operator.move("browse", "v2", 8.0)
+        await asyncio.sleep(1.0)
+        await fleet.machines["m1"].process.kill()
+
+        async def complete():
+            return fleet.operator.move_state("browse") == "complete"
+
+        await until(complete)
--- /dev/null
+++ b/tests/sidecar/test_admission_queue.py
@@ -0,0 +1,57 @@
+"""Tests of slots and waiting requests."""
+
+import random
+
+from vanillamast_sidecar.admission_queue import AdmissionQueue
+
+
+class TestAdmissionQueue:
+    """Grants by rank, then by due time."""
+
+    def test_urgent_requests_go_first(self):
+        """Guards against a nested call that starves behind its parents."""
+        queue: AdmissionQueue[str] = AdmissionQueue(1)
+        assert queue.take_slot()
+        queue.push(2, 1.0, 0.1, "page")
+        queue.push(1, 9.0, 0.1, "post")
+        queue.push(-1, 5.0, 0.1, "nested")
+        queue.push(1, 3.0, 0.1, "sooner post")
+        granted = []
+        for _ in range(4):
+            queue.release()
+            granted.append(queue.pop())
+        assert granted == ["nested", "sooner post", "post", "page"]
+
+    def test_the_limit_is_never_exceeded(self):
+        """Guards against a server that is handed more than it runs."""
+        rng = random.Random(3)
+        queue: AdmissionQueue[int] = AdmissionQueue(4)
+        orders: list[int] = []
+        for step in range(5000):
+            action = rng.random()
+            if action < 0.4:
+                if not queue.take_slot():
+                    order = queue.push(rng.randrange(3), step, 0.1, step)
+                    orders.append(order)
+            elif action < 0.55 and orders:
+                queue.remove(orders.pop(rng.randrange(len(orders))))
+            elif queue.running:
+                queue.release()
+                queue.pop()
+            assert 0 <= queue.running <= 4
+            assert queue.size == len(queue.items)
+
+    def test_the_wait_counts_only_what_goes_before(self):
+        """Guards against urgent requests refused for a queue of others."""
+        queue: AdmissionQueue[str] = AdmissionQueue(2)
+        queue.take_slot()
+        queue.take_slot()
+        for _ in range(10):
+            queue.push(2, 1.0, 0.2, "page")
+        assert queue.expected_wait_s(1, 1.0) == queue.mean_s / 2
+        assert queue.expected_wait_s(2, 2.0) > 1.0
+
+    def test_a_free_slot_means_no_wait(self):
+        """Guards against a refusal while the server is idle."""
+        queue: AdmissionQueue[str] = AdmissionQueue(1)
+        assert queue.expected_wait_s(5, 0.0) == 0.0
--- /dev/null
+++ b/tests/sidecar/test_frame_codec.py
@@ -0,0 +1,100 @@
+"""Tests of frames between nodes."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.frame_codec import FrameCodec
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.messages import Call, Cancel, Ping, Reply
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.reason import Reason
+
+LOAD = LoadReport(1, 2, 0.1, 0.0)
+messages = st.one_of(
+    st.just(Ping()),
+    st.builds(Cancel, st.integers(0, 2**31)),
+    st.builds(
+        Reply,
+        st.integers(0, 2**31),
+        st.sampled_from(Outcome),
+        st.sampled_from(Reason),
+        st.booleans(),
+        st.floats(0, 10),
+        st.just(LOAD),
+        st.integers(0, 599),
+        st.binary(max_size=20),
+        st.lists(st.tuples(st.binary(max_size=9), st.binary(max_size=9))),
+        st.binary(max_size=2000),
+    ),
+)
+
+
+class TestFrameCodec:
+    """A stream of messages in pieces of any size."""
+
+    @given(
+        st.lists(messages, max_size=8),
+        st.lists(st.integers(1, 300), min_size=1, max_size=20),
+        st.booleans(),
+    )
+    def test_messages_survive_any_cut(self, sent, sizes, compressed):
+        """Guards against messages lost or mixed at the edge of a read."""
+        sender, receiver = FrameCodec(), FrameCodec()
+        if compressed:
+            sender.compress()
+            receiver.compress()
+        stream = b"".join(sender.encode(message) for message in sent)
+        received = []
+        at = step = 0
+        while at < len(stream):
+            size = sizes[step % len(sizes)]
+            received.extend(receiver.feed(stream[at : at + size]))
+            at += size
+            step += 1
+        assert received == sent
+
+    def test_repeated_fields_cost_little_between_domains(self):
+        """Guards against paying for the same header fields each time."""
+        codec = FrameCodec()
+        codec.compress()
+        sizes = []
+        for number in range(20):
+            call = Call(
+                number,
+                1.5 * number,
+                0.8,
+                0.4,
+                False,
+                b"%016x" % (number * 7919),
+                "i-7f3a91c2",
+                1780978095310,
+                "r-2ue76xy",
+                1,
+                True,
+                "GET",
+                f"/pugo173/{number:x}",
+                [(b"host", b"a.example"), (b"user-agent", b"client/1.0")],
+                b"",
+            )
+            sizes.append(len(codec.encode(call)))
+        assert max(sizes[5:]) < sizes[0] / 2
+
+    def test_damaged_bytes_are_an_error(self):
+        """Guards against a damaged stream that is read on."""
+        with pytest.raises(FrameError):
+            FrameCodec().feed(b"\x00\x00\x00\x02\xff\xff")
+        with pytest.raises(FrameError):
+            FrameCodec().feed(b"\xff\xff\xff\xff")
+        codec = FrameCodec()
+        codec.compress()
+        with pytest.raises(FrameError):
+            codec.feed(b"\xff" * 40)
+
+    def test_an_unknown_message_is_an_error(self):
+        """Guards against a newer node's message taken for another one."""
+        payload = msgspec.msgpack.encode([99])
+        with pytest.raises(FrameError):
+            FrameCodec().feed(len(payload).to_bytes(4, "big") + payload)
--- /dev/null
+++ b/tests/sidecar/test_moves.py
@@ -0,0 +1,160 @@
+"""Tests of moves of traffic between versions."""
+
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.move_driver import MoveDriver, share_at
+from vanillamast_sidecar.move_order import MoveOrder
+from vanillamast_sidecar.move_plan import MovePlan
+from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.version_evidence import VersionEvidence
+
+ORDER = MoveOrder("browse", "v2", 10.0, 7)
+
+
+def record(version: str) -> InstanceRecord:
+    """Returns a ready server of a version."""
+    return InstanceRecord(
+        f"i-{version}", 1, 1, "browse", version, 9, True, False, 0.0, "a:1"
+    )
+
+
+def plan(
+    state: MoveState = MoveState.ACTIVE, share: float = 0.1, order: int = 7
+) -> MovePlan:
+    """Returns a plan of the order."""
+    return MovePlan("browse", order, "v2", state, share, 1.0)
+
+
+class TestMoveBook:
+    """Which versions take requests."""
+
+    def test_the_new_version_gets_nothing_before_the_first_plan(self):
+        """Guards against traffic to a version that nobody has released."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        assert not book.open_at_server(record("v2"))
+        assert book.open_at_server(record("v1"))
+        assert book.prefers_new("browse") is False
+
+    def test_the_share_is_exact(self):
+        """Guards against exposure above the plan's share."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        book.take_plan(plan(share=0.07), 0.0)
+        chosen = [book.prefers_new("browse") for _ in range(1000)]
+        assert chosen.count(True) in (69, 70, 71)
+
+    def test_a_reverted_move_stays_reverted(self):
+        """Guards against a late plan that reopens a bad version."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        book.take_plan(plan(MoveState.REVERTED, 0.0), 1.0)
+        book.take_plan(plan(share=0.6), 1.1)
+        assert not book.open_at_server(record("v2"))
+        assert book.open_at_server(record("v1"))
+
+    def test_a_recorded_end_beats_a_revert(self):
+        """Guards against requests to old servers that were stopped."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        book.take_plan(plan(MoveState.REVERTED, 0.0), 1.0)
+        book.take_plan(plan(MoveState.COMPLETE, 1.0), 1.2)
+        assert book.open_at_server(record("v2"))
+        assert not book.open_at_server(record("v1"))
+
+    def test_a_plan_may_overtake_its_order(self):
+        """Guards against a node that ignores a verdict it heard early."""
+        book = MoveBook(lambda _: None)
+        book.take_plan(plan(MoveState.REVERTED, 0.0), 1.0)
+        assert not book.take_order(ORDER, 1.1)
+        assert not book.open_at_server(record("v2"))
+
+    def test_a_later_order_starts_anew(self):
+        """Guards against the end of one move being taken for the next's."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        book.take_plan(plan(MoveState.REVERTED, 0.0), 1.0)
+        assert book.take_order(MoveOrder("browse", "v2", 10.0, 9), 5.0)
+        book.take_plan(plan(share=0.2, order=9), 5.1)
+        assert book.open_at_server(record("v2"))
+        assert not book.take_plan(plan(MoveState.COMPLETE, 1.0), 5.2)
+
+
+def move_driver() -> tuple[MoveBook, MoveDriver]:
+    """Returns a driver and the book that holds its move."""
+    book = MoveBook(lambda _: None)
+    book.take_order(ORDER, 0.0)
+    return book, MoveDriver(book.moves["browse"])
+
+
+def good(version: str, count: int, share: float = 1.0) -> VersionEvidence:
+    """Returns good outcomes of an idle server."""
+    found = VersionEvidence(version, {}, True, share)
+    for index in range(count):
+        found.add("page", False, 0.1 + 0.001 * (index % 50))
+    return found
+
+
+class TestMoveDriver:
+    """Shares, verdicts and the end of a move."""
+
+    def test_a_good_version_completes_in_time(self):
+        """Guards against good versions that miss their time."""
+        book, driver = move_driver()
+        ended = None
+        for step in range(60):
+            now = step * 0.2
+            driver.add("old", good("v1", 50 + step))
+            driver.add("new", good("v2", step))
+            decided = driver.decide(now, {"old"}, True)
+            if decided.state is MoveState.COMPLETE:
+                ended = now
+                break
+            book.take_plan(decided, now)
+        assert ended is not None
+        assert ended < 10.0
+
+    def test_old_servers_are_empty_before_the_end(self):
+        """Guards against requests that the end of a move cuts off."""
+        book, driver = move_driver()
+        book.take_plan(plan(share=1.0), 0.0)
+        driver.add("new", good("v2", 50))
+        busy = good("v1", 50)
+        busy.idle = False
+        driver.add("old", busy)
+        assert driver.decide(8.0, {"old"}, True).state is MoveState.ACTIVE
+        driver.add("old", good("v1", 50))
+        assert driver.decide(8.2, {"old"}, True).state is MoveState.COMPLETE
+
+    def test_a_server_that_still_has_a_share_is_not_empty(self):
+        """Guards against an end before each node has heard the last share."""
+        book, driver = move_driver()
+        book.take_plan(plan(share=1.0), 0.0)
+        driver.add("new", good("v2", 50))
+        driver.add("old", good("v1", 50, share=0.6))
+        assert driver.decide(8.0, {"old"}, True).state is MoveState.ACTIVE
+
+    def test_a_bad_version_is_taken_back_at_once(self):
+        """Guards against exposure after the verdict."""
+        _, driver = move_driver()
+        bad = good("v2", 10)
+        for _ in range(10):
+            bad.add("page", True, 0.1)
+        driver.add("old", good("v1", 200))
+        driver.add("new", bad)
+        decided = driver.decide(2.0, {"old"}, True)
+        assert decided.state is MoveState.REVERTED
+        assert driver.decide(3.0, {"old"}, True).state is MoveState.REVERTED
+
+    def test_the_share_waits_for_servers_of_the_new_version(self):
+        """Guards against a share of requests for which no server is there."""
+        _, driver = move_driver()
+        driver.add("old", good("v1", 200))
+        decided = driver.decide(9.0, {"old"}, False)
+        assert decided.share <= share_at(0.0)
+
+    def test_a_version_that_was_not_proven_in_time_is_taken_back(self):
+        """Guards against a move without an end."""
+        _, driver = move_driver()
+        decided = driver.decide(10.5, {"old"}, False)
+        assert decided.state is MoveState.REVERTED
--- /dev/null
+++ b/tests/sidecar/test_retry_budget.py
@@ -0,0 +1,37 @@
+"""Tests of the retry budget."""
+
+import random
+
+from vanillamast_sidecar.retry_budget import RetryBudget
+
+
+class TestRetryBudget:
+    """Further attempts within a sliding window."""
+
+    def test_no_window_exceeds_ratio_and_allowance(self):
+        """Guards against bursts of retries across the edge of a window."""
+        rng = random.Random(7)
+        budget = RetryBudget(0.2, 5.0, 10.0)
+        firsts, repeats = [], []
+        now = 0.0
+        for _ in range(4000):
+            now += rng.expovariate(60.0)
+            budget.count_first(now)
+            firsts.append(now)
+            if rng.random() < 0.7 and budget.take(now):
+                repeats.append(now)
+        for end in repeats:
+            taken = sum(end - 10.0 <= at <= end for at in repeats)
+            sent = sum(end - 10.0 <= at <= end for at in firsts)
+            assert taken <= 0.2 * sent + 5.0 + 1e-9
+
+    def test_an_idle_budget_has_only_its_allowance(self):
+        """Guards against a node that retries without traffic of its own."""
+        budget = RetryBudget(0.2, 2.0, 10.0)
+        assert [budget.take(1.0) for _ in range(4)] == [
+            True,
+            True,
+            False,
+            False,
+        ]
+        assert budget.take(11.5)
