Send changes that happen while a connection is opened; keep leaves

Change: a record that changed since the hello is announced at once; leaves without an incarnation bind those born before; nested calls rank just before their parent's peers; admission at three quarters of the objective; a refusal counts for its rank and below.

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -27,6 +27,9 @@
 from vanillamast_sidecar.snapshot import Snapshot
 from vanillamast_sidecar.traffic_split import TrafficSplit
 
+# Requests are admitted if they are expected to end within this share of their
+# latency objective: about half of them take longer than expected.
+DUE_SHARE = 0.75
 # An answer that is ready just after the time-out is still delivered.
 TIMEOUT_GRACE_S = 0.1
 # Share of the deployment's retry ratio that this node uses: repeated
@@ -60,8 +63,8 @@
       request_id: Id of the caller's attempt.
       arrived: When it was read, in loop time.
       deadline: When the caller must have an answer, in loop time.
-      objective: When it is due by its latency objective, in loop time.
-      nested: Whether the backend server beside the node sent it.
+      due: When a server should have answered, in loop time.
+      rank: Place among the requests that wait for a server.
       headers: Fields to forward.
       tried: Servers that were offered the request.
       attempts: Attempts that arrived at a server.
@@ -77,8 +80,8 @@
     request_id: bytes
     arrived: float
     deadline: float
-    objective: float
-    nested: bool
+    due: float
+    rank: int
     headers: Headers
     tried: set[str]
     attempts: int = 0
@@ -205,15 +208,23 @@
             left_s = _milliseconds(value)
             if left_s is not None:
                 timeout_s = min(timeout_s, left_s)
+        deadline = arrived + timeout_s
+        due = arrived + min(timeout_s, route.target_latency_s) * DUE_SHARE
+        rank = 2 * route.priority
+        parent_rank = self.executor.parent_rank(request_id)
+        if parent_rank is not None:
+            # Just before its parent's peers, and as long as the parent waits:
+            # without it, the parent's work is lost.
+            rank, due = parent_rank - 1, deadline
         return Exchange(
             request,
             route,
             split.choose(),
             request_id,
             arrived,
-            arrived + timeout_s,
-            arrived + min(timeout_s, route.target_latency_s),
-            self.executor.is_nested(request_id),
+            deadline,
+            due,
+            rank,
             self._forwarded(request),
             set(),
         )
@@ -254,7 +265,8 @@
                 self.mesh.directory.serving(exchange.service),
                 exchange.tried,
                 exchange.service,
-                exchange.deadline if exchange.nested else exchange.objective,
+                exchange.rank,
+                exchange.due,
                 now,
             )
             if peer is None or now >= exchange.deadline:
@@ -317,6 +329,7 @@
             exchange.refusals += 1
             hold = min(LONGEST_REFUSAL_S, result.retry_after_s)
             peer.refused_until = now + hold
+            peer.refused_rank = exchange.rank
 
     async def _run_here(self, exchange: Exchange) -> CallResult:
         own = self.mesh.directory.own.record.instance
@@ -327,11 +340,10 @@
             own.id,
             own.born_ms,
             exchange.route.name,
-            exchange.route.priority,
+            exchange.rank,
             exchange.route.idempotent,
             exchange.deadline,
-            exchange.objective,
-            exchange.nested,
+            exchange.due,
             request.method,
             request.target,
             exchange.headers,
@@ -353,13 +365,12 @@
                 number,
                 now,
                 remaining_s,
-                exchange.objective - now,
-                exchange.nested,
+                exchange.due - now,
                 exchange.request_id,
                 instance.id,
                 instance.born_ms,
                 route.name,
-                route.priority,
+                exchange.rank,
                 route.idempotent,
                 request.method,
                 request.target,
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -209,6 +209,9 @@
             peer.failed_dials = 0
             peer.last_heard = now
             peer.silent = False
+            if self.directory.own.record != hello.record:
+                # It changed before the connection could carry the change.
+                link.send(Announce(self.directory.own.record))
             self.log.write("peer.connected", peer=peer.record.address)
             return
         wait = min(LONGEST_REDIAL_S, FIRST_REDIAL_S * 2**peer.failed_dials)
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -74,13 +74,12 @@
       id: Id of the call on this connection.
       sent_s: Sender's monotonic clock, in seconds.
       remaining_s: Time left from then on, in seconds.
-      objective_s: Time left until it is due by its latency objective.
-      nested: Whether a request that holds a slot elsewhere waits for it.
+      due_s: Time from then on in which it should have ended, in seconds.
       request_id: Id of the caller's attempt.
       instance_id: Id of the server.
       born_ms: Incarnation of the server.
       route: Name of the route.
-      priority: Rank in the queue, 0 is the highest.
+      rank: Place among waiting requests, the lowest first.
       idempotent: Whether it may run more than once.
       method: Method.
       target: Request target.
@@ -91,13 +90,12 @@
     id: int
     sent_s: float
     remaining_s: float
-    objective_s: float
-    nested: bool
+    due_s: float
     request_id: bytes
     instance_id: str
     born_ms: int
     route: str
-    priority: int
+    rank: int
     idempotent: bool
     method: str
     target: str
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -239,7 +239,8 @@
         if said is None:
             return HttpResponse(NOT_FOUND, [])
         if isinstance(said, Deregistration):
-            if self.registry.deregister(said.id, said.born_ms):
+            wall_ms = int(time.time() * 1000)
+            if self.registry.deregister(said.id, said.born_ms, wall_ms):
                 self._server_changed("deregistered")
         else:
             self._take_heartbeat(said, arrived)
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -29,6 +29,7 @@
       silent: Whether it does not answer although its connection is open.
       cold_until: When its server is warm, in loop time.
       refused_until: Until when its server counts as full, in loop time.
+      refused_rank: For requests of this rank and above.
       next_dial: When to connect again, in loop time.
       failed_dials: Attempts to connect since the last success.
       dialing: Whether an attempt is under way.
@@ -49,6 +50,7 @@
         self.silent = False
         self.cold_until = 0.0
         self.refused_until = 0.0
+        self.refused_rank = 0
         self.next_dial = 0.0
         self.failed_dials = 0
         self.dialing = False
@@ -71,6 +73,10 @@
             and self.connected
         )
 
+    def full_for(self, rank: int, now: float) -> bool:
+        """Returns whether the server has just refused a more urgent request."""
+        return now < self.refused_until and rank >= self.refused_rank
+
     def unproven(self, now: float) -> bool:
         """Returns whether the server is warm and was never used from here."""
         instance = self.record.instance
--- a/packages/sidecar/src/vanillamast_sidecar/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_call.py
@@ -17,11 +17,10 @@
       instance_id: Id of the server that is to run it.
       born_ms: Incarnation of that server.
       route: Name of the route, for statistics.
-      priority: Rank in the queue, 0 is the highest.
+      rank: Place among waiting requests, the lowest first.
       idempotent: Whether it may run more than once.
       deadline: When it must have ended, in loop time.
-      objective: When it is due by its latency objective, in loop time.
-      nested: Whether a request that holds a slot elsewhere waits for it.
+      due: When it should have ended, in loop time.
       method: Method.
       target: Request target.
       headers: Fields to forward.
@@ -34,11 +33,10 @@
     instance_id: str
     born_ms: int
     route: str
-    priority: int
+    rank: int
     idempotent: bool
     deadline: float
-    objective: float
-    nested: bool
+    due: float
     method: str
     target: str
     headers: Headers
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -32,7 +32,6 @@
 # much longer, in seconds.
 ANSWER_GRACE_S = 0.15
 MISDIRECTED = 421
-NESTED_RANK = -1  # Before all priorities.
 # A request with less time than this is not sent, in seconds: no server
 # answers faster.
 SHORTEST_ATTEMPT_S = 0.005
@@ -55,7 +54,7 @@
       pool: Kept connections; None before the first heartbeat.
       identity: Incarnation to which queue and pool belong.
       failing: Recent share of failed requests.
-      running_ids: Ids of the requests that the server runs.
+      running_ids: Ids of the requests that the server runs, with their rank.
       stopping: Whether the node stops.
     """
 
@@ -79,7 +78,7 @@
         self.pool: ConnectionPool | None = None
         self.identity: tuple[str, int] = ("", 0)
         self.failing = DecayingShare()
-        self.running_ids: set[bytes] = set()
+        self.running_ids: dict[bytes, int] = {}
         self.stopping = False
 
     def load(self) -> LoadReport:
@@ -92,16 +91,19 @@
             round(self.failing.value(self.loop.time()), 3),
         )
 
-    def is_nested(self, request_id: bytes) -> bool:
-        """Returns whether a request that the server runs waits for this one.
+    def parent_rank(self, request_id: bytes) -> int | None:
+        """Returns the rank of the running request that waits for this one.
 
         A server derives the ids of its own calls from the id of the request
         that it runs. Calls that do not show it are treated like any others.
+
+        Returns:
+          None if no running request is known to wait for it.
         """
-        return any(
-            request_id.startswith(parent) and len(request_id) > len(parent)
-            for parent in self.running_ids
-        )
+        for parent, rank in self.running_ids.items():
+            if len(request_id) > len(parent) and request_id.startswith(parent):
+                return rank
+        return None
 
     def server_changed(self) -> None:
         """Follows the registry: a new incarnation, a leave or a crash."""
@@ -154,15 +156,14 @@
             return self._not_run(call, reason)
         queue = self.queue
         if not queue.take_slot():
-            rank, due = _place(call)
-            wait_s = queue.expected_wait_s(rank, due)
+            wait_s = queue.expected_wait_s(call.rank, call.due)
             duration_s = queue.expected_duration_s(call.route)
-            if self.loop.time() + wait_s + duration_s > due:
+            if self.loop.time() + wait_s + duration_s > call.due:
                 return self._not_run(call, Reason.OVERLOADED, wait_s)
             reason = await self._wait(call, queue)
             if reason:
                 return self._not_run(
-                    call, reason, queue.expected_wait_s(rank, due)
+                    call, reason, queue.expected_wait_s(call.rank, call.due)
                 )
         if call.idempotent:
             return await self._run_in_slot(call, queue)
@@ -198,7 +199,7 @@
             running=self.queue.running,
             waiting=self.queue.size,
             wait_s=round(wait_s, 3),
-            due_s=round(_place(call)[1] - self.loop.time(), 3),
+            due_s=round(call.due - self.loop.time(), 3),
         )
         return CallResult(Outcome.NOT_RUN, reason, retry_after_s=wait_s)
 
@@ -208,7 +209,7 @@
         """Waits for a slot; returns why there is none."""
         future: asyncio.Future[Reason] = self.loop.create_future()
         duration_s = queue.expected_duration_s(call.route)
-        order = queue.push(*_place(call), duration_s, future)
+        order = queue.push(call.rank, call.due, duration_s, future)
         latest = call.deadline - duration_s
         timer = self.loop.call_at(latest, _give_up, future)
         try:
@@ -320,7 +321,7 @@
         )
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
-            self.running_ids.add(call.request_id)
+            self.running_ids[call.request_id] = call.rank
         try:
             response = await connection.exchange(
                 data,
@@ -339,7 +340,7 @@
         except ConnectionLostError:
             reason = Reason.CONNECTION_LOST
         finally:
-            self.running_ids.discard(call.request_id)
+            self.running_ids.pop(call.request_id, None)
         self.metrics.count("server_failures", reason=reason)
         self.log.write(
             "server.failed",
@@ -377,17 +378,6 @@
         return CallResult(Outcome.ANSWERED, response=response, arrived=True)
 
 
-def _place(call: ServerCall) -> tuple[int, float]:
-    """Returns a request's rank in the queue and when it is due.
-
-    Requests that others wait for with a slot of their own go first: without
-    them, the work of those is lost.
-    """
-    if call.nested:
-        return NESTED_RANK, call.deadline
-    return call.priority, call.objective
-
-
 def _give_up(future: "asyncio.Future[Reason]") -> None:
     if not future.done():
         future.set_result(Reason.OVERLOADED)
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -21,6 +21,8 @@
       cold_until: When it is warm, in loop time.
       down: Whether it refused a connection or fell silent since then.
       left: Incarnations that have left.
+      left_before: Ids that have left without naming their incarnation, and
+        when, in Unix milliseconds; later incarnations are others.
     """
 
     def __init__(self, heartbeat_s: float):
@@ -30,6 +32,7 @@
         self.cold_until = 0.0
         self.down = False
         self.left: set[tuple[str, int]] = set()
+        self.left_before: dict[str, int] = {}
 
     def heartbeat(self, beat: Heartbeat, now: float) -> bool:
         """Takes a heartbeat; returns whether the server's state changed."""
@@ -47,16 +50,19 @@
         self.current = self._record(beat)
         return known is None or _visible(known) != _visible(self.current)
 
-    def deregister(self, instance_id: str, born_ms: int) -> bool:
+    def deregister(self, instance_id: str, born_ms: int, wall_ms: int) -> bool:
         """Takes a leave; returns whether the server's state changed.
 
         Args:
           instance_id: Id of the server.
-          born_ms: Its incarnation; 0 stands for the known one.
+          born_ms: Its incarnation; 0 if the server did not say.
+          wall_ms: Time of day, in Unix milliseconds.
         """
         known = self.current
         if born_ms == 0 and known is not None and known.id == instance_id:
             born_ms = known.born_ms
+        if born_ms == 0:
+            self.left_before[instance_id] = wall_ms
         self.left.add((instance_id, born_ms))
         return self._refresh()
 
@@ -86,6 +92,11 @@
         self.down = True
         return self._refresh()
 
+    def _has_left(self, instance_id: str, born_ms: int) -> bool:
+        if (instance_id, born_ms) in self.left:
+            return True
+        return born_ms <= self.left_before.get(instance_id, -1)
+
     def _is_current(self, instance_id: str, born_ms: int) -> bool:
         known = self.current
         return known is not None and (known.id, known.born_ms) == (
@@ -98,7 +109,7 @@
         known = self.current
         if known is None:
             return False
-        leaving = (known.id, known.born_ms) in self.left
+        leaving = self._has_left(known.id, known.born_ms)
         ready = not leaving and not self.down
         if (known.leaving, known.ready) == (leaving, ready):
             return False
@@ -117,7 +128,7 @@
         return True
 
     def _record(self, beat: Heartbeat) -> InstanceRecord:
-        leaving = (beat.id, beat.born_ms) in self.left
+        leaving = self._has_left(beat.id, beat.born_ms)
         return InstanceRecord(
             beat.id,
             beat.born_ms,
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -36,6 +36,7 @@
         peers: Iterable[Peer],
         tried: set[str],
         service: str,
+        rank: int,
         due: float,
         now: float,
     ) -> Peer | None:
@@ -45,6 +46,7 @@
           peers: Nodes whose server serves the service.
           tried: Ids of servers to leave out.
           service: The service.
+          rank: Place of the request among those that wait for a server.
           due: When the request is due, in loop time.
           now: Loop time, in seconds.
         """
@@ -60,7 +62,9 @@
             groups = self._by_version(ready, service, wants_new)
         for group in groups:
             best = self._best(
-                [peer for peer in group if _takes(peer, tried, now)], due, now
+                [peer for peer in group if _takes(peer, tried, rank, now)],
+                due,
+                now,
             )
             if best is not None:
                 return best
@@ -127,13 +131,13 @@
     return now + wait + duration <= due and peer.load.failing < MAX_FAILING
 
 
-def _takes(peer: Peer, tried: set[str], now: float) -> bool:
+def _takes(peer: Peer, tried: set[str], rank: int, now: float) -> bool:
     instance = peer.record.instance
     return (
         instance is not None
         and peer.usable
         and instance.id not in tried
-        and peer.refused_until <= now
+        and not peer.full_for(rank, now)
     )
 
 
--- a/packages/testing/src/vanillamast_testing/emulator/store.py
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -143,9 +143,9 @@
             )
         await self._notify()
         self.writes += 1
-        if self.lose_answers and self.writes % self.lose_answers == 0:
-            if request.transport is not None:
-                request.transport.abort()
+        lost = self.lose_answers and self.writes % self.lose_answers == 0
+        if lost and request.transport is not None:
+            request.transport.abort()
         return web.json_response(
             {"offset": offset, "end_offset": partition.end}
         )
--- a/tests/platform_path/test_configuration_path.py
+++ b/tests/platform_path/test_configuration_path.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-
 from vanillamast_testing.emulator import EmulatedPlatform
 
 IN_FORCE_S = 2.0  # Stated bound of the deployments.
--- a/tests/platform_path/test_request_path.py
+++ b/tests/platform_path/test_request_path.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import pytest
-
 from vanillamast_testing.emulator import EmulatedPlatform
 
 
--- a/tests/sidecar/test_frame_codec.py
+++ b/tests/sidecar/test_frame_codec.py
@@ -4,7 +4,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-
 from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.frame_codec import FrameCodec
 from vanillamast_sidecar.load_report import LoadReport
@@ -67,7 +66,6 @@
                 1.5 * number,
                 0.8,
                 0.4,
-                False,
                 b"%016x" % (number * 7919),
                 "i-7f3a91c2",
                 1780978095310,
--- a/tests/sidecar/test_server_registry.py
+++ b/tests/sidecar/test_server_registry.py
@@ -31,7 +31,7 @@
         """Guards against requests to a server that was acknowledged gone."""
         registry = ServerRegistry(1.5)
         registry.heartbeat(beat(5), 0.0)
-        assert registry.deregister("i-1", 100)
+        assert registry.deregister("i-1", 100, 1000)
         registry.heartbeat(beat(3), 2.1)
         registry.heartbeat(beat(9), 2.2)
         assert registry.current.leaving
@@ -40,10 +40,19 @@
     def test_a_leave_before_the_first_heartbeat_sticks(self):
         """Guards against a restarted node that hears an old heartbeat."""
         registry = ServerRegistry(1.5)
-        registry.deregister("i-1", 100)
+        registry.deregister("i-1", 100, 1000)
         registry.heartbeat(beat(7), 1.0)
         assert registry.current.leaving
 
+    def test_a_leave_that_names_no_incarnation_sticks(self):
+        """Guards against a restarted node that first hears such a leave."""
+        registry = ServerRegistry(1.5)
+        registry.deregister("i-1", 0, 1000)
+        registry.heartbeat(beat(7), 1.0)
+        assert registry.current.leaving
+        registry.heartbeat(beat(1, born_ms=2000), 5.0)
+        assert registry.current.ready
+
     def test_the_same_id_again_is_a_new_server(self):
         """Guards against a leave that outlives the incarnation."""
         registry = ServerRegistry(1.5)
--- a/tests/sidecar/test_traffic_split.py
+++ b/tests/sidecar/test_traffic_split.py
@@ -1,7 +1,6 @@
 """Tests of the shares of a route's services."""
 
 import pytest
-
 from vanillamast_sidecar.traffic_split import TrafficSplit
 
 
--- a/tests/sidecar/test_version_judge.py
+++ b/tests/sidecar/test_version_judge.py
@@ -3,7 +3,6 @@
 import random
 
 import pytest
-
 from vanillamast_sidecar.version_evidence import VersionEvidence, merge
 from vanillamast_sidecar.version_judge import judge
 
@@ -53,9 +52,7 @@
     def test_one_bad_route_is_enough(self):
         """Guards against badness that hides behind other routes."""
         old = merge([evidence(500, 1), evidence(500, 2, route="post")])
-        new = merge(
-            [evidence(200, 3), evidence(40, 4, fail=0.5, route="post")]
-        )
+        new = merge([evidence(200, 3), evidence(40, 4, fail=0.5, route="post")])
         assert judge(old, new).route == "post"
 
     def test_failures_that_both_versions_show_do_not_convict(self):
