Order waiting requests by the operator's priority and admit calls late

Cause: with one of four crew-desk servers left, nested calls ranked behind all bookings were refused after their parents had held slots elsewhere. Change: rank is the route's priority; calls of backend servers are due within half of their time-out, others within three quarters of their objective.

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -30,6 +30,8 @@
 # Requests are admitted if they are expected to end within this share of their
 # latency objective: about half of them take longer than expected.
 DUE_SHARE = 0.75
+# The same for calls of backend servers, as a share of their time-out.
+NESTED_DUE_SHARE = 0.5
 # An answer that is ready just after the time-out is still delivered.
 TIMEOUT_GRACE_S = 0.1
 # Share of the deployment's retry ratio that this node uses: repeated
@@ -208,23 +210,20 @@
             left_s = _milliseconds(value)
             if left_s is not None:
                 timeout_s = min(timeout_s, left_s)
-        deadline = arrived + timeout_s
-        due = arrived + min(timeout_s, route.target_latency_s) * DUE_SHARE
-        rank = 2 * route.priority
-        parent_rank = self.executor.parent_rank(request_id)
-        if parent_rank is not None:
-            # Just before its parent's peers, and as long as the parent waits:
-            # without it, the parent's work is lost.
-            rank, due = parent_rank - 1, deadline
+        due_s = min(timeout_s, route.target_latency_s) * DUE_SHARE
+        if self.executor.is_nested(request_id):
+            # Late is better than never: the work of its parent is lost with
+            # it.
+            due_s = max(due_s, timeout_s * NESTED_DUE_SHARE)
         return Exchange(
             request,
             route,
             split.choose(),
             request_id,
             arrived,
-            deadline,
-            due,
-            rank,
+            arrived + timeout_s,
+            arrived + due_s,
+            route.priority,
             self._forwarded(request),
             set(),
         )
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -54,7 +54,7 @@
       pool: Kept connections; None before the first heartbeat.
       identity: Incarnation to which queue and pool belong.
       failing: Recent share of failed requests.
-      running_ids: Ids of the requests that the server runs, with their rank.
+      running_ids: Ids of the requests that the server runs.
       stopping: Whether the node stops.
     """
 
@@ -78,7 +78,7 @@
         self.pool: ConnectionPool | None = None
         self.identity: tuple[str, int] = ("", 0)
         self.failing = DecayingShare()
-        self.running_ids: dict[bytes, int] = {}
+        self.running_ids: set[bytes] = set()
         self.stopping = False
 
     def load(self) -> LoadReport:
@@ -91,19 +91,16 @@
             round(self.failing.value(self.loop.time()), 3),
         )
 
-    def parent_rank(self, request_id: bytes) -> int | None:
-        """Returns the rank of the running request that waits for this one.
+    def is_nested(self, request_id: bytes) -> bool:
+        """Returns whether a request that the server runs waits for this one.
 
         A server derives the ids of its own calls from the id of the request
         that it runs. Calls that do not show it are treated like any others.
-
-        Returns:
-          None if no running request is known to wait for it.
         """
-        for parent, rank in self.running_ids.items():
-            if len(request_id) > len(parent) and request_id.startswith(parent):
-                return rank
-        return None
+        return any(
+            len(request_id) > len(parent) and request_id.startswith(parent)
+            for parent in self.running_ids
+        )
 
     def server_changed(self) -> None:
         """Follows the registry: a new incarnation, a leave or a crash."""
@@ -321,7 +318,7 @@
         )
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
-            self.running_ids[call.request_id] = call.rank
+            self.running_ids.add(call.request_id)
         try:
             response = await connection.exchange(
                 data,
@@ -340,7 +337,7 @@
         except ConnectionLostError:
             reason = Reason.CONNECTION_LOST
         finally:
-            self.running_ids.pop(call.request_id, None)
+            self.running_ids.discard(call.request_id)
         self.metrics.count("server_failures", reason=reason)
         self.log.write(
             "server.failed",
