Take changed settings with and without a signal; test the adapter

Cause: a settings file that changes without SIGHUP was not noticed, and the adapter had no tests of its own. Change: BootFile and its stamp; listeners that move; tests of records, calls of servers, the store's typed failures, the boot file, and of the words and imports that stay inside platform/.

--- a/packages/sidecar/src/vanillamast_sidecar/__init__.py
+++ b/packages/sidecar/src/vanillamast_sidecar/__init__.py
@@ -18,6 +18,7 @@
 from vanillamast_sidecar.route import Route
 from vanillamast_sidecar.server_api import Deregistration, ServerApi
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
+from vanillamast_sidecar.settings_source import SettingsSource
 from vanillamast_sidecar.snapshot import Snapshot
 from vanillamast_sidecar.store_port import MoveStates, OperatorUpdate, Store
 
@@ -36,6 +37,7 @@
     "OperatorUpdate",
     "Route",
     "ServerApi",
+    "SettingsSource",
     "SidecarError",
     "SidecarSettings",
     "Snapshot",
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -25,7 +25,7 @@
 from vanillamast_sidecar.server_selector import ServerSelector
 from vanillamast_sidecar.settings import SidecarSettings
 from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.traffic_split import TrafficSplit
+from vanillamast_sidecar.weighted_split import WeightedSplit
 
 # Requests are admitted if they are expected to end within this share of their
 # latency objective: about half of them take longer than expected.
@@ -128,7 +128,7 @@
         self.loop = asyncio.get_running_loop()
         self.snapshot: Snapshot | None = None
         self.table = RouteTable(())
-        self.splits: dict[str, TrafficSplit] = {}
+        self.splits: dict[str, WeightedSplit] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.stops_at = float("inf")
 
@@ -202,7 +202,7 @@
     ) -> Exchange:
         split = self.splits.get(route.name)
         if split is None:
-            split = TrafficSplit(route.split)
+            split = WeightedSplit(route.split)
             self.splits[route.name] = split
         timeout_s = route.timeout_s
         value = request.get(self.settings.fields.deadline_ms)
--- a/packages/sidecar/src/vanillamast_sidecar/move_book.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_book.py
@@ -7,8 +7,8 @@
 from vanillamast_sidecar.move_order import MoveOrder
 from vanillamast_sidecar.move_plan import MovePlan
 from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.traffic_split import TrafficSplit
 from vanillamast_sidecar.version_evidence import VersionEvidence
+from vanillamast_sidecar.weighted_split import WeightedSplit
 
 # A completed move beats a taken back one: its old servers are gone.
 _RANK = {MoveState.ACTIVE: 0, MoveState.REVERTED: 1, MoveState.COMPLETE: 2}
@@ -31,7 +31,7 @@
     seen_at: float
     plan: MovePlan | None = None
     planned_at: float = 0.0
-    chooser: TrafficSplit | None = None
+    chooser: WeightedSplit | None = None
     evidence: VersionEvidence | None = None
 
     @property
@@ -91,7 +91,7 @@
         move.plan = plan
         if news:
             share = move.share
-            move.chooser = TrafficSplit((("new", share), ("old", 1.0 - share)))
+            move.chooser = WeightedSplit((("new", share), ("old", 1.0 - share)))
             self.on_change(plan.service)
         return news
 
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import time
-from collections.abc import Callable
 from typing import Any
 
 from vanillamast_sidecar.errors import (
@@ -29,6 +28,7 @@
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.server_selector import ServerSelector
 from vanillamast_sidecar.settings import Address, SidecarSettings
+from vanillamast_sidecar.settings_source import SettingsSource
 from vanillamast_sidecar.snapshot import Snapshot
 from vanillamast_sidecar.store_port import Store
 
@@ -57,7 +57,9 @@
       settings: Settings of the node.
       store: The store.
       server_api: Decodes the calls of the backend server.
-      reload_settings: Reads the settings file again.
+      source: Where the settings come from.
+      stamp: Stamp of the settings in force.
+      servers: Listening sockets by what they serve.
       log: Logbook.
       metrics: Metrics.
       registry: Which server runs beside the node.
@@ -69,6 +71,7 @@
       keeper: Carries out moves.
       nodes_known: Whether the list of nodes was read.
       stop_requested: Set by the stop signal.
+      hang_up: Set by the signal that the settings have changed.
       denials: Questions for readiness denied since the stop signal.
     """
 
@@ -77,13 +80,15 @@
         settings: SidecarSettings,
         store: Store,
         server_api: ServerApi,
-        reload_settings: Callable[[], SidecarSettings],
+        source: SettingsSource,
         log: Logbook,
     ):
         self.settings = settings
         self.store = store
         self.server_api = server_api
-        self.reload_settings = reload_settings
+        self.source = source
+        self.stamp = source.stamp()
+        self.servers: dict[str, asyncio.Server] = {}
         self.log = log
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
@@ -132,6 +137,7 @@
         )
         self.nodes_known = False
         self.stop_requested = asyncio.Event()
+        self.hang_up = asyncio.Event()
         self.stopping = False
         self.denials = 0
         self.boot_shift = _boot_shift()
@@ -140,8 +146,8 @@
         """Runs until the stop signal; returns the exit status."""
         self.loop.set_exception_handler(self._log_exception)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
-        servers = await self._listen()
+        self.loop.add_signal_handler(signal.SIGHUP, self.hang_up.set)
+        await self._listen(self.settings)
         self.log.write(
             "node.started",
             address=str(self.settings.peer_listener),
@@ -163,33 +169,36 @@
         await self._stop()
         for task in tasks:
             task.cancel()
-        for server in servers:
+        for server in self.servers.values():
             server.close()
         self.log.write("node.stopped", active=self.callers.active)
         self.log.flush()
         return 0
 
-    async def _listen(self) -> list[asyncio.Server]:
-        settings = self.settings
-        handlers: list[tuple[Address, Handler]] = [
-            (settings.server_listener, self._serve_server),
-            (settings.ready_listener, self._serve_readiness),
-            (settings.metrics_listener, self._serve_metrics),
-        ]
-        servers = [await self.mesh.listen(settings.peer_listener)]
-        servers.append(
-            await self._listen_http(self.callers, settings.caller_listener)
-        )
-        for address, handler in handlers:
-            servers.append(
-                await self._listen_http(HttpListener(handler), address)
+    async def _listen(self, settings: SidecarSettings) -> None:
+        """Opens the listeners whose address is new."""
+        handlers: dict[str, tuple[Address, Handler]] = {
+            "server": (settings.server_listener, self._serve_server),
+            "ready": (settings.ready_listener, self._serve_readiness),
+            "metrics": (settings.metrics_listener, self._serve_metrics),
+        }
+        listeners = {"caller": (settings.caller_listener, self.callers)}
+        for name, (address, handler) in handlers.items():
+            listeners[name] = (address, HttpListener(handler))
+        if "peer" not in self.servers:
+            self.servers["peer"] = await self.mesh.listen(
+                settings.peer_listener
             )
-        return servers
-
-    async def _listen_http(
-        self, listener: HttpListener, address: Address
-    ) -> asyncio.Server:
-        return await listener.listen(address.host, address.port)
+        for name, (address, listener) in listeners.items():
+            old = self.servers.get(name)
+            if old is not None and _address_of(old) == address:
+                continue
+            self.servers[name] = await listener.listen(
+                address.host, address.port
+            )
+            if old is not None:
+                # Connections that are open go on; new ones come elsewhere.
+                old.close()
 
     # Events of the parts.
 
@@ -323,24 +332,32 @@
                 self.mesh.reset_links()
                 self.store.reset()
             self.boot_shift = shift
-            self._reload_if_changed()
-
-    def _reload_if_changed(self) -> None:
-        """Notices settings that change without a signal."""
+            await self._reload_if_changed()
 
-    def _reload(self) -> None:
+    async def _reload_if_changed(self) -> None:
+        """Takes changed settings, with or without a signal."""
+        stamp = self.source.stamp()
+        if stamp == self.stamp and not self.hang_up.is_set():
+            return
+        signalled = self.hang_up.is_set()
+        self.hang_up.clear()
+        self.stamp = stamp
         try:
-            settings = self.reload_settings()
-        except InvalidSettingsError as error:
+            settings = self.source.load()
+            await self._listen(settings)
+        except (InvalidSettingsError, OSError) as error:
             self.log.write("settings.invalid", error=str(error))
             return
-        if settings == self.settings:
-            return
+        changed = settings != self.settings
         self.settings = settings
-        self.gateway.settings = settings
-        self.executor.settings = settings
-        self.mesh.settings = settings
-        self.log.write("settings.reloaded", service=settings.service)
+        for part in (self.gateway, self.executor, self.mesh):
+            part.settings = settings
+        self.log.write(
+            "settings.reloaded",
+            signalled=signalled,
+            changed=changed,
+            service=settings.service,
+        )
 
     # The end.
 
@@ -377,6 +394,14 @@
         )
 
 
+def _address_of(server: asyncio.Server) -> Address | None:
+    """Returns where a server listens, None if it has been closed."""
+    if not server.sockets:
+        return None
+    host, port = server.sockets[0].getsockname()[:2]
+    return Address(host, port)
+
+
 def _boot_shift() -> float:
     """Returns how far the boot clock is ahead of the steady one."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/packages/sidecar/src/vanillamast_sidecar/server_api.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_api.py
@@ -30,7 +30,3 @@
           InvalidHeartbeatError: The call's body cannot be used.
         """
         ...
-
-    def readiness_path(self) -> str:
-        """Returns the path at which readiness is asked for."""
-        ...
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -126,11 +126,9 @@
         self.pool = ConnectionPool(
             host, int(port), self.settings.fields.request_id
         )
-        running = self.queue.running
-        self.queue = AdmissionQueue(max(1, current.slots))
         # Requests that the old incarnation still runs return their slots to
         # the queue that they took them from.
-        self.metrics.set("server_slots_lost", running)
+        self.queue = AdmissionQueue(max(1, current.slots))
         self.identity = (current.id, current.born_ms)
 
     def _reject_waiting(self, reason: Reason) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/traffic_split.py
+++ b/packages/sidecar/src/vanillamast_sidecar/weighted_split.py
@@ -1,7 +1,7 @@
 """Exact shares of a route's services."""
 
 
-class TrafficSplit:
+class WeightedSplit:
     """Smooth weighted round robin over services.
 
     Every window of requests gets its shares to within one request, which a
--- /dev/null
+++ b/tests/platform_adapter/test_boundaries.py
@@ -0,0 +1,95 @@
+"""Tests of what the adapter knows and what the product must not."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+from vanillamast_platform.boot_file import BootFile, load_settings
+from vanillamast_sidecar.errors import InvalidSettingsError
+from vanillamast_testing.emulator.machine import Machine
+
+ROOT = pathlib.Path(__file__).parents[2]
+PRODUCT = ("core", "node", "cli", "sidecar")
+PLATFORM_WORDS = re.compile(
+    r"log-(append|read|newest|join)\b|keyed\.|x-vanillamast-"
+    r"|vanillamast_boot|traffic_split|heartbeat_addr|entry_type|path_prefix\""
+    r"|/api/(ready|instances)|cold_left_s|max_concurrency\b",
+    re.IGNORECASE,
+)
+
+
+def sources() -> list[pathlib.Path]:
+    """Returns the product's source files."""
+    return [
+        path
+        for package in PRODUCT
+        for path in (ROOT / "packages" / package / "src").rglob("*.py")
+    ]
+
+
+class TestBoundaries:
+    """Nothing outside `platform/` knows the platform."""
+
+    def test_the_product_does_not_import_the_adapter(self):
+        """Guards against a decision that depends on the platform."""
+        for path in sources():
+            for node in ast.walk(ast.parse(path.read_text())):
+                names = []
+                if isinstance(node, ast.Import):
+                    names = [alias.name for alias in node.names]
+                elif isinstance(node, ast.ImportFrom):
+                    names = [node.module or ""]
+                for name in names:
+                    assert not name.startswith("vanillamast_platform"), path
+
+    def test_the_product_does_not_use_the_platforms_words(self):
+        """Guards against names of the wire that are decoded twice."""
+        for path in sources():
+            found = PLATFORM_WORDS.search(path.read_text())
+            assert found is None, (path, found)
+
+
+class TestBootFile:
+    """The settings file of a process."""
+
+    def write(self, folder: pathlib.Path) -> Machine:
+        """Writes the settings of a machine."""
+        return Machine("m1", "127.0.0.1", "z0", "s", "127.0.0.9:1", folder)
+
+    def test_a_whole_file(self, tmp_path):
+        """Guards against values that are read by another name."""
+        machine = self.write(tmp_path)
+        settings, store = load_settings(str(machine.settings))
+        assert settings.failure_domain == "z0"
+        assert settings.bounds.retry_slack == 60.0
+        assert str(store.address) == "127.0.0.9:1"
+
+    @pytest.mark.parametrize(
+        ("old", "new"),
+        [
+            ('node = "m1"', ""),
+            ("drain_s = 2", 'drain_s = "soon"'),
+            ('outbound = "127.0.0.1:18304"', 'outbound = "nowhere"'),
+            ("[bounds]", "[bounds"),
+            ("[18320,18330]", "[]"),
+        ],
+    )
+    def test_a_bad_file_is_a_typed_error(self, tmp_path, old, new):
+        """Guards against a node that starts with half of its settings."""
+        machine = self.write(tmp_path)
+        text = machine.settings.read_text()
+        assert old in text
+        machine.settings.write_text(text.replace(old, new))
+        with pytest.raises(InvalidSettingsError):
+            load_settings(str(machine.settings))
+
+    def test_a_change_shows_in_the_stamp(self, tmp_path):
+        """Guards against settings that change without a signal."""
+        machine = self.write(tmp_path)
+        source = BootFile(str(machine.settings))
+        before = source.stamp()
+        assert source.stamp() == before
+        text = machine.settings.read_text()
+        machine.settings.write_text(text + "\n# changed\n")
+        assert source.stamp() != before
--- /dev/null
+++ b/tests/platform_adapter/test_log_store.py
@@ -0,0 +1,136 @@
+"""Tests of the store's client against the emulated store."""
+
+import asyncio
+import json
+
+import pytest
+from vanillamast_platform.log_records import keyed_record, parse_read
+from vanillamast_platform.log_store import LogStore
+from vanillamast_platform.store_settings import StoreSettings
+from vanillamast_sidecar.errors import (
+    StoreConflictError,
+    StoreRefusedError,
+    StoreTruncatedError,
+    StoreUnknownOutcomeError,
+)
+from vanillamast_sidecar.move_order import MoveOrder
+from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.settings import Address
+from vanillamast_testing.emulator import EmulatedStore
+
+HOST = "127.24.0.9"
+PORT = 18409
+ORDER = MoveOrder("s", "v2", 10.0, 3)
+
+
+@pytest.fixture
+async def emulated():
+    """Starts an emulated store."""
+    store = EmulatedStore(HOST, PORT)
+    await store.start()
+    yield store
+    await store.stop()
+
+
+@pytest.fixture
+async def store(emulated):
+    """Returns a client of the emulated store."""
+    client = LogStore(StoreSettings(Address(HOST, PORT), 3.0), "m1")
+    yield client
+    client.reset()
+
+
+class TestLogStore:
+    """Each listed fault is told apart."""
+
+    async def test_nodes_are_found(self, store):
+        """Guards against nodes that do not find each other."""
+        first = NodeRecord("10.0.0.1:1", "a", 5, 0, False, None)
+        second = NodeRecord("10.0.0.2:1", "b", 6, 0, False, None)
+        await store.put_node(first)
+        await store.put_node(second)
+        await store.put_node(first)
+        assert await store.nodes() == [first, second]
+
+    async def test_a_change_ends_the_wait(self, store, emulated):
+        """Guards against changes that arrive at the end of a wait only."""
+        update = await store.newest_operator_state()
+        waiting = asyncio.create_task(
+            store.follow_operator(update.next_offset, 20.0)
+        )
+        await asyncio.sleep(0.05)
+        value = json.dumps({"version": 4, "resources": []}).encode()
+        await emulated.put("keyed.op", "config", value)
+        update = await asyncio.wait_for(waiting, 5.0)
+        assert update.snapshot.version == 4
+        assert update.next_offset == 1
+
+    async def test_deleted_records_are_told(self, store, emulated):
+        """Guards against a reader that waits for what is gone."""
+        await emulated.put("keyed.op", "rollout/s", b"{}")
+        emulated.partition("keyed.op", 0).trim(1)
+        with pytest.raises(StoreTruncatedError) as caught:
+            await store.follow_operator(0, 0.1)
+        assert caught.value.first_offset == 1
+
+    async def test_of_two_writers_one_wins(self, store):
+        """Guards against two ends of one move."""
+        known = await store.move_states()
+        await store.put_move_state(ORDER, MoveState.REVERTED, known.end_offset)
+        with pytest.raises(StoreConflictError):
+            await store.put_move_state(
+                ORDER, MoveState.COMPLETE, known.end_offset
+            )
+        states = (await store.move_states()).states
+        assert states == {"s": (MoveState.REVERTED, "v2", 3)}
+
+    async def test_a_refusal_says_that_nothing_was_done(self, store, emulated):
+        """Guards against a refused call that is taken for an unclear one."""
+        emulated.down = "busy"
+        with pytest.raises(StoreRefusedError):
+            await store.nodes()
+
+    async def test_a_lost_answer_is_unclear(self, store, emulated):
+        """Guards against a write that is repeated blindly."""
+        emulated.lose_answers = 1
+        with pytest.raises(StoreUnknownOutcomeError):
+            await store.put_move_state(ORDER, MoveState.ACTIVE, 0)
+        emulated.lose_answers = 0
+        assert (await store.move_states()).states["s"][0] is MoveState.ACTIVE
+
+    async def test_a_silent_store_does_not_block(self, store, emulated):
+        """Guards against a node that waits for ever."""
+        emulated.down = "silent"
+        with pytest.raises(StoreUnknownOutcomeError):
+            await asyncio.wait_for(store.probe(), 10.0)
+
+    async def test_a_stopped_store_is_a_refusal(self, store, emulated):
+        """Guards against an error without a type."""
+        await emulated.stop()
+        with pytest.raises(StoreRefusedError):
+            await store.nodes()
+
+    async def test_the_nodes_own_rate_is_bounded(self, store, emulated):
+        """Guards against a loop that uses up the store's rate."""
+        with pytest.raises(StoreRefusedError):
+            for _ in range(100):
+                await store.probe()
+        assert emulated.calls["/api/log-join"] <= 25
+
+
+class TestLogRecords:
+    """The binary format of records."""
+
+    def test_a_read_survives_the_format(self):
+        """Guards against keys and values that are cut wrongly."""
+        body = (9).to_bytes(8, "big") + (2).to_bytes(8, "big")
+        body += keyed_record("config", b"\x00value") + keyed_record("k", b"")
+        assert parse_read(body) == (9, [("config", b"\x00value"), ("k", b"")])
+
+    @pytest.mark.parametrize("cut", [1, 7, 17, 21, 25])
+    def test_a_cut_answer_is_an_error(self, cut):
+        """Guards against records that lost their end."""
+        body = bytes(16) + keyed_record("config", b"value")
+        with pytest.raises(ValueError):
+            parse_read(body[:cut])
--- /dev/null
+++ b/tests/platform_adapter/test_operator_records.py
@@ -0,0 +1,112 @@
+"""Tests of what the operator writes, decoded."""
+
+import json
+
+import pytest
+from vanillamast_platform.operator_records import (
+    decode_config,
+    decode_order,
+    decode_status,
+    encode_status,
+)
+from vanillamast_sidecar.errors import InvalidConfigurationError
+from vanillamast_sidecar.move_order import MoveOrder
+from vanillamast_sidecar.move_state import MoveState
+
+CONFIG = {
+    "version": 7,
+    "unknown": 1,
+    "resources": [
+        {
+            "entry_type": "routes",
+            "metadata": {"name": "split"},
+            "spec": {
+                "host": "A.example",
+                "path_prefix": "/a/",
+                "kind": "idempotent",
+                "timeout_s": 0.8,
+                "target_latency_s": 0.4,
+                "priority": 2,
+                "max_attempts": 2,
+                "traffic_split": [
+                    {"service": "x", "weight": 90},
+                    {"service": "y", "weight": 10},
+                ],
+            },
+        },
+        {
+            "entry_type": "routes",
+            "metadata": {"name": "post"},
+            "spec": {
+                "host": "b.example",
+                "path_prefix": "/b/",
+                "kind": "non_idempotent",
+                "timeout_s": 1,
+                "service": "x",
+            },
+        },
+        {
+            "entry_type": "services",
+            "metadata": {"name": "x"},
+            "spec": {"max_conns": 120, "health_path": "/health"},
+        },
+        {
+            "entry_type": "limits",
+            "metadata": {},
+            "spec": {"header_bytes": 100, "idle_timeout_s": 9},
+        },
+        {"entry_type": "later", "metadata": {}, "spec": {}},
+    ],
+}
+
+
+class TestDecodeConfig:
+    """Whole configurations or typed errors."""
+
+    def test_routes_services_and_limits(self):
+        """Guards against fields that are read by another name."""
+        snapshot = decode_config(json.dumps(CONFIG).encode())
+        split, post = snapshot.routes
+        assert snapshot.version == 7
+        assert split.host == "a.example"
+        assert split.split == (("x", 90.0), ("y", 10.0))
+        assert split.idempotent
+        assert not post.idempotent
+        assert post.split == (("x", 1.0),)
+        assert snapshot.connection_limits == {"x": 120}
+        assert snapshot.limits.header_bytes == 100
+        assert snapshot.limits.idle_timeout_s == 9.0
+
+    @pytest.mark.parametrize(
+        "damage",
+        [
+            lambda raw: raw[:-20],
+            lambda raw: b"",
+            lambda raw: raw.replace(b'"version": 7', b'"version": "7x"'),
+            lambda raw: raw.replace(b'"timeout_s": 1', b'"timeout_s": "no"'),
+            lambda raw: raw.replace(b'"path_prefix": "/b/", ', b""),
+        ],
+    )
+    def test_a_damaged_configuration_is_a_typed_error(self, damage):
+        """Guards against a version that is applied in part."""
+        with pytest.raises(InvalidConfigurationError):
+            decode_config(damage(json.dumps(CONFIG).encode()))
+
+
+class TestMoveRecords:
+    """Orders and states of moves."""
+
+    def test_a_state_survives_the_store(self):
+        """Guards against a state that a restarted node reads otherwise."""
+        order = decode_order(b'{"service":"s","to":"v2","over_s":12}', 5)
+        assert order == MoveOrder("s", "v2", 12.0, 5)
+        for state in MoveState:
+            raw = encode_status(order, state)
+            assert decode_status(raw) == (state, "v2", 5)
+            assert json.loads(raw)["state"] == state.value
+
+    @pytest.mark.parametrize("raw", [b"", b"[]", b'{"service":"s"}'])
+    def test_a_damaged_order_is_a_typed_error(self, raw):
+        """Guards against a move of a service that was not named."""
+        with pytest.raises(InvalidConfigurationError):
+            decode_order(raw, 1)
--- /dev/null
+++ b/tests/platform_adapter/test_server_calls.py
@@ -0,0 +1,77 @@
+"""Tests of the calls of backend servers."""
+
+import json
+
+import pytest
+from vanillamast_platform.server_calls import ServerCalls
+from vanillamast_sidecar.errors import InvalidHeartbeatError
+from vanillamast_sidecar.heartbeat import Heartbeat
+from vanillamast_sidecar.http_message import HttpRequest
+from vanillamast_sidecar.server_api import Deregistration
+
+BEAT = {
+    "service": "s",
+    "addr": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "max_concurrency": 9,
+    "state": "ready",
+    "cold_left_s": 1.5,
+    "sequence": 4,
+    "born": 1780978095310,
+}
+
+
+def post(path: str, body: object) -> HttpRequest:
+    """Returns a call of a server."""
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return HttpRequest("POST", path, [], raw)
+
+
+class TestServerCalls:
+    """Heartbeats, leaves and what is neither."""
+
+    def test_a_heartbeat(self):
+        """Guards against fields that are read by another name."""
+        said = ServerCalls().decode(post("/api/instances/i-1/heartbeat", BEAT))
+        assert said == Heartbeat(
+            "i-1", 1780978095310, 4, "s", "10.0.0.1:80", "v1", 9, False, 1.5
+        )
+
+    @pytest.mark.parametrize("body", [b"", {}, {"born": 7}])
+    def test_a_leave_with_and_without_its_incarnation(self, body):
+        """Guards against a leave that is not acknowledged."""
+        said = ServerCalls().decode(post("/api/instances/i-1/deregister", body))
+        born = body.get("born", 0) if isinstance(body, dict) else 0
+        assert said == Deregistration("i-1", born)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"max_concurrency": "many"},
+            {"sequence": None},
+            {"addr": 5},
+            {"born": 1.5},
+        ],
+    )
+    def test_a_foreign_heartbeat_is_a_typed_error(self, change):
+        """Guards against a server that another writer made up."""
+        with pytest.raises(InvalidHeartbeatError):
+            ServerCalls().decode(
+                post("/api/instances/i-1/heartbeat", {**BEAT, **change})
+            )
+
+    def test_unreadable_bytes_are_a_typed_error(self):
+        """Guards against a listener that fails on bytes it cannot read."""
+        with pytest.raises(InvalidHeartbeatError):
+            ServerCalls().decode(
+                post("/api/instances/i-1/heartbeat", b"\xff\x00")
+            )
+
+    def test_other_paths_are_no_calls(self):
+        """Guards against a success for a call that does not exist."""
+        calls = ServerCalls()
+        assert calls.decode(post("/api/other", BEAT)) is None
+        assert calls.decode(post("/api/instances/i-1/renew", BEAT)) is None
+        assert calls.decode(post("/api/instances//heartbeat", BEAT)) is None
--- a/tests/platform_path/test_request_path.py
+++ b/tests/platform_path/test_request_path.py
@@ -217,3 +217,25 @@
             text = await answer.text()
         assert 'vanillamast_requests_total{outcome="answered"}' in text
         assert "vanillamast_request_duration_seconds_count" in text
+
+    @pytest.mark.parametrize("signalled", [False, True])
+    async def test_changed_settings_come_into_force(self, fleet, signalled):
+        """Guards against a node that keeps settings that were replaced."""
+        machine = fleet.machines["m1"]
+        text = machine.settings.read_text()
+        changed = text.replace('service = "browse"', 'service = "other"')
+        assert changed != text
+        machine.settings.write_text(changed)
+        if signalled:
+            machine.process.send(signal.SIGHUP)
+        callers = set()
+        async with asyncio.timeout(10.0):
+            while "other" not in callers:
+                answer = await fleet.caller.send(machine, "/page/1")
+                assert answer.status == 200
+                callers = {
+                    run.caller
+                    for backend in fleet.backends.values()
+                    for run in backend.runs
+                }
+                await asyncio.sleep(0.05)
--- a/tests/sidecar/test_traffic_split.py
+++ b/tests/sidecar/test_weighted_split.py
@@ -1,16 +1,16 @@
 """Tests of the shares of a route's services."""
 
 import pytest
-from vanillamast_sidecar.traffic_split import TrafficSplit
+from vanillamast_sidecar.weighted_split import WeightedSplit
 
 
-class TestTrafficSplit:
+class TestWeightedSplit:
     """Smooth weighted round robin."""
 
     @pytest.mark.parametrize("first", [1, 10, 33, 90, 99])
     def test_every_window_of_a_hundred_has_the_exact_share(self, first):
         """Guards against shares that drift in a short span of requests."""
-        split = TrafficSplit((("a", float(first)), ("b", 100.0 - first)))
+        split = WeightedSplit((("a", float(first)), ("b", 100.0 - first)))
         chosen = [split.choose() for _ in range(300)]
         for start in range(200):
             count = chosen[start : start + 100].count("a")
@@ -18,5 +18,5 @@
 
     def test_a_weight_of_zero_gets_nothing(self):
         """Guards against requests on a closed part of a split."""
-        split = TrafficSplit((("a", 0.0), ("b", 5.0)))
+        split = WeightedSplit((("a", 0.0), ("b", 5.0)))
         assert {split.choose() for _ in range(50)} == {"b"}
