Keep requests in their domain while a near server meets the objective

Cause: the stricter due time for admission also sent requests across domains. Change: the choice of a server uses the whole objective.

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -66,6 +66,8 @@
       arrived: When it was read, in loop time.
       deadline: When the caller must have an answer, in loop time.
       due: When a server should have answered, in loop time.
+      latest: When a near server should have answered for the request to stay
+        in its failure domain, in loop time.
       rank: Place among the requests that wait for a server.
       headers: Fields to forward.
       tried: Servers that were offered the request.
@@ -83,6 +85,7 @@
     arrived: float
     deadline: float
     due: float
+    latest: float
     rank: int
     headers: Headers
     tried: set[str]
@@ -210,7 +213,8 @@
             left_s = _milliseconds(value)
             if left_s is not None:
                 timeout_s = min(timeout_s, left_s)
-        due_s = min(timeout_s, route.target_latency_s) * DUE_SHARE
+        objective_s = min(timeout_s, route.target_latency_s)
+        due_s = objective_s * DUE_SHARE
         if self.executor.is_nested(request_id):
             # Late is better than never: the work of its parent is lost with
             # it.
@@ -223,6 +227,7 @@
             arrived,
             arrived + timeout_s,
             arrived + due_s,
+            arrived + max(objective_s, due_s),
             route.priority,
             self._forwarded(request),
             set(),
@@ -265,7 +270,7 @@
                 exchange.tried,
                 exchange.service,
                 exchange.rank,
-                exchange.due,
+                exchange.latest,
                 now,
             )
             if peer is None or now >= exchange.deadline:
