Send the body of a call that may not run twice with its confirmation

Change: such a call brings its body with the confirmation, once it has a slot; a far server that refused is left out for 0.4 s.

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -43,8 +43,10 @@
 # expected sooner or nothing is known.
 SHORTEST_RETRY_AFTER_S = 0.05
 # A server that refused for want of slots is left out for this long at most,
-# in seconds; its next report may say more.
-LONGEST_REFUSAL_S = 0.1
+# in seconds: until the next report of a near one; a far one sends none, and
+# asking it costs bytes between domains.
+NEAR_REFUSAL_S = 0.1
+FAR_REFUSAL_S = 0.4
 # Nodes that refuse a request before it is refused to the caller.
 MAX_REFUSALS = 3
 
@@ -331,8 +333,8 @@
             exchange.may_have_run = True
         if result.outcome is Outcome.NOT_RUN and not result.arrived:
             exchange.refusals += 1
-            hold = min(LONGEST_REFUSAL_S, result.retry_after_s)
-            peer.refused_until = now + hold
+            longest_s = NEAR_REFUSAL_S if peer.near else FAR_REFUSAL_S
+            peer.refused_until = now + min(longest_s, result.retry_after_s)
             peer.refused_rank = exchange.rank
 
     async def _run_here(self, exchange: Exchange) -> CallResult:
@@ -364,7 +366,7 @@
         route = exchange.route
         remaining_s = exchange.deadline - now
 
-        def make(number: int) -> Call:
+        def make(number: int, body: bytes) -> Call:
             return Call(
                 number,
                 now,
@@ -379,11 +381,14 @@
                 request.method,
                 request.target,
                 exchange.headers,
-                request.body,
+                body,
             )
 
         reply = await link.call(
-            make, route.idempotent, remaining_s + TIMEOUT_GRACE_S
+            make,
+            request.body,
+            route.idempotent,
+            remaining_s + TIMEOUT_GRACE_S,
         )
         return CallResult(
             reply.outcome,
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -84,7 +84,8 @@
       method: Method.
       target: Request target.
       headers: Fields to forward.
-      body: Body.
+      body: Body; a call that may not run twice brings it with its
+        confirmation.
     """
 
     id: int
@@ -205,13 +206,15 @@
     """The sender of a granted call still wants it.
 
     Without this message the call never runs, so that a sender that has not
-    sent it can truthfully say so.
+    sent it can truthfully say so, and a refused call costs no body.
 
     Attributes:
       id: Id of the call.
+      body: Body of the request.
     """
 
     id: int
+    body: bytes
 
 
 AnyMessage = (
--- a/packages/sidecar/src/vanillamast_sidecar/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_link.py
@@ -33,12 +33,13 @@
     Attributes:
       future: Takes the reply.
       idempotent: Whether the call may run more than once.
-      confirmed: Whether the peer was told to run a call that may not run
-        twice.
+      body: Body of a call that may not run twice.
+      confirmed: Whether the peer was told to run such a call.
     """
 
     future: asyncio.Future[Reply]
     idempotent: bool
+    body: bytes
     confirmed: bool = False
 
     def end(self, number: int, outcome: Outcome, reason: Reason) -> None:
@@ -123,7 +124,11 @@
             self.transport.write(self.codec.encode(message))
 
     async def call(
-        self, make: Callable[[int], Call], idempotent: bool, timeout_s: float
+        self,
+        make: Callable[[int, bytes], Call],
+        body: bytes,
+        idempotent: bool,
+        timeout_s: float,
     ) -> Reply:
         """Sends a call and returns its reply.
 
@@ -131,7 +136,8 @@
         reply that says so.
 
         Args:
-          make: Makes the message from the call's id.
+          make: Makes the message from the call's id and body.
+          body: Body of the request.
           idempotent: Whether the call may run more than once.
           timeout_s: Longest wait for the reply, in seconds.
         """
@@ -139,10 +145,10 @@
             return _lost(0, Outcome.NOT_RUN, Reason.CONNECT_FAILED)
         self.next_id += 1
         number = self.next_id
-        pending = PendingCall(self.loop.create_future(), idempotent)
+        pending = PendingCall(self.loop.create_future(), idempotent, body)
         self.pending[number] = pending
         timer = self.loop.call_later(timeout_s, self._expire, number)
-        self.send(make(number))
+        self.send(make(number, body if idempotent else b""))
         try:
             return await pending.future
         except asyncio.CancelledError:
@@ -218,7 +224,7 @@
         pending = self.pending.get(number)
         if pending is not None and not pending.future.done():
             pending.confirmed = True
-            self.send(Confirm(number))
+            self.send(Confirm(number, pending.body))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the calls in flight."""
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -65,7 +65,7 @@
         self.origin = ""
         self.transport: asyncio.Transport | None = None
         self.codec = FrameCodec()
-        self.confirmations: dict[int, asyncio.Future[bool]] = {}
+        self.confirmations: dict[int, asyncio.Future[bytes]] = {}
         self.clock = ClockOffset()
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
@@ -102,7 +102,7 @@
             elif isinstance(message, Confirm):
                 confirmation = self.confirmations.get(message.id)
                 if confirmation is not None and not confirmation.done():
-                    confirmation.set_result(True)
+                    confirmation.set_result(message.body)
             elif isinstance(message, Ping):
                 self.send(Pong())
             else:
@@ -122,7 +122,7 @@
     async def _serve(self, call: Call, sent: float) -> None:
         now = self.loop.time()
 
-        async def confirm() -> bool:
+        async def confirm() -> bytes | None:
             return await self._confirm(call.id)
 
         try:
@@ -151,9 +151,9 @@
             self.tasks.pop(call.id, None)
         self._reply(call.id, result)
 
-    async def _confirm(self, number: int) -> bool:
-        """Asks the sender of a call whether it still wants it."""
-        confirmation: asyncio.Future[bool] = self.loop.create_future()
+    async def _confirm(self, number: int) -> bytes | None:
+        """Asks the sender of a call for its body, if it still wants it."""
+        confirmation: asyncio.Future[bytes] = self.loop.create_future()
         self.confirmations[number] = confirmation
         self.send(Granted(number))
         try:
@@ -161,7 +161,7 @@
                 return await confirmation
         except TimeoutError:
             # The sender is cut off or has given the call up.
-            return False
+            return None
         finally:
             del self.confirmations[number]
 
--- a/packages/sidecar/src/vanillamast_sidecar/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_call.py
@@ -5,7 +5,7 @@
 
 from vanillamast_sidecar.http_message import Headers
 
-Confirm = Callable[[], Awaitable[bool]]
+Confirm = Callable[[], Awaitable[bytes | None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,8 +25,9 @@
       target: Request target.
       headers: Fields to forward.
       body: Body.
-      confirm: Asks the sender of a request that may not run twice whether it
-        still wants it; None if nothing can be lost on the way.
+      confirm: Asks the sender of a request that may not run twice for its
+        body, None if it no longer wants it; None if nothing can be lost on
+        the way.
     """
 
     request_id: bytes
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -287,18 +287,21 @@
             return self._not_run(call, Reason.CONNECT_FAILED)
         # The server may have left while the connection was opened, and the
         # sender may be cut off.
-        confirmed = call.confirm is None or await call.confirm()
+        body: bytes | None = call.body
+        if call.confirm is not None:
+            body = await call.confirm()
         reason = self._refusal(call)
-        if not confirmed:
+        if body is None:
             reason = Reason.NOT_CONFIRMED
         if reason:
             pool.release(connection)
             return self._not_run(call, reason)
-        return await self._exchange(call, pool, connection)
+        return await self._exchange(call, body or b"", pool, connection)
 
     async def _exchange(
         self,
         call: ServerCall,
+        body: bytes,
         pool: ConnectionPool,
         connection: ClientConnection,
     ) -> CallResult:
@@ -312,7 +315,7 @@
                 (fields.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
                 (fields.expected_instance, call.instance_id.encode()),
             ],
-            call.body,
+            body,
         )
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
