--- a/Makefile
+++ b/Makefile
@@ -2,24 +2,27 @@
 VENV ?= .venv
 DEPLOYMENT ?= tintero
 PY := $(VENV)/bin/python
-PACKAGES := core node cli testing
+PACKAGES := packages/core packages/node packages/cli packages/sidecar packages/testing platform
 empty :=
 space := $(empty) $(empty)
 # The checkout's own sources go first, so that one environment can serve
 # several work trees.
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src))
 
-.PHONY: setup demo test lint format bench fuzz generate clean
+.PHONY: setup demo demo-standalone test lint format bench fuzz generate clean
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(foreach p,$(PACKAGES),$(p)/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install -q -r requirements.txt
-	$(PY) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(PY) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e $(p))
 	touch $@
 
 demo: setup
+	$(PY) -m vanillamast_testing.emulator.demo
+
+demo-standalone: setup
 	$(PY) -m vanillamast_testing.demo --deployment=$(DEPLOYMENT)
 
 test: setup
@@ -28,7 +31,7 @@
 lint: setup
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m mypy packages/core/src packages/node/src packages/cli/src packages/testing/src
+	$(PY) -m mypy $(foreach p,$(PACKAGES),$(p)/src)
 
 format: setup
 	$(PY) -m ruff format .
--- a/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
@@ -25,8 +25,8 @@
 # allow: each wait that ends without one costs a call.
 WAIT_S = 28.0
 # Changes that follow each other within this time are read in one call, in
-# seconds; a small part of the time in which they have to be in force.
-COALESCE_S = 0.25
+# seconds; a third of the time in which they have to be in force.
+COALESCE_S = 0.6
 # Interval of the cheap calls that show whether the store answers, in
 # seconds; half of the time in which a change has to be in force.
 PROBE_INTERVAL_S = 1.0
--- /dev/null
+++ b/packages/testing/src/vanillamast_testing/emulator/demo.py
@@ -0,0 +1,215 @@
+"""The platform's path end to end on one machine: `make demo`."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+
+from vanillamast_testing.emulator.caller import CallerAnswer
+from vanillamast_testing.emulator.machine import Machine
+from vanillamast_testing.emulator.platform import EmulatedPlatform
+
+ZONES = 3
+PAUSE_S = 0.02  # Between requests: about 50 a second.
+READY_INTERVAL_S = 0.1  # Between two questions for readiness.
+STEP_TIMEOUT_S = 30.0  # Only a hang takes this long.
+MOVE_S = 8.0  # Time that the moves of the demo get, in seconds.
+
+
+class Demo:
+    """Runs the steps and keeps what callers saw.
+
+    Attributes:
+      platform: The emulated platform.
+      answers: What callers got.
+      failed: Outcomes that did not hold.
+      tasks: Callers and the watch of readiness.
+      ready: Machines that callers use.
+    """
+
+    def __init__(self, platform: EmulatedPlatform):
+        self.platform = platform
+        self.answers: list[CallerAnswer] = []
+        self.failed: list[str] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ready: list[Machine] = []
+
+    def show(self, outcome: str, held: bool, detail: str) -> None:
+        """Prints an outcome."""
+        print(f"{'held  ' if held else 'FAILED'}  {outcome}: {detail}")
+        if not held:
+            self.failed.append(outcome)
+
+    async def run(self) -> int:
+        """Runs all steps; returns the exit status."""
+        platform = self.platform
+        platform.operator.route("page", "browse")
+        platform.operator.route("post", "publish", kind="non_idempotent")
+        await platform.operator.publish()
+        for zone in range(ZONES):
+            await platform.add(zone, "browse")
+            await platform.add(zone, "publish")
+        await platform.all_ready()
+        self.tasks = [
+            asyncio.create_task(self._watch_readiness()),
+            asyncio.create_task(self._callers()),
+        ]
+        await self._configuration()
+        await self._killed_node()
+        await self._store_away()
+        await self._good_move()
+        await self._bad_move()
+        for task in self.tasks:
+            task.cancel()
+        self._totals()
+        return 1 if self.failed else 0
+
+    async def _callers(self) -> None:
+        number = 0
+        while True:
+            number += 1
+            if not self.ready:
+                await asyncio.sleep(READY_INTERVAL_S)
+                continue
+            machine = self.ready[number % len(self.ready)]
+            path = "/post/1" if number % 3 == 0 else "/page/1"
+            method = "POST" if number % 3 == 0 else "GET"
+            task = asyncio.create_task(
+                self.platform.caller.send(machine, path, method)
+            )
+            task.add_done_callback(lambda t: self.answers.append(t.result()))
+            await asyncio.sleep(PAUSE_S)
+
+    async def _watch_readiness(self) -> None:
+        """Keeps callers away from machines that are not ready."""
+        while True:
+            machines = list(self.platform.machines.values())
+            found = await asyncio.gather(
+                *(self.platform.is_ready(machine) for machine in machines)
+            )
+            self.ready = [
+                machine
+                for machine, ready in zip(machines, found, strict=True)
+                if ready
+            ]
+            await asyncio.sleep(READY_INTERVAL_S)
+
+    async def _until(self, check: Callable[[], Awaitable[bool]]) -> float:
+        """Waits until a check holds; returns how long that took."""
+        started = time.monotonic()
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while not await check():
+                await asyncio.sleep(0.02)
+        return time.monotonic() - started
+
+    async def _served(self, path: str) -> bool:
+        for machine in self.platform.machines.values():
+            if machine.process.running:
+                answer = await self.platform.caller.send(machine, path)
+                if answer.status != 200:
+                    return False
+        return True
+
+    async def _configuration(self) -> None:
+        self.platform.operator.route("news", "browse")
+        await self.platform.operator.publish()
+        took_s = await self._until(lambda: self._served("/news/1"))
+        self.show(
+            "a configuration is in force on every node",
+            took_s < 2.0,
+            f"{took_s:.2f} s of 2 s",
+        )
+
+    async def _killed_node(self) -> None:
+        machine = self.platform.machines["m1"]
+        await machine.process.kill()
+        await machine.process.start()
+        took_s = await self._until(lambda: self.platform.is_ready(machine))
+        self.show("a killed node is back", True, f"{took_s:.2f} s")
+
+    async def _store_away(self) -> None:
+        self.platform.store.down = "reset"
+        machine = self.platform.machines["m2"]
+        await machine.process.kill()
+        await machine.process.start()
+        took_s = await self._until(lambda: self.platform.is_ready(machine))
+        served = await self._served("/page/1")
+        self.show(
+            "nodes serve, and one restarts, without the store",
+            served,
+            f"ready after {took_s:.2f} s",
+        )
+        self.platform.store.down = ""
+
+    async def _ended(self, service: str, state: str) -> float:
+        async def check() -> bool:
+            return self.platform.operator.move_state(service) == state
+
+        return await self._until(check)
+
+    async def _good_move(self) -> None:
+        for zone in range(ZONES):
+            await self.platform.add(zone, "browse", "v2")
+        await self.platform.all_ready()
+        await self.platform.operator.move("browse", "v2", MOVE_S)
+        took_s = await self._ended("browse", "complete")
+        self.show(
+            "a good version takes over in time",
+            took_s < MOVE_S,
+            f"{took_s:.1f} s of {MOVE_S:.0f} s",
+        )
+
+    async def _bad_move(self) -> None:
+        names = []
+        for zone in range(ZONES):
+            machine = await self.platform.add(zone, "publish", "v2")
+            self.platform.backends[machine.name].fail_every = 2
+            names.append(machine.name)
+        await self.platform.all_ready()
+        await self.platform.operator.move("publish", "v2", MOVE_S * 2)
+        took_s = await self._ended("publish", "reverted")
+        await asyncio.sleep(0.3)
+        exposed = sum(len(self.platform.backends[n].runs) for n in names)
+        self.show(
+            "a bad version is taken back",
+            exposed <= 50,
+            f"after {took_s:.1f} s and {exposed} requests",
+        )
+
+    def _totals(self) -> None:
+        runs: dict[str, int] = {}
+        for backend in self.platform.backends.values():
+            for run in backend.runs:
+                if run.method == "POST":
+                    runs[run.request_id] = runs.get(run.request_id, 0) + 1
+        twice = sum(count > 1 for count in runs.values())
+        self.show(
+            "no post runs twice", twice == 0, f"{twice} of {len(runs)} posts"
+        )
+        refused = [a for a in self.answers if a.status in (429, 503)]
+        untrue = sum(answer.request_id in runs for answer in refused)
+        self.show(
+            "a refused post has not run",
+            untrue == 0,
+            f"{untrue} of {len(refused)} refusals",
+        )
+        served = sum(answer.status == 200 for answer in self.answers)
+        total = len(self.answers)
+        self.show(
+            "callers are served",
+            served >= 0.95 * total,
+            f"{served} of {total} requests",
+        )
+
+
+async def main() -> int:
+    """Runs the demo in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with EmulatedPlatform(pathlib.Path(folder), "127.30") as platform:
+            return await Demo(platform).run()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/tests/cli/test_operator_syntax.py
+++ b/tests/cli/test_operator_syntax.py
@@ -12,7 +12,7 @@
 from vanillamast_cli.operator_syntax import operator_parser
 from vanillamast_cli.times import ByTime, InDuration
 
-PAGE = pathlib.Path(__file__).parents[2] / "docs" / "operations.md"
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "standalone-node.md"
 KEYWORDS = sorted(
     terminal.name[1:].lower()
     for terminal in operator_parser().terminals
--- /dev/null
+++ b/tests/sidecar/test_logbook.py
@@ -0,0 +1,72 @@
+"""Tests of the structured log."""
+
+import json
+import os
+import time
+
+from vanillamast_sidecar.logbook import BUFFER_BYTES, Logbook
+
+
+class TestLogbook:
+    """Bounded volume, no blocking."""
+
+    def test_a_reader_that_stands_still_blocks_nothing(self):
+        """Guards against a node that waits for its log's reader."""
+        reader, writer = os.pipe()
+        log = Logbook("n", writer)
+        started = time.monotonic()
+        for second in range(40):
+            log.second = second  # Each round counts as a second of its own.
+            log.counts.clear()
+            for number in range(50):
+                log.write("request.attempt", number=number, text="x" * 400)
+        assert time.monotonic() - started < 30.0
+        assert log.pending_bytes <= BUFFER_BYTES
+        assert log.dropped > 0
+        os.close(reader)
+        os.close(writer)
+
+    def test_lines_are_whole_after_a_partial_write(self):
+        """Guards against lines that run into each other."""
+        reader, writer = os.pipe()
+        log = Logbook("n", writer)
+        received = b""
+        os.set_blocking(reader, False)
+        for number in range(1200):
+            if number % 50 == 0:
+                log.counts.clear()
+            log.write("request.attempt", number=number, text="y" * 300)
+            if number % 100 == 0:
+                received += os.read(reader, 30000)
+        for _ in range(200):
+            log.flush()
+            try:
+                received += os.read(reader, 1 << 20)
+            except BlockingIOError:
+                break
+        lines = [json.loads(line) for line in received.splitlines()]
+        numbers = [line["number"] for line in lines if "number" in line]
+        assert numbers == sorted(numbers)
+        assert len(lines) > 100
+        os.close(reader)
+        os.close(writer)
+
+    def test_the_volume_of_a_kind_is_bounded_and_told(self):
+        """Guards against logs that grow with the load."""
+        reader, writer = os.pipe()
+        log = Logbook("n", writer)
+        log.second = int(time.time()) + 1_000_000
+        for _ in range(500):
+            log.counts["request.attempt"] = log.counts.get("request.attempt", 0)
+            log.write("request.attempt")
+        log._new_second(0)
+        log.flush()
+        lines = [
+            json.loads(line) for line in os.read(reader, 1 << 20).splitlines()
+        ]
+        suppressed = [x for x in lines if x["kind"] == "log.suppressed"]
+        attempts = [x for x in lines if x["kind"] == "request.attempt"]
+        told = sum(x["kinds"]["request.attempt"] for x in suppressed)
+        assert len(attempts) + told == 500
+        os.close(reader)
+        os.close(writer)
