--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -322,7 +322,7 @@
             self._take_announcement(message.record)
         elif isinstance(message, Plan):
             if self.moves.take_plan(message.plan, now):
-                self._log_plan(message)
+                self.log.write("move.plan", **message.plan.log_fields())
         elif isinstance(message, Evidence):
             self.on_evidence(connection.origin, message)
         elif isinstance(message, FetchOperator):
@@ -344,18 +344,6 @@
             version=instance.version if instance is not None else None,
         )
 
-    def _log_plan(self, message: Plan) -> None:
-        plan = message.plan
-        self.log.write(
-            "move.plan",
-            service=plan.service,
-            order=plan.order_id,
-            to=plan.to_version,
-            state=plan.state,
-            share=plan.share,
-            elapsed_s=plan.elapsed_s,
-        )
-
     def _greet(self, connection: PeerServer, message: Hello) -> None:
         now = self.loop.time()
         address = message.record.address
--- a/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
@@ -220,15 +220,7 @@
     def _announce(self, plan: MovePlan, now: float) -> None:
         self.last_plan[plan.service] = now
         self.mesh.broadcast(Plan(plan))
-        self.log.write(
-            "move.announced",
-            service=plan.service,
-            order=plan.order_id,
-            to=plan.to_version,
-            state=plan.state,
-            share=plan.share,
-            elapsed_s=plan.elapsed_s,
-        )
+        self.log.write("move.announced", **plan.log_fields())
 
     # The store's record of a move.
 
--- a/packages/sidecar/src/vanillamast_sidecar/move_plan.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_plan.py
@@ -23,3 +23,14 @@
     state: MoveState
     share: float
     elapsed_s: float
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the plan as fields of a log line."""
+        return {
+            "service": self.service,
+            "order": self.order_id,
+            "to": self.to_version,
+            "state": self.state,
+            "share": self.share,
+            "elapsed_s": self.elapsed_s,
+        }
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -8,6 +8,7 @@
 from vanillamast_sidecar.clock_offset import ClockOffset
 from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.frame_codec import FrameCodec
+from vanillamast_sidecar.http_message import HttpResponse
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.messages import (
     AnyMessage,
@@ -33,6 +34,8 @@
 # round trips between failure domains.
 CONFIRM_TIMEOUT_S = 0.3
 
+NO_RESPONSE = HttpResponse(0, [])
+
 Runner = Callable[[ServerCall], Awaitable[CallResult]]
 
 
@@ -166,20 +169,7 @@
             del self.confirmations[number]
 
     def _reply(self, number: int, result: CallResult) -> None:
-        load = self.load()
-        response = result.response
-        if response is None:
-            self.send(
-                Reply(
-                    number,
-                    result.outcome,
-                    result.reason,
-                    result.arrived,
-                    result.retry_after_s,
-                    load,
-                )
-            )
-            return
+        response = result.response or NO_RESPONSE
         self.send(
             Reply(
                 number,
@@ -187,7 +177,7 @@
                 result.reason,
                 result.arrived,
                 result.retry_after_s,
-                load,
+                self.load(),
                 response.status,
                 response.reason,
                 response.headers,
--- /dev/null
+++ b/tests/sidecar/test_calls_between_nodes.py
@@ -0,0 +1,165 @@
+"""Tests of calls from one node to another."""
+
+import asyncio
+
+import pytest
+from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.messages import Call, Hello, Welcome
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.peer_link import PeerLink
+from vanillamast_sidecar.peer_server import PeerServer
+
+HOST = "127.25.0.1"
+PORT = 18500
+LOAD = LoadReport(0, 0, 0.0, 0.0)
+RECORD = NodeRecord(f"{HOST}:{PORT}", "a", 1, 0, False, None)
+
+
+class Pair:
+    """A link to a server whose backend the test plays.
+
+    Attributes:
+      calls: Calls that the second hop took.
+      ran: Bodies of the calls that it ran.
+      slot: Set when a slot is free.
+    """
+
+    def __init__(self) -> None:
+        self.calls = []
+        self.ran = []
+        self.slot = asyncio.Event()
+        self.slot.set()
+        self.server_side = None
+        self.lost = 0
+
+    async def run(self, call):
+        """Runs a call as the second hop does."""
+        self.calls.append(call)
+        await self.slot.wait()
+        body = call.body
+        if call.confirm is not None:
+            body = await call.confirm()
+            if body is None:
+                return CallResult(Outcome.NOT_RUN)
+        self.ran.append(body)
+        await asyncio.sleep(0.05)
+        return CallResult(
+            Outcome.ANSWERED, response=HttpResponse(200, [], body)
+        )
+
+    def greet(self, connection, message):
+        """Answers a hello."""
+        if isinstance(message, Hello):
+            self.server_side = connection
+            connection.send(Welcome(RECORD, [], [], LOAD))
+
+    def note_loss(self, link):
+        """Counts a lost connection."""
+        self.lost += 1
+
+
+@pytest.fixture
+async def pair():
+    """Connects a link to a server."""
+    found = Pair()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: PeerServer(
+            found.run, lambda: LOAD, found.greet, lambda _: None
+        ),
+        HOST,
+        PORT,
+    )
+    found.link = PeerLink(
+        f"{HOST}:{PORT}", False, lambda *_: None, found.note_loss
+    )
+    assert await found.link.open(HOST, PORT, Hello(RECORD, False))
+    yield found
+    found.link.close()
+    server.close()
+
+
+async def send(pair, idempotent, body=b"body", timeout_s=5.0):
+    """Sends a call over the link."""
+
+    def make(number, sent_body):
+        return Call(
+            number,
+            asyncio.get_running_loop().time(),
+            timeout_s,
+            timeout_s,
+            b"id",
+            "i-1",
+            1,
+            "route",
+            1,
+            idempotent,
+            "POST",
+            "/x",
+            [],
+            sent_body,
+        )
+
+    return await pair.link.call(make, body, idempotent, timeout_s)
+
+
+class TestCallsBetweenNodes:
+    """What the first hop may say when a connection breaks."""
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_a_call_brings_its_body(self, pair, idempotent):
+        """Guards against a body that is lost on the way."""
+        reply = await send(pair, idempotent)
+        assert reply.outcome is Outcome.ANSWERED
+        assert reply.body == b"body"
+
+    async def test_a_call_without_a_slot_carries_no_body(self, pair):
+        """Guards against paying for the body of a refused call."""
+        pair.slot.clear()
+        task = asyncio.create_task(send(pair, False))
+        while not pair.calls:
+            await asyncio.sleep(0.01)
+        assert pair.calls[0].body == b""
+        pair.slot.set()
+        assert (await task).body == b"body"
+
+    async def test_an_unconfirmed_call_has_not_run(self, pair):
+        """Guards against an unclear outcome of what never ran."""
+        pair.slot.clear()
+        task = asyncio.create_task(send(pair, False))
+        while not pair.calls:
+            await asyncio.sleep(0.01)
+        pair.link.close()
+        assert (await task).outcome is Outcome.NOT_RUN
+        pair.slot.set()
+        await asyncio.sleep(0.5)
+        assert pair.ran == []
+
+    async def test_a_confirmed_call_may_have_run(self, pair):
+        """Guards against a second run after a lost connection."""
+        task = asyncio.create_task(send(pair, False))
+        while not pair.ran:
+            await asyncio.sleep(0.005)
+        pair.link.close()
+        assert (await task).outcome is Outcome.UNKNOWN
+
+    async def test_a_withdrawn_call_never_runs(self, pair):
+        """Guards against a run after the request went elsewhere."""
+        pair.slot.clear()
+        task = asyncio.create_task(send(pair, False))
+        while not pair.calls:
+            await asyncio.sleep(0.01)
+        assert pair.link.give_up_movable() == 1
+        assert (await task).outcome is Outcome.NOT_RUN
+        pair.slot.set()
+        await asyncio.sleep(0.5)
+        assert pair.ran == []
+
+    async def test_a_call_out_of_time_is_told(self, pair):
+        """Guards against a caller that waits for ever."""
+        pair.slot.clear()
+        reply = await send(pair, True, timeout_s=0.2)
+        assert reply.outcome is Outcome.EXPIRED
