--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -42,6 +42,9 @@
 # Callers come back after this long at least, in seconds, when a slot is
 # expected sooner or nothing is known.
 SHORTEST_RETRY_AFTER_S = 0.05
+# The same from a node that starts or stops, in seconds: about the time that
+# a started node needs for its configuration.
+UNROUTED_RETRY_AFTER_S = 0.2
 # A server that refused for want of slots is left out for this long at most,
 # in seconds: until the next report of a near one; a far one sends none, and
 # asking it costs bytes between domains.
@@ -157,9 +160,7 @@
         fields = self.settings.fields
         request_id = request.get(fields.request_id) or b""
         if self.snapshot is None:
-            return self._refuse(
-                request_id, Reason.NO_CONFIGURATION, SHORTEST_RETRY_AFTER_S * 4
-            )
+            return self._refuse_unrouted(request_id, Reason.NO_CONFIGURATION)
         host = (request.get(b"host") or b"").decode("latin-1")
         route = self.table.match(host, request.target)
         if route is None:
@@ -167,9 +168,7 @@
         exchange = self._exchange(request, route, request_id, arrived)
         if exchange.deadline > self.stops_at:
             # It could be cut off when the process ends.
-            return self._refuse(
-                request_id, Reason.STOPPING, SHORTEST_RETRY_AFTER_S
-            )
+            return self._refuse_unrouted(request_id, Reason.STOPPING)
         budget = self._budget(exchange.service)
         budget.count_first(arrived)
         try:
@@ -184,6 +183,18 @@
             )
             raise
 
+    def _refuse_unrouted(
+        self, request_id: bytes, reason: Reason
+    ) -> HttpResponse:
+        """Refuses a request that this node cannot take at the moment."""
+        self.log.write(
+            "request.refused",
+            request=request_id.decode("latin-1"),
+            reason=reason,
+            active=self.executor.load().running,
+        )
+        return self._refuse(request_id, reason, UNROUTED_RETRY_AFTER_S)
+
     def _no_route(
         self, request_id: bytes, host: str, target: str
     ) -> HttpResponse:
