--- a/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
@@ -20,7 +20,6 @@
       port: Port of the server.
       id_field: Field in which answers echo the request's id.
       idle: Idle connections, oldest first.
-      opened: Connections opened so far.
     """
 
     def __init__(self, host: str, port: int, id_field: bytes):
@@ -28,7 +27,6 @@
         self.port = port
         self.id_field = id_field
         self.idle: list[ClientConnection] = []
-        self.opened = 0
 
     async def acquire(
         self, now: float, idempotent: bool, connect_timeout_s: float
@@ -52,7 +50,6 @@
                 continue
             break
         connection = ClientConnection(self.id_field)
-        self.opened += 1
         await connection.open(self.host, self.port, connect_timeout_s)
         return connection
 
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -198,14 +198,13 @@
     def _no_route(
         self, request_id: bytes, host: str, target: str
     ) -> HttpResponse:
-        version = self.snapshot.version if self.snapshot is not None else -1
         self.metrics.count("requests", outcome=Reason.NO_ROUTE)
         self.log.write(
             "request.no_route",
             request=request_id.decode("latin-1"),
             host=host,
             target=target[:80],
-            config_version=version,
+            config_version=self.mesh.config_version,
         )
         return self._own_answer(NOT_FOUND, request_id, Reason.NO_ROUTE)
 
@@ -338,11 +337,9 @@
         """Remembers what an attempt says about the request and the server."""
         if result.arrived:
             exchange.attempts += 1
-        if result.outcome in (Outcome.UNKNOWN, Outcome.EXPIRED):
+        if result.outcome is not Outcome.NOT_RUN:
             exchange.may_have_run = True
-        if result.outcome is Outcome.ANSWERED:
-            exchange.may_have_run = True
-        if result.outcome is Outcome.NOT_RUN and not result.arrived:
+        elif not result.arrived:
             exchange.refusals += 1
             longest_s = NEAR_REFUSAL_S if peer.near else FAR_REFUSAL_S
             peer.refused_until = now + min(longest_s, result.retry_after_s)
@@ -467,7 +464,6 @@
         return self._refuse(exchange.request_id, reason, wait_s)
 
     def _log_end(self, exchange: Exchange, status: int, reason: Reason) -> None:
-        version = self.snapshot.version if self.snapshot is not None else -1
         self.log.write(
             "request.failed",
             request=exchange.request_id.decode("latin-1"),
@@ -478,7 +474,7 @@
             attempts=exchange.attempts,
             refusals=exchange.refusals,
             after_s=round(self.loop.time() - exchange.arrived, 3),
-            config_version=version,
+            config_version=self.mesh.config_version,
         )
 
     def _refuse(
--- a/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
@@ -223,8 +223,7 @@
 
     def take_tick(self, peer: Peer, tick: Tick) -> None:
         """Fetches from a near node what the own path does not bring."""
-        version = self.snapshot.version if self.snapshot is not None else -1
-        behind = tick.config_version > version or (
+        behind = tick.config_version > self.mesh.config_version or (
             tick.operator_offset > max(0, self.offset)
         )
         if not behind:
--- a/packages/sidecar/src/vanillamast_sidecar/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/reason.py
@@ -26,4 +26,3 @@
     CALLER_GONE = "caller_gone"
     NOT_CONFIRMED = "not_confirmed"
     BUDGET_SPENT = "budget_spent"
-    SERVER_ERROR = "server_error"
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -55,7 +55,6 @@
       identity: Incarnation to which queue and pool belong.
       failing: Recent share of failed requests.
       running_ids: Ids of the requests that the server runs.
-      stopping: Whether the node stops.
     """
 
     def __init__(
@@ -79,7 +78,6 @@
         self.identity: tuple[str, int] = ("", 0)
         self.failing = DecayingShare()
         self.running_ids: set[bytes] = set()
-        self.stopping = False
 
     def load(self) -> LoadReport:
         """Returns how busy the server is."""
