Read the store with two nodes of each failure domain

Cause: every node followed the operator's stream. Change: the two live nodes with the lowest addresses of a failure domain read; their ticks tell how old their contact is, and the others fetch newer versions compressed from a near node. A node that hears of no reader with a contact younger than 0.9 s reads as well. States handed on carry the plans of moves, an order that a plan overtook is no longer passed on as if it were known, and load_age_s of request.attempt is the age at the decision. The emulated store tells machines apart by a listening address each: refused_hosts compared the callers' addresses, which are the same for all machines on loopback, so the test of a cut-off machine could not fail. The choice among servers of the same commit is described in its own words: two random ones of those with a free slot are compared, as 27 nodes that all chose the fastest server queued there (40 to 50% of attempts expected a wait while most servers were idle, 4 of 82 servers took a third of the requests).

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -303,6 +303,7 @@
         route = exchange.route
         exchange.tried.add(instance.id)
         wait_s, _ = peer.expected_s(now)
+        load_age_s = now - peer.load_at
         peer.outstanding += 1
         peer.used = (instance.id, instance.born_ms)
         try:
@@ -321,7 +322,7 @@
             peer=peer.record.address,
             instance=instance.id,
             near=peer.near,
-            load_age_s=round(now - peer.load_at, 3),
+            load_age_s=round(load_age_s, 3),
             expected_wait_s=round(wait_s, 3),
             outcome=result.outcome.name.lower(),
             reason=result.reason,
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -66,6 +66,8 @@
       wants_nodes: Whether the list of nodes could not be read yet.
       config_version: Version of the node's configuration, -1 without one.
       operator_offset: How far the node has read the operator's stream.
+      store_heard_at: When the node last heard from the store, in loop time;
+        None while it does not read the operator's stream.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.wants_nodes = True
         self.config_version = -1
         self.operator_offset = 0
+        self.store_heard_at: float | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> asyncio.Server:
@@ -220,7 +223,10 @@
 
     def _tick(self, now: float) -> None:
         load = self.load()
-        tick = Tick(load, self.config_version, self.operator_offset)
+        age_s = None
+        if self.store_heard_at is not None:
+            age_s = round(now - self.store_heard_at, 3)
+        tick = Tick(load, self.config_version, self.operator_offset, age_s)
         self.directory.own.report(load, now)
         for peer in self.directory.others():
             if peer.near and peer.link is not None:
@@ -317,6 +323,9 @@
         peer.last_heard = now
         if isinstance(message, Tick):
             peer.report(message.load, now)
+            peer.store_heard_at = None
+            if message.store_age_s is not None:
+                peer.store_heard_at = now - message.store_age_s
             self.on_tick(peer, message)
         elif isinstance(message, Announce):
             self._take_announcement(message.record)
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -60,11 +60,14 @@
       load: Load of the sender's backend server.
       config_version: Version of the sender's configuration.
       operator_offset: How far it has read the operator's stream.
+      store_age_s: Time since it last heard from the store, in seconds; None
+        while it does not read the stream.
     """
 
     load: LoadReport
     config_version: int
     operator_offset: int
+    store_age_s: float | None
 
 
 class Call(Message, tag=5, frozen=True):
@@ -185,11 +188,13 @@
       offset: How far the sender has read.
       config: Newest configuration, compressed; empty if unknown.
       orders: Newest orders: service, version, seconds, order id.
+      plans: Moves that the sender knows.
     """
 
     offset: int
     config: bytes
     orders: list[tuple[str, str, float, int]]
+    plans: list[MovePlan]
 
 
 class Granted(Message, tag=14, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/move_book.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_book.py
@@ -95,11 +95,15 @@
             self.on_change(plan.service)
         return news
 
-    def complete_order(self, order: MoveOrder) -> None:
-        """Fills in an order that a plan overtook."""
+    def complete_order(self, order: MoveOrder) -> bool:
+        """Fills in an order that a plan overtook; returns whether it did."""
         move = self.moves.get(order.service)
-        if move is not None and move.order.order_id == order.order_id:
-            move.order = order
+        if move is None or move.order.order_id != order.order_id:
+            return False
+        if move.order.over_s > 0.0 or order.over_s <= 0.0:
+            return False
+        move.order = order
+        return True
 
     def prefers_new(self, service: str) -> bool | None:
         """Returns whether the next request goes to the new version.
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -158,8 +158,7 @@
             self.loop.create_task(work)
             for work in (
                 self.mesh.keep(),
-                self.watch.follow(),
-                self.watch.watch_path(),
+                self.watch.keep(),
                 self.keeper.keep(),
                 self._find_nodes(),
                 self._upkeep(),
--- a/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
@@ -1,6 +1,7 @@
 """Follows what the operator publishes."""
 
 import asyncio
+import random
 import zlib
 from collections.abc import Callable
 
@@ -18,6 +19,7 @@
 from vanillamast_sidecar.move_plan import MovePlan
 from vanillamast_sidecar.move_state import MoveState
 from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.reader_duty import FRESH_S, ReaderDuty
 from vanillamast_sidecar.snapshot import Snapshot
 from vanillamast_sidecar.store_port import OperatorUpdate, Store
 
@@ -28,18 +30,26 @@
 # seconds; a third of the time in which they have to be in force.
 COALESCE_S = 0.6
 # Interval of the cheap calls that show whether the store answers, in
-# seconds; half of the time in which a change has to be in force.
-PROBE_INTERVAL_S = 1.0
+# seconds; a quarter of the time in which a change has to be in force.
+PROBE_INTERVAL_S = 0.5
+# Interval of checks whether this node has to read, in seconds.
+DUTY_INTERVAL_S = 0.1
 FIRST_RETRY_S = 0.2  # Wait after the first failed call.
 LONGEST_RETRY_S = 0.8  # Bounds how late the store's return is noticed.
 # A change that near nodes have had for this long is fetched from one of
 # them, in seconds: the own path to the store does not bring it.
 OVERDUE_S = 0.3
+# Nodes that do not read fetch a change within this time, in seconds, so that
+# the first ones to have it help to hand it on.
+FETCH_SPREAD_S = 0.2
 
 
 class OperatorWatch:
     """Reads configurations and orders, from the store or from near nodes.
 
+    Two nodes of each failure domain read the store and tell their versions
+    in their ticks; the others fetch what is newer from a near node.
+
     Attributes:
       store: The store.
       mesh: Other nodes.
@@ -51,7 +61,10 @@
       snapshot: Newest configuration.
       packed: The same, compressed, for other nodes; empty until asked for.
       connected: Whether the store answered the last call.
-      overdue_since: Since when near nodes have something newer, 0 if not.
+      duty: Decides whether this node reads the store.
+      reading: The task that reads the store, None while others do.
+      fetch_at: When to fetch what near nodes have, in loop time; 0 if they
+        have nothing newer.
     """
 
     def __init__(
@@ -74,19 +87,66 @@
         self.snapshot: Snapshot | None = None
         self.packed = b""
         self.connected = False
-        self.overdue_since = 0.0
+        self.duty = ReaderDuty(mesh.directory)
+        self.reading: asyncio.Task[None] | None = None
+        self.fetch_at = 0.0
         mesh.on_tick = self.take_tick
         mesh.on_operator_state = self.take_state
         mesh.operator_state = self.state
 
     # From the store.
 
-    async def follow(self) -> None:
+    async def keep(self) -> None:
+        """Reads the store while it is this node's duty."""
+        try:
+            while True:
+                now = self.loop.time()
+                must_read = self.offset < 0 or self.duty.must_read(now)
+                if self.reading is not None and self.reading.done():
+                    self._note_reader_failed(self.reading)
+                if must_read and self.reading is None:
+                    self._start_reading(now)
+                elif not must_read and self.reading is not None:
+                    self._stop_reading()
+                await asyncio.sleep(DUTY_INTERVAL_S)
+        finally:
+            if self.reading is not None:
+                self.reading.cancel()
+
+    def _start_reading(self, now: float) -> None:
+        # Nobody relies on this node before the store has answered it.
+        self.mesh.store_heard_at = now - FRESH_S
+        self.reading = self.loop.create_task(self._read())
+        self._log_duty(True)
+
+    def _stop_reading(self) -> None:
+        if self.reading is not None:
+            self.reading.cancel()
+        self.reading = None
+        self.mesh.store_heard_at = None
+        self._log_duty(False)
+
+    def _note_reader_failed(self, task: asyncio.Task[None]) -> None:
+        """Logs a defect that ended the reading; it starts again."""
+        self.reading = None
+        self.log.write("operator.reader_failed", error=repr(task.exception()))
+
+    def _log_duty(self, reads: bool) -> None:
+        self.metrics.set("store_reader", float(reads))
+        self.log.write("operator.duty", reads=reads, offset=self.offset)
+
+    async def _read(self) -> None:
+        """Follows the store and checks the path to it."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow())
+            group.create_task(self._watch_path())
+
+    async def _follow(self) -> None:
         """Reads until it is cancelled."""
         failures = 0
         while True:
             try:
-                if self.offset < 0 or self.snapshot is None:
+                if self.offset < 0:
                     update = await self.store.newest_operator_state()
                     await self._settle_old_orders(update.orders)
                 else:
@@ -97,8 +157,6 @@
                 self._note_store(True, "")
                 if self._take(update):
                     await asyncio.sleep(COALESCE_S)
-                elif self.snapshot is None:
-                    await asyncio.sleep(LONGEST_RETRY_S)
             except StoreTruncatedError as error:
                 self.log.write(
                     "operator.truncated",
@@ -126,9 +184,10 @@
             except StoreError as error:
                 self._note_store(False, str(error))
                 continue
+            self._note_store(True, "")
             return
 
-    async def watch_path(self) -> None:
+    async def _watch_path(self) -> None:
         """Ends a wait whose connection no longer carries an answer."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
@@ -139,8 +198,12 @@
             except StoreError as error:
                 self._note_store(False, str(error))
                 self.store.reset()
+            else:
+                self._note_store(True, "")
 
     def _note_store(self, connected: bool, error: str) -> None:
+        if connected and self.mesh.store_heard_at is not None:
+            self.mesh.store_heard_at = self.loop.time()
         if connected == self.connected:
             return
         self.connected = connected
@@ -179,6 +242,7 @@
         """Takes an update; returns whether it brought anything."""
         self.offset = max(self.offset, update.next_offset)
         self.mesh.operator_offset = max(0, self.offset)
+        self.fetch_at = 0.0
         news = self._take_orders(update.orders)
         if update.snapshot is not None:
             news = self._take_snapshot(update.snapshot, "store") or news
@@ -188,8 +252,8 @@
         news = False
         now = self.loop.time()
         for order in orders:
-            self.moves.complete_order(order)
-            if self.moves.take_order(order, now):
+            completed = self.moves.complete_order(order)
+            if completed or self.moves.take_order(order, now):
                 news = True
                 self.log.write(
                     "move.ordered",
@@ -226,16 +290,18 @@
         behind = tick.config_version > self.mesh.config_version or (
             tick.operator_offset > max(0, self.offset)
         )
+        now = self.loop.time()
         if not behind:
-            self.overdue_since = 0.0
             return
-        now = self.loop.time()
-        if not self.overdue_since:
-            self.overdue_since = now
-        elif now - self.overdue_since > OVERDUE_S:
-            self.overdue_since = 0.0
-            if peer.link is not None:
-                peer.link.send(FetchOperator())
+        if not self.fetch_at:
+            wait_s = OVERDUE_S
+            if self.reading is None:
+                wait_s = random.uniform(0.0, FETCH_SPREAD_S)
+            self.fetch_at = now + wait_s
+        if now >= self.fetch_at and peer.link is not None:
+            # Another node is asked if the answer does not come in time.
+            self.fetch_at = now + OVERDUE_S
+            peer.link.send(FetchOperator())
 
     def state(self) -> OperatorState | None:
         """Returns what another node may take over, None if nothing."""
@@ -251,8 +317,14 @@
                 move.order.order_id,
             )
             for move in self.moves.moves.values()
+            if move.order.over_s > 0.0
         ]
-        return OperatorState(max(0, self.offset), self.packed, orders)
+        plans = [
+            move.plan
+            for move in self.moves.moves.values()
+            if move.plan is not None
+        ]
+        return OperatorState(max(0, self.offset), self.packed, orders, plans)
 
     def take_state(self, state: OperatorState) -> None:
         """Takes over what a near node knows."""
@@ -261,8 +333,12 @@
         except (InvalidConfigurationError, zlib.error) as error:
             self.log.write("operator.invalid", error=str(error), source="peer")
             return
+        self.fetch_at = 0.0
         self._take_snapshot(snapshot, "peer")
         self._take_orders([MoveOrder(*fields) for fields in state.orders])
-        if self.offset >= 0:
+        now = self.loop.time()
+        for plan in state.plans:
+            self.moves.take_plan(plan, now)
+        if state.offset > 0:
             self.offset = max(self.offset, state.offset)
             self.mesh.operator_offset = self.offset
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -34,6 +34,8 @@
       failed_dials: Attempts to connect since the last success.
       dialing: Whether an attempt is under way.
       first_known: When the node became known, in loop time.
+      store_heard_at: When the node last heard from the store, in loop time;
+        None while it does not read the operator's stream.
     """
 
     def __init__(self, record: NodeRecord, near: bool, is_self: bool):
@@ -55,6 +57,7 @@
         self.failed_dials = 0
         self.dialing = False
         self.first_known = 0.0
+        self.store_heard_at: float | None = None
 
     @property
     def connected(self) -> bool:
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/reader_duty.py
@@ -0,0 +1,58 @@
+"""Decides which nodes read the operator's stream."""
+
+from vanillamast_sidecar.directory import Directory
+from vanillamast_sidecar.peer import Peer
+
+# Nodes of a failure domain that read the stream; the others are told by
+# them. The second one covers for the first until its loss is noticed.
+READERS = 2
+# A reader that has not heard from the store for this long does not count,
+# in seconds: a probe interval, a slow answer and a tick. A change has to be
+# in force within twice this time.
+FRESH_S = 0.9
+
+
+class ReaderDuty:
+    """Ranks the nodes of the failure domain by address.
+
+    The first ones read. A node that hears of no reader with a live path to
+    the store reads as well, whatever its rank.
+
+    Attributes:
+      directory: Nodes.
+    """
+
+    def __init__(self, directory: Directory):
+        self.directory = directory
+
+    def must_read(self, now: float) -> bool:
+        """Returns whether this node has to read by itself.
+
+        Args:
+          now: Loop time, in seconds.
+        """
+        own = self.directory.own.record.address
+        near = [peer for peer in self.directory.others() if _is_live(peer)]
+        if not any(_is_fresh(peer, now) for peer in near):
+            return True
+        ahead = sum(
+            peer.record.address < own
+            and (peer.store_heard_at is None or _is_fresh(peer, now))
+            for peer in near
+        )
+        return ahead < READERS
+
+
+def _is_live(peer: Peer) -> bool:
+    return (
+        peer.near
+        and peer.connected
+        and not peer.silent
+        and not peer.record.stopping
+    )
+
+
+def _is_fresh(peer: Peer, now: float) -> bool:
+    """Returns whether a peer reads and has just heard from the store."""
+    heard = peer.store_heard_at
+    return heard is not None and now - heard <= FRESH_S
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -17,6 +17,9 @@
 FAILING_PENALTY_S = 1.0
 # Servers within this much of the best one share the requests, in seconds.
 TIE_S = 0.002
+# Servers compared for a request, drawn at random. Nodes that all chose the
+# best of many servers would overload it before its next report.
+CHOICES = 2
 
 
 class ServerSelector:
@@ -94,20 +97,36 @@
         A request crosses to another failure domain only if no near server is
         expected to answer in time.
         """
-        near = [peer for peer in peers if peer.near]
-        for peer in near:
-            # Its speed shows only in use.
-            if peer.unproven(now) and _good_enough(peer, due, now):
-                return peer
-        best = self._cheapest(near, now)
-        if best is not None and _good_enough(best, due, now):
-            return best
-        far = [
+        good = [peer for peer in peers if _good_enough(peer, due, now)]
+        near = [peer for peer in good if peer.near]
+        return (
+            self._unproven(near, now)
+            or self._better_of_few(near or good, now)
+            or self._cheapest(peers, now)
+        )
+
+    def _unproven(self, peers: list[Peer], now: float) -> Peer | None:
+        """Returns an idle server that was never used, once in a while.
+
+        Its speed shows only in use. Each of `n` servers is tried by one of
+        `n` requests, so that a new one is not flooded by all nodes at once.
+        """
+        unproven = [
             peer
             for peer in peers
-            if not peer.near and _good_enough(peer, due, now)
+            if peer.unproven(now) and peer.expected_s(now)[0] <= 0.0
         ]
-        return self._cheapest(far, now) or self._cheapest(peers, now)
+        if not unproven or self.rng.random() * len(peers) >= len(unproven):
+            return None
+        return self.rng.choice(unproven)
+
+    def _better_of_few(self, peers: list[Peer], now: float) -> Peer | None:
+        """Returns the cheapest of a few servers, with free slots if any."""
+        free = [peer for peer in peers if peer.expected_s(now)[0] <= 0.0]
+        candidates = free or peers
+        if len(candidates) > CHOICES:
+            candidates = self.rng.sample(candidates, CHOICES)
+        return self._cheapest(candidates, now)
 
     def _cheapest(self, peers: list[Peer], now: float) -> Peer | None:
         if not peers:
--- a/packages/testing/src/vanillamast_testing/emulator/machine.py
+++ b/packages/testing/src/vanillamast_testing/emulator/machine.py
@@ -56,6 +56,7 @@
       host: Loopback address of the machine.
       zone: Failure domain.
       service: Service of its backend server.
+      store_host: Address at which this machine finds the store.
       settings: Settings file of the node.
       process: The node.
     """
@@ -66,13 +67,15 @@
         host: str,
         zone: str,
         service: str,
-        store: str,
+        store_host: str,
+        store_port: int,
         folder: pathlib.Path,
     ):
         self.name = name
         self.host = host
         self.zone = zone
         self.service = service
+        self.store_host = store_host
         self.settings = folder / f"{name}.toml"
         self.process = ManagedProcess(
             name,
@@ -87,7 +90,7 @@
                 host=host,
                 zone=zone,
                 service=service,
-                store=store,
+                store=f"{store_host}:{store_port}",
                 **ports,
             )
         )
--- a/packages/testing/src/vanillamast_testing/emulator/platform.py
+++ b/packages/testing/src/vanillamast_testing/emulator/platform.py
@@ -1,8 +1,10 @@
 """The emulated platform as a whole."""
 
 import asyncio
+import json
 import pathlib
 from types import TracebackType
+from typing import Any
 
 import aiohttp
 
@@ -68,12 +70,15 @@
         number = len(self.machines) + 1
         name = f"m{number}"
         host = f"{self.network}.{zone + 1}.{number}"
+        store_host = f"{self.network}.100.{number}"
+        await self.store.listen(store_host)
         machine = Machine(
             name,
             host,
             f"z{zone}",
             service,
-            f"{self.store.host}:{self.store.port}",
+            store_host,
+            self.store.port,
             self.folder,
         )
         self.machines[name] = machine
@@ -92,6 +97,10 @@
         await backend.start()
         return machine
 
+    def refuse_store(self, name: str) -> None:
+        """Makes the store turn a machine away."""
+        self.store.refused_hosts.add(self.machines[name].store_host)
+
     async def is_ready(self, machine: Machine) -> bool:
         """Asks a node whether callers may come."""
         timeout = aiohttp.ClientTimeout(total=1.0)
@@ -116,3 +125,12 @@
     def log_of(self, name: str) -> str:
         """Returns what a node has written."""
         return self.machines[name].process.log_path.read_text()
+
+    def last_line(self, name: str, kind: str) -> dict[str, Any] | None:
+        """Returns the newest log line of a kind that a node has written."""
+        for text in reversed(self.log_of(name).splitlines()):
+            if f'"kind":"{kind}"' not in text:
+                continue
+            line: dict[str, Any] = json.loads(text)
+            return line
+        return None
--- a/packages/testing/src/vanillamast_testing/emulator/store.py
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -32,7 +32,8 @@
       calls: Calls by path.
       down: How the store fails: "" for not at all, "busy" (503), "reset"
         (closed connections) or "silent".
-      refused_hosts: Machines that are treated as if the store were down.
+      refused_hosts: Listening addresses of machines that are treated as if
+        the store were down.
       delay_s: Time before each answer, in seconds.
       lose_answers: Share of writes that are done and not answered, as one
         in so many; 0 for none.
@@ -65,7 +66,12 @@
         app.router.add_post("/api/log-trim", self._trim)
         self.runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self.runner.setup()
-        await web.TCPSite(self.runner, self.host, self.port).start()
+        await self.listen(self.host)
+
+    async def listen(self, host: str) -> None:
+        """Listens on a further address, which tells whose calls arrive."""
+        assert self.runner is not None
+        await web.TCPSite(self.runner, host, self.port).start()
 
     async def stop(self) -> None:
         """Stops to listen."""
@@ -101,8 +107,10 @@
     async def _fault(self, request: web.Request, handler: Any) -> Any:
         self.calls[request.path] += 1
         down = self.down
-        if not down and request.remote in self.refused_hosts:
-            down = "busy"
+        transport = request.transport
+        if not down and transport is not None:
+            host = transport.get_extra_info("sockname")[0]
+            down = "busy" if host in self.refused_hosts else ""
         if down == "busy":
             return web.json_response({}, status=503)
         if down == "reset":
--- a/tests/platform_path/test_configuration_path.py
+++ b/tests/platform_path/test_configuration_path.py
@@ -6,6 +6,8 @@
 import pytest
 from vanillamast_testing.emulator import EmulatedPlatform
 
+from tests.platform_path.fleet_checks import statuses, until
+
 IN_FORCE_S = 2.0  # Stated bound of the deployments.
 
 
@@ -21,22 +23,6 @@
         yield platform
 
 
-async def until(check, timeout_s=20.0):
-    """Waits until a check holds; a hang fails the test."""
-    async with asyncio.timeout(timeout_s):
-        while not await check():
-            await asyncio.sleep(0.05)
-
-
-async def statuses(fleet, path):
-    """Returns the status that each machine answers a path with."""
-    return [
-        (await fleet.caller.send(machine, path)).status
-        for machine in fleet.machines.values()
-        if machine.process.running
-    ]
-
-
 class TestConfigurationPath:
     """From the operator's record to the routes of every node."""
 
@@ -127,8 +113,12 @@
         self, fleet
     ):
         """Guards against an old version on a node that lost the store."""
-        fleet.store.refused_hosts.add(fleet.machines["m1"].host)
-        await asyncio.sleep(1.5)
+        fleet.refuse_store("m1")
+
+        async def refused():
+            return fleet.last_line("m1", "store.lost") is not None
+
+        await until(refused)
         fleet.operator.route("extra", "browse")
         await fleet.operator.publish()
 
--- /dev/null
+++ b/tests/platform_path/test_operator_readers.py
@@ -0,0 +1,91 @@
+"""Tests of the nodes that read the store for their failure domain."""
+
+import asyncio
+
+import pytest
+from vanillamast_testing.emulator import EmulatedPlatform
+
+from tests.platform_path.fleet_checks import publish_route, until
+
+NODES = 5
+READERS = 2
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Starts five machines in one failure domain; two of them read."""
+    async with EmulatedPlatform(tmp_path, "127.25") as platform:
+        platform.operator.route("page", "browse")
+        await platform.operator.publish()
+        for _ in range(NODES):
+            await platform.add(0, "browse")
+        await platform.all_ready()
+
+        async def settled():
+            return len(readers(platform)) == READERS
+
+        await until(settled)
+        yield platform
+
+
+def readers(fleet):
+    """Returns the names of the running nodes that read the store."""
+    return {
+        name
+        for name, machine in fleet.machines.items()
+        if machine.process.running and reads(fleet, name)
+    }
+
+
+def reads(fleet, name):
+    """Returns whether a node said last that it reads the store."""
+    line = fleet.last_line(name, "operator.duty")
+    return line is not None and line["reads"]
+
+
+class TestOperatorReaders:
+    """Two nodes of a domain read; all nodes know the newest version."""
+
+    async def test_a_change_costs_one_call_for_each_reader(self, fleet):
+        """Guards against calls to the store that grow with the fleet."""
+        await asyncio.sleep(1.0)  # Waits that were given up have ended.
+        before = fleet.store.calls["/api/log-read"]
+        await publish_route(fleet, "extra")
+        await asyncio.sleep(1.0)
+        # Each reader ends its wait and starts the next one.
+        assert fleet.store.calls["/api/log-read"] - before <= 2 * READERS
+
+    async def test_refused_readers_are_replaced(self, fleet):
+        """Guards against a domain whose readers lost the store."""
+        lost = readers(fleet)
+        for name in lost:
+            fleet.refuse_store(name)
+
+        async def replaced():
+            return len(readers(fleet) - lost) >= READERS
+
+        await until(replaced)
+        await publish_route(fleet, "extra")
+
+    async def test_killed_readers_are_replaced(self, fleet):
+        """Guards against a domain whose readers died together."""
+        for name in readers(fleet):
+            await fleet.machines[name].process.kill()
+        await publish_route(fleet, "extra")
+
+        async def replaced():
+            return len(readers(fleet)) >= READERS
+
+        await until(replaced)
+
+    async def test_an_order_reaches_nodes_that_do_not_read(self, fleet):
+        """Guards against a move that only the readers know."""
+        await fleet.operator.move("browse", "v2", 30.0)
+
+        async def known():
+            return all(
+                fleet.last_line(name, "move.ordered") is not None
+                for name in fleet.machines
+            )
+
+        await until(known)
--- /dev/null
+++ b/tests/sidecar/test_reader_duty.py
@@ -0,0 +1,102 @@
+"""Tests of which nodes read the operator's stream."""
+
+from types import SimpleNamespace
+
+import pytest
+from vanillamast_sidecar.directory import Directory
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.reader_duty import FRESH_S, READERS, ReaderDuty
+
+NOW = 100.0
+HOSTS = ["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"]
+
+
+def record(host: str, domain: str = "a", stopping: bool = False) -> NodeRecord:
+    """Returns the record of a node."""
+    return NodeRecord(f"{host}:1", domain, 1, 0, stopping, None)
+
+
+class Fleet:
+    """What one node knows of the others.
+
+    Attributes:
+      directory: Nodes; all others are connected.
+    """
+
+    def __init__(self, own: str):
+        self.directory = Directory(record(own))
+        for host in HOSTS:
+            self.directory.learn(record(host), True, NOW)
+        for peer in self.directory.others():
+            peer.link = SimpleNamespace(up=True)
+
+    def peer(self, host: str):
+        """Returns another node."""
+        return self.directory.peers[f"{host}:1"]
+
+    def hears(self, host: str, age_s: float) -> None:
+        """Takes a reader's word of how long ago the store answered it."""
+        self.peer(host).store_heard_at = NOW - age_s
+
+    def must_read(self) -> bool:
+        """Returns the decision."""
+        return ReaderDuty(self.directory).must_read(NOW)
+
+
+class TestReaderDuty:
+    """Few nodes read, and no node is left without a reader."""
+
+    @pytest.mark.parametrize("host", HOSTS)
+    def test_the_first_nodes_read(self, host):
+        """Guards against calls to the store that grow with the fleet."""
+        fleet = Fleet(host)
+        for reader in HOSTS[:READERS]:
+            if reader != host:
+                fleet.hears(reader, 0.1)
+        assert fleet.must_read() == (host in HOSTS[:READERS])
+
+    def test_without_a_reader_every_node_reads(self):
+        """Guards against a domain in which each node waits for another."""
+        assert Fleet(HOSTS[4]).must_read()
+
+    def test_readers_that_lost_the_store_do_not_count(self):
+        """Guards against nodes that rely on a reader without a path."""
+        fleet = Fleet(HOSTS[4])
+        for host in HOSTS[:READERS]:
+            fleet.hears(host, FRESH_S + 0.1)
+        assert fleet.must_read()
+
+    def test_the_next_node_replaces_a_reader_that_lost_the_store(self):
+        """Guards against a domain that is left with a single reader."""
+        third, fourth = Fleet(HOSTS[2]), Fleet(HOSTS[3])
+        for fleet in (third, fourth):
+            fleet.hears(HOSTS[0], FRESH_S + 0.1)
+            fleet.hears(HOSTS[1], 0.1)
+        assert third.must_read()
+        assert not fourth.must_read()
+
+    @pytest.mark.parametrize("loss", ["silent", "stopping", "unconnected"])
+    def test_lost_readers_are_replaced(self, loss):
+        """Guards against readers that are counted after their end."""
+        fleet = Fleet(HOSTS[2])
+        fleet.hears(HOSTS[0], 0.1)
+        fleet.hears(HOSTS[1], 0.1)
+        assert not fleet.must_read()
+        peer = fleet.peer(HOSTS[0])
+        if loss == "silent":
+            peer.silent = True
+        elif loss == "stopping":
+            peer.record = record(HOSTS[0], stopping=True)
+        else:
+            peer.link = None
+        assert fleet.must_read()
+
+    def test_readers_of_other_domains_do_not_count(self):
+        """Guards against a domain that depends on a link to another one."""
+        directory = Directory(record(HOSTS[4]))
+        for host in HOSTS[:READERS]:
+            directory.learn(record(host, "b"), True, NOW)
+            peer = directory.peers[f"{host}:1"]
+            peer.link = SimpleNamespace(up=True)
+            peer.store_heard_at = NOW
+        assert ReaderDuty(directory).must_read(NOW)
--- /dev/null
+++ b/tests/sidecar/test_server_selector.py
@@ -0,0 +1,146 @@
+"""Tests of the choice of a server for an attempt."""
+
+import collections
+import random
+from types import SimpleNamespace
+
+from vanillamast_sidecar.directory import Directory
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.load_report import LoadReport
+from vanillamast_sidecar.move_book import MoveBook
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.server_selector import ServerSelector
+
+NOW = 100.0
+SLOTS = 4
+DUE = NOW + 1.0
+
+
+def node(host: str, domain: str, instance: bool) -> NodeRecord:
+    """Returns a node, with a server beside it or without."""
+    server = InstanceRecord(
+        f"i-{host}",
+        1,
+        1,
+        "browse",
+        "v1",
+        SLOTS,
+        True,
+        False,
+        0.0,
+        f"{host}:1",
+    )
+    return NodeRecord(
+        f"{host}:2", domain, 1, 0, False, server if instance else None
+    )
+
+
+class Chooser:
+    """One node's view of the servers of a service.
+
+    Attributes:
+      directory: Nodes.
+      selector: Chooses.
+    """
+
+    def __init__(self, seed: int, near: int, far: int = 0):
+        self.directory = Directory(node("10.9.0.1", "a", False))
+        hosts = [(f"10.1.0.{n}", "a") for n in range(near)]
+        hosts += [(f"10.2.0.{n}", "b") for n in range(far)]
+        for host, domain in hosts:
+            self.directory.learn(node(host, domain, True), True, NOW)
+        for peer in self.directory.others():
+            peer.link = SimpleNamespace(up=True)
+            peer.used = (peer.record.instance.id, 1)
+        self.selector = ServerSelector(
+            MoveBook(lambda _: None), random.Random(seed)
+        )
+
+    def report(self, host: str, load: LoadReport) -> Peer:
+        """Takes a report of a server's load."""
+        peer = self.directory.peers[f"{host}:2"]
+        peer.report(load, NOW)
+        return peer
+
+    def choose(self) -> str:
+        """Chooses a server, which then has one more request."""
+        peer = self.selector.choose(
+            self.directory.serving("browse"), set(), "browse", 1, DUE, NOW
+        )
+        assert peer is not None
+        peer.outstanding += 1
+        return peer.record.address
+
+
+class TestServerSelector:
+    """Requests go where they are answered in time, and spread."""
+
+    def test_many_nodes_do_not_choose_the_same_server(self):
+        """Guards against a fast server that all nodes overload at once."""
+        chosen: collections.Counter[str] = collections.Counter()
+        for seed in range(20):
+            chooser = Chooser(seed, near=10)
+            for n in range(10):
+                mean_s = 0.1 + 0.02 * n
+                chooser.report(f"10.1.0.{n}", LoadReport(0, 0, mean_s, 0.0))
+            chosen[chooser.choose()] += 1
+        assert max(chosen.values()) <= 2 * SLOTS
+
+    def test_faster_servers_are_preferred(self):
+        """Guards against a choice that ignores the servers' speed."""
+        chosen: collections.Counter[str] = collections.Counter()
+        for seed in range(200):
+            chooser = Chooser(seed, near=4)
+            for n in range(4):
+                mean_s = 0.1 + 0.1 * n
+                chooser.report(f"10.1.0.{n}", LoadReport(0, 0, mean_s, 0.0))
+            chosen[chooser.choose()] += 1
+        assert chosen["10.1.0.0:2"] > 2 * chosen["10.1.0.2:2"]
+        assert chosen["10.1.0.3:2"] == 0
+
+    def test_a_free_server_goes_before_full_ones(self):
+        """Guards against a queue beside a free server."""
+        for seed in range(20):
+            chooser = Chooser(seed, near=6)
+            for n in range(5):
+                chooser.report(f"10.1.0.{n}", LoadReport(SLOTS, 0, 0.1, 0.0))
+            chooser.report("10.1.0.5", LoadReport(0, 0, 0.3, 0.0))
+            assert chooser.choose() == "10.1.0.5:2"
+
+    def test_the_better_of_two_servers_is_chosen(self):
+        """Guards against randomness where there is nothing to spread."""
+        for seed in range(20):
+            chooser = Chooser(seed, near=2)
+            chooser.report("10.1.0.0", LoadReport(0, 0, 0.3, 0.0))
+            chooser.report("10.1.0.1", LoadReport(0, 0, 0.1, 0.0))
+            assert chooser.choose() == "10.1.0.1:2"
+
+    def test_far_servers_only_take_what_near_ones_cannot(self):
+        """Guards against bytes between domains that nothing asks for."""
+        chooser = Chooser(1, near=1, far=3)
+        chooser.report("10.1.0.0", LoadReport(SLOTS, 0, 0.3, 0.0))
+        assert chooser.choose() == "10.1.0.0:2"
+        chooser.report("10.1.0.0", LoadReport(SLOTS, 12, 0.3, 0.0))
+        assert chooser.choose().startswith("10.2.")
+
+    def test_a_new_server_is_tried_without_a_flood(self):
+        """Guards against all nodes trying a new server at the same time."""
+        tried = 0
+        for seed in range(100):
+            chooser = Chooser(seed, near=10)
+            for n in range(10):
+                chooser.report(f"10.1.0.{n}", LoadReport(0, 0, 0.1, 0.0))
+            new = chooser.report("10.1.0.7", LoadReport(0, 0, 0.3, 0.0))
+            new.used = None
+            tried += chooser.choose() == "10.1.0.7:2"
+        assert 3 <= tried <= 25
+
+    def test_a_busy_new_server_is_not_tried(self):
+        """Guards against requests that queue at a server without a record."""
+        for seed in range(20):
+            chooser = Chooser(seed, near=2)
+            chooser.report("10.1.0.0", LoadReport(0, 0, 0.1, 0.0))
+            new = chooser.report("10.1.0.1", LoadReport(SLOTS, 0, 0.1, 0.0))
+            new.used = None
+            assert chooser.choose() == "10.1.0.0:2"
