Trace a request and tell the history of versions and moves from log files

Change: 'vanillamast trace ID in FILES' joins the lines of a request and its nested calls with what the same nodes believed, and names the cause; 'vanillamast history' shows when versions came into force and what moves did. Damaged lines are counted. The list of keywords in the syntax error's test grew by the two new ones.

--- a/packages/cli/src/vanillamast_cli/__init__.py
+++ b/packages/cli/src/vanillamast_cli/__init__.py
@@ -9,6 +9,7 @@
     OperatorSyntaxError,
     OutcomeUnknownError,
     RefusedError,
+    UnknownRequestError,
     UsageError,
 )
 from vanillamast_cli.execution import Executor
@@ -33,6 +34,7 @@
     "RefusedError",
     "Report",
     "Table",
+    "UnknownRequestError",
     "UsageError",
     "Verb",
     "output_formats",
--- a/packages/cli/src/vanillamast_cli/context.py
+++ b/packages/cli/src/vanillamast_cli/context.py
@@ -20,6 +20,7 @@
       settings: Settings of the command.
       wall: Returns the wall time in seconds.
       write: Prints a report.
+      progress: Prints a line of progress.
     """
 
     client: NodeClient
@@ -27,6 +28,7 @@
     settings: CliSettings
     wall: Callable[[], float]
     write: Callable[[Report], None]
+    progress: Callable[[str], None]
 
     async def look(self) -> int:
         """Notes the node's offset before something is shown.
--- a/packages/cli/src/vanillamast_cli/errors.py
+++ b/packages/cli/src/vanillamast_cli/errors.py
@@ -28,6 +28,10 @@
     """A configuration file is missing, malformed or invalid."""
 
 
+class UnknownRequestError(CliError):
+    """No line of the log files concerns the request."""
+
+
 class NodeUnreachableError(CliError):
     """No node answered."""
 
--- a/packages/cli/src/vanillamast_cli/execution.py
+++ b/packages/cli/src/vanillamast_cli/execution.py
@@ -12,6 +12,7 @@
     follow_verb,  # noqa: F401
     help_verb,  # noqa: F401
     instance_verbs,  # noqa: F401
+    log_verbs,  # noqa: F401
     move_verbs,  # noqa: F401
     publish_verbs,  # noqa: F401
     route_verbs,  # noqa: F401
@@ -67,7 +68,12 @@
             async with aiohttp.ClientSession() as http:
                 client = NodeClient(http, self.settings, self.session)
                 context = Context(
-                    client, self.session, self.settings, self.wall, self.write
+                    client,
+                    self.session,
+                    self.settings,
+                    self.wall,
+                    self.write,
+                    self.progress,
                 )
                 report = await verb.run(context)
         except CliError as error:
@@ -91,6 +97,11 @@
         self.out.write(text + "\n")
         self.out.flush()
 
+    def progress(self, text: str) -> None:
+        """Tells people how far a long command is."""
+        self.err.write(f"{text}\n")
+        self.err.flush()
+
     def fail(self, error: CliError) -> None:
         """Prints a failure; programs get it as JSON on standard output."""
         self.err.write(f"{error}\n")
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/log_verbs.py
@@ -0,0 +1,214 @@
+"""Commands that explain what happened from the nodes' log files."""
+
+import collections
+import dataclasses
+import time
+from typing import Any
+
+from vanillamast_cli.context import Context
+from vanillamast_cli.errors import UnknownRequestError
+from vanillamast_cli.node_logs import LogLine, NodeLogs
+from vanillamast_cli.reason_texts import REASON_TEXTS
+from vanillamast_cli.report import Report, Table
+from vanillamast_cli.verb import Verb, verbs
+
+# Changes of what the nodes believed are shown from this time before a
+# request's first line on, in seconds.
+CONTEXT_S = 5.0
+MOST_CONTEXT_LINES = 20
+CONTEXT_KINDS = frozenset(
+    (
+        "config.applied",
+        "log.dropped",
+        "log.suppressed",
+        "node.started",
+        "node.stopping",
+        "node.suspended",
+        "peer.lost",
+        "peer.silent",
+        "server.changed",
+        "server.unreachable",
+        "store.lost",
+        "store.regained",
+    )
+)
+CONFIG_KIND = "config.applied"
+MOVE_PREFIX = "move."
+LINE_COLUMNS = ("time", "node", "event", "details")
+
+
+def clock(time_s: float) -> str:
+    """Returns a Unix time as UTC time of day with milliseconds."""
+    text = time.strftime("%H:%M:%S", time.gmtime(time_s))
+    return f"{text}.{int(time_s % 1 * 1000):03d}"
+
+
+def line_row(line: LogLine) -> tuple[Any, ...]:
+    """Returns the row of a line."""
+    return (clock(line.time_s), line.node, line.kind, line.details())
+
+
+@verbs.register("trace")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trace(Verb):
+    """Follows one request through the nodes."""
+
+    usage = "trace REQUEST_ID in FILE..."
+    summary = "shows a request's path, its end and what the nodes believed"
+    example = "vanillamast 'trace 9c41d07be2a35f68 in m1.log m2.log'"
+
+    request_id: str
+    files: tuple[str, ...]
+
+    async def run(self, context: Context) -> Report:
+        """Shows the request's lines and those of its calls."""
+        logs = NodeLogs(self.files, context.progress)
+        own: list[LogLine] = []
+        believed: list[LogLine] = []
+        for line in logs:
+            request = str(line.fields.get("request", ""))
+            if self._concerns(request):
+                own.append(line)
+            elif line.kind in CONTEXT_KINDS:
+                believed.append(line)
+        if not own:
+            raise UnknownRequestError(
+                f"no line of {self.request_id}; {logs.summary()}"
+            )
+        own.sort(key=lambda line: line.time_s)
+        around = _around(own, believed)
+        verdict = _verdict(self.request_id, own)
+        data = {
+            "request": self.request_id,
+            "verdict": verdict,
+            "lines": [line.data() for line in own],
+            "context": [line.data() for line in around],
+            "damaged": logs.damaged,
+        }
+        blocks: list[str | Table] = [
+            Table(LINE_COLUMNS, [line_row(line) for line in own]),
+            "",
+            verdict,
+        ]
+        if around:
+            rows = [line_row(line) for line in around]
+            blocks += ["", "before and meanwhile on these nodes:"]
+            blocks.append(Table(LINE_COLUMNS, rows))
+        return Report(data, [*blocks, "", logs.summary()])
+
+    def _concerns(self, request: str) -> bool:
+        return request == self.request_id or request.startswith(
+            f"{self.request_id}."
+        )
+
+
+def _around(own: list[LogLine], believed: list[LogLine]) -> list[LogLine]:
+    """Returns the changes on the request's nodes, up to its end."""
+    nodes = {line.node for line in own}
+    first, last = own[0].time_s - CONTEXT_S, own[-1].time_s
+    around = [
+        line
+        for line in believed
+        if line.node in nodes and first <= line.time_s <= last
+    ]
+    around.sort(key=lambda line: line.time_s)
+    return around[-MOST_CONTEXT_LINES:]
+
+
+def _verdict(request_id: str, lines: list[LogLine]) -> str:
+    """Returns how the request ended and why, in one line."""
+    ends = {
+        line.kind: line
+        for line in lines
+        if line.fields.get("request") == request_id
+    }
+    for kind in ("request.failed", "request.refused", "request.no_route"):
+        line = ends.get(kind)
+        if line is None:
+            continue
+        status = line.fields.get("status", "")
+        reason = str(line.fields.get("reason", "no_route"))
+        text = REASON_TEXTS.get(reason, "unknown reason")
+        return f"ended by {line.node} {status}: {reason}: {text}"
+    if "request.caller_gone" in ends:
+        after = ends["request.caller_gone"].fields.get("after_s")
+        return f"the caller left after {after} s"
+    attempt = ends.get("request.attempt")
+    if attempt is None:
+        return "no end of the request is in these files"
+    fields = attempt.fields
+    return (
+        f"ended by {fields.get('instance')} with {fields.get('status')} "
+        f"after {fields.get('took_s')} s in its last attempt"
+    )
+
+
+@verbs.register("history")
+@dataclasses.dataclass(frozen=True, slots=True)
+class History(Verb):
+    """Shows configurations and moves as the nodes lived through them."""
+
+    usage = "history [of SERVICE] in FILE..."
+    summary = "shows when versions came into force and what moves did"
+    example = "vanillamast 'history of browse in m1.log m2.log'"
+
+    service: str | None
+    files: tuple[str, ...]
+
+    async def run(self, context: Context) -> Report:
+        """Shows versions, unless a service is named, and moves."""
+        logs = NodeLogs(self.files, context.progress)
+        applied: dict[int, list[LogLine]] = collections.defaultdict(list)
+        moves: list[LogLine] = []
+        for line in logs:
+            if line.kind == CONFIG_KIND and self.service is None:
+                applied[int(line.fields.get("version", -1))].append(line)
+            elif line.kind.startswith(MOVE_PREFIX) and self.service in (
+                None,
+                line.fields.get("service"),
+            ):
+                moves.append(line)
+        moves = _changes(sorted(moves, key=lambda line: line.time_s))
+        versions = [_version_row(v, applied[v]) for v in sorted(applied)]
+        blocks: list[str | Table] = []
+        if self.service is None:
+            columns = ("version", "first", "last", "spread s", "nodes")
+            blocks += [Table(columns, versions), ""]
+        blocks.append(Table(LINE_COLUMNS, [line_row(line) for line in moves]))
+        data = {
+            "versions": [
+                {
+                    "version": version,
+                    "nodes": {
+                        line.node: line.time_s for line in applied[version]
+                    },
+                }
+                for version in sorted(applied)
+            ],
+            "moves": [line.data() for line in moves],
+            "damaged": logs.damaged,
+        }
+        return Report(data, [*blocks, "", logs.summary()])
+
+
+def _version_row(version: int, lines: list[LogLine]) -> tuple[Any, ...]:
+    times = [line.time_s for line in lines]
+    first, last = min(times), max(times)
+    nodes = len({line.node for line in lines})
+    return (version, clock(first), clock(last), round(last - first, 3), nodes)
+
+
+def _changes(lines: list[LogLine]) -> list[LogLine]:
+    """Leaves out repeats of a plan that only show that a driver lives."""
+    kept = []
+    seen: dict[tuple[Any, ...], tuple[Any, ...]] = {}
+    for line in lines:
+        fields = line.fields
+        name = (line.node, line.kind, fields.get("service"))
+        what = tuple(
+            fields.get(key) for key in ("order", "state", "share", "driver")
+        )
+        if seen.get(name) != what:
+            kept.append(line)
+        seen[name] = what
+    return kept
--- /dev/null
+++ b/packages/cli/src/vanillamast_cli/node_logs.py
@@ -0,0 +1,111 @@
+"""Reads the log files that nodes write."""
+
+import dataclasses
+import pathlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from vanillamast_cli.errors import InvalidFileError
+
+PROGRESS_BYTES = 64 * 1024 * 1024  # A line of progress each so many bytes.
+
+
+class _Head(msgspec.Struct):
+    t: float
+    node: str
+    kind: str
+
+
+@dataclasses.dataclass(slots=True)
+class LogLine:
+    """One event of a node.
+
+    Attributes:
+      time_s: Unix time of the event, in seconds.
+      node: The node that wrote it.
+      kind: Kind of the event.
+      fields: Its other fields.
+    """
+
+    time_s: float
+    node: str
+    kind: str
+    fields: dict[str, Any]
+
+    def details(self) -> str:
+        """Returns the other fields as people read them."""
+        return " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if value is not None and value != ""
+        )
+
+    def data(self) -> dict[str, Any]:
+        """Returns the plain form."""
+        return {
+            "t": self.time_s,
+            "node": self.node,
+            "kind": self.kind,
+            **self.fields,
+        }
+
+
+@dataclasses.dataclass(slots=True)
+class NodeLogs:
+    """Log files of any number of nodes.
+
+    Attributes:
+      paths: The files.
+      progress: Takes a line of progress while long files are read.
+      lines: Lines read so far.
+      damaged: Lines that could not be read, such as the end of a file that
+        was cut off.
+    """
+
+    paths: tuple[str, ...]
+    progress: Callable[[str], None]
+    lines: int = 0
+    damaged: int = 0
+
+    def __iter__(self) -> Iterator[LogLine]:
+        """Yields the lines of all files, file by file.
+
+        Raises:
+          InvalidFileError: A file cannot be opened.
+        """
+        next_progress = PROGRESS_BYTES
+        size = 0
+        for path in self.paths:
+            try:
+                with pathlib.Path(path).open("rb") as file:
+                    for raw in file:
+                        size += len(raw)
+                        if size >= next_progress:
+                            next_progress += PROGRESS_BYTES
+                            self.progress(f"{path}: {size >> 20} MB read")
+                        line = self._parse(raw)
+                        if line is not None:
+                            yield line
+            except OSError as error:
+                raise InvalidFileError(f"{path}: {error.strerror}") from error
+
+    def _parse(self, raw: bytes) -> LogLine | None:
+        self.lines += 1
+        try:
+            head = msgspec.json.decode(raw, type=_Head)
+            fields = msgspec.json.decode(raw, type=dict[str, Any])
+        except msgspec.DecodeError:
+            self.damaged += 1
+            return None
+        for name in ("t", "node", "kind"):
+            del fields[name]
+        return LogLine(head.t, head.node, head.kind, fields)
+
+    def summary(self) -> str:
+        """Returns what was read."""
+        return (
+            f"{self.lines} lines of {len(self.paths)} files read, "
+            f"{self.damaged} of them damaged"
+        )
--- a/packages/cli/src/vanillamast_cli/operator_syntax.py
+++ b/packages/cli/src/vanillamast_cli/operator_syntax.py
@@ -24,6 +24,7 @@
     "ON_DEADLINE": "hold or finish",
     "PATH": "a path that starts with /",
     "RECORD_ID": "the id of a record",
+    "REQUEST_ID": "the id of a request",
     "SERVICE": "a service",
     "TIME": "a UTC time such as 14:30 or 2026-12-04T14:30",
     "VERSION": "a backend server version",
@@ -56,6 +57,9 @@
     def in_duration(self, children: list[float]) -> InDuration:
         return InDuration(children[0])
 
+    def log_files(self, children: list[str]) -> tuple[str, ...]:
+        return tuple(children)
+
     def DURATION(self, token: lark.Token) -> float:  # noqa: N802
         return parse_duration(token)
 
--- a/tests/cli/test_operator_syntax.py
+++ b/tests/cli/test_operator_syntax.py
@@ -29,7 +29,14 @@
 
     def test_every_rule_has_a_verb(self):
         """Guards against a command that parses but does nothing."""
-        helpers = {"start", "command", "deadline", "by_time", "in_duration"}
+        helpers = {
+            "start",
+            "command",
+            "deadline",
+            "by_time",
+            "in_duration",
+            "log_files",
+        }
         rules = {str(rule.origin.name) for rule in operator_parser().rules}
         assert {r for r in rules if not r.startswith("_")} - helpers == set(
             verbs
@@ -108,8 +115,8 @@
                 "line 3, column 1: found holdmove\n"
                 "  holdmove x\n"
                 "  ^\n"
-                "expected check, drain, explain, follow, help, hold, move, "
-                "publish, resume, show, stop or undrain",
+                "expected check, drain, explain, follow, help, history, "
+                "hold, move, publish, resume, show, stop, trace or undrain",
             ),
         ],
     )
