Serve metrics on a fixed port with types and descriptions

Change: port 9464, in the deploy file and the adapter, a test that both agree; HELP and TYPE lines from a table that a test compares with the code. internal_ports is no longer read, so the case of a bad settings file that emptied it is replaced by one with a wrong type of ip.

--- a/packages/sidecar/src/vanillamast_sidecar/metrics.py
+++ b/packages/sidecar/src/vanillamast_sidecar/metrics.py
@@ -2,6 +2,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from vanillamast_sidecar.metric_texts import METRIC_TEXTS
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000  # Above every timeout.
 DIGITS = 2  # One percent, and few counters in memory.
@@ -48,14 +50,20 @@
 
     def exposition(self) -> bytes:
         """Returns all values as text, one a line."""
-        lines = []
+        lines: list[str] = []
+        described = ""
         for (name, labels), value in sorted(self.counters.items()):
+            if name != described:
+                described = name
+                lines.extend(_header(name, f"{name}_total", "counter"))
             text = ",".join(f'{key}="{label}"' for key, label in labels)
             braces = f"{{{text}}}" if text else ""
             lines.append(f"{PREFIX}{name}_total{braces} {value}")
         for name, gauge in sorted(self.gauges.items()):
+            lines.extend(_header(name, name, "gauge"))
             lines.append(f"{PREFIX}{name} {gauge:g}")
         for name, histogram in sorted(self.histograms.items()):
+            lines.extend(_header(name, f"{name}_seconds", "summary"))
             full = f"{PREFIX}{name}_seconds"
             for quantile in QUANTILES:
                 at = histogram.get_value_at_percentile(quantile) / 1e6
@@ -63,3 +71,11 @@
             lines.append(f"{full}_count {histogram.get_total_count()}")
             lines.append(f"{full}_sum {self.sums[name]:.6f}")
         return ("\n".join(lines) + "\n").encode()
+
+
+def _header(name: str, exposed: str, kind: str) -> tuple[str, str]:
+    """Returns the description and the type of a metric."""
+    return (
+        f"# HELP {PREFIX}{exposed} {METRIC_TEXTS[name]}",
+        f"# TYPE {PREFIX}{exposed} {kind}",
+    )
--- a/packages/testing/src/vanillamast_testing/emulator/machine.py
+++ b/packages/testing/src/vanillamast_testing/emulator/machine.py
@@ -4,6 +4,8 @@
 import pathlib
 import sys
 
+from vanillamast_platform.boot_file import METRICS_PORT
+
 from vanillamast_testing.managed_process import ManagedProcess
 
 PORTS = {
@@ -13,6 +15,7 @@
     "control": 18306,
     "app": 18301,
     "internal": 18320,
+    "metrics": METRICS_PORT,
 }
 
 SETTINGS = """\
--- a/tests/platform_adapter/test_boundaries.py
+++ b/tests/platform_adapter/test_boundaries.py
@@ -3,9 +3,14 @@
 import ast
 import pathlib
 import re
+import tomllib
 
 import pytest
-from vanillamast_platform.boot_file import BootFile, load_settings
+from vanillamast_platform.boot_file import (
+    METRICS_PORT,
+    BootFile,
+    load_settings,
+)
 from vanillamast_sidecar.errors import InvalidSettingsError
 from vanillamast_testing.emulator.machine import Machine
 
@@ -55,7 +60,7 @@
 
     def write(self, folder: pathlib.Path) -> Machine:
         """Writes the settings of a machine."""
-        return Machine("m1", "127.0.0.1", "z0", "s", "127.0.0.9:1", folder)
+        return Machine("m1", "127.0.0.1", "z0", "s", "127.0.0.9", 1, folder)
 
     def test_a_whole_file(self, tmp_path):
         """Guards against values that are read by another name."""
@@ -72,7 +77,7 @@
             ("drain_s = 2", 'drain_s = "soon"'),
             ('outbound = "127.0.0.1:18304"', 'outbound = "nowhere"'),
             ("[bounds]", "[bounds"),
-            ("[18320,18330]", "[]"),
+            ('ip = "127.0.0.1"', "ip = []"),
         ],
     )
     def test_a_bad_file_is_a_typed_error(self, tmp_path, old, new):
@@ -93,3 +98,13 @@
         text = machine.settings.read_text()
         machine.settings.write_text(text + "\n# changed\n")
         assert source.stamp() != before
+
+
+class TestDeployFile:
+    """The deploy file and the adapter agree."""
+
+    def test_the_metrics_address(self):
+        """Guards against metrics that are asked for at another port."""
+        text = (ROOT / "deploy" / "system.toml").read_text()
+        role = tomllib.loads(text)["roles"]["node"]
+        assert role["metrics"] == f"{METRICS_PORT}/metrics"
--- a/tests/platform_path/test_request_path.py
+++ b/tests/platform_path/test_request_path.py
@@ -211,12 +211,13 @@
         async with (
             aiohttp.ClientSession() as session,
             session.get(
-                fleet.machines["m1"].url("internal", "/metrics")
+                fleet.machines["m1"].url("metrics", "/metrics")
             ) as answer,
         ):
             text = await answer.text()
         assert 'vanillamast_requests_total{outcome="answered"}' in text
         assert "vanillamast_request_duration_seconds_count" in text
+        assert "# TYPE vanillamast_requests_total counter" in text
 
     @pytest.mark.parametrize("signalled", [False, True])
     async def test_changed_settings_come_into_force(self, fleet, signalled):
