--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -32,6 +32,8 @@
 DUE_SHARE = 0.75
 # The same for calls of backend servers, as a share of their time-out.
 NESTED_DUE_SHARE = 0.5
+# Calls of backend servers go before other requests of their priority.
+RANKS_PER_PRIORITY = 2
 # An answer that is ready just after the time-out is still delivered.
 TIMEOUT_GRACE_S = 0.1
 # Share of the deployment's retry ratio that this node uses: repeated
@@ -227,10 +229,12 @@
                 timeout_s = min(timeout_s, left_s)
         objective_s = min(timeout_s, route.target_latency_s)
         due_s = objective_s * DUE_SHARE
+        rank = route.priority * RANKS_PER_PRIORITY + 1
         if self.executor.is_nested(request_id):
             # Late is better than never: the work of its parent is lost with
             # it.
             due_s = max(due_s, timeout_s * NESTED_DUE_SHARE)
+            rank -= 1
         return Exchange(
             request,
             route,
@@ -240,7 +244,7 @@
             arrived + timeout_s,
             arrived + due_s,
             arrived + max(objective_s, due_s),
-            route.priority,
+            rank,
             self._forwarded(request),
             set(),
         )
--- /dev/null
+++ b/tests/sidecar/test_gateway.py
@@ -0,0 +1,88 @@
+"""Tests of what the first hop makes of a request."""
+
+import os
+from types import SimpleNamespace
+
+import pytest
+from vanillamast_sidecar.field_names import FieldNames
+from vanillamast_sidecar.gateway import Gateway
+from vanillamast_sidecar.http_message import HttpRequest
+from vanillamast_sidecar.logbook import Logbook
+from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
+
+PARENT = b"9c41d07b"
+TIMEOUT_S = 0.4
+OBJECTIVE_S = 0.12
+
+
+def route(priority: int) -> Route:
+    """Returns a route with a priority."""
+    return Route(
+        name="lookup",
+        host="a.example",
+        path_prefix="/x/",
+        idempotent=True,
+        timeout_s=TIMEOUT_S,
+        target_latency_s=OBJECTIVE_S,
+        priority=priority,
+        max_attempts=2,
+        split=(("browse", 1.0),),
+    )
+
+
+@pytest.fixture
+async def gateway():
+    """Returns a gateway whose server runs one request."""
+    address = Address("127.0.0.1", 1)
+    settings = SidecarSettings(
+        "m1",
+        "a",
+        "browse",
+        *[address] * 6,
+        1.5,
+        Bounds(2.0, 6.0, 2.0, 0.2, 10.0, 60.0, 0.1, 50.0, 5.0),
+        FieldNames(*[b"x"] * 6),
+    )
+    executor = SimpleNamespace(
+        is_nested=lambda request_id: request_id.startswith(PARENT + b".")
+    )
+    log = Logbook("m1", os.open(os.devnull, os.O_WRONLY))
+    return Gateway(
+        settings,
+        SimpleNamespace(),
+        executor,
+        SimpleNamespace(),
+        log,
+        Metrics(),
+    )
+
+
+class TestGateway:
+    """Places and due times of requests."""
+
+    def exchange(self, gateway, priority, request_id):
+        """Returns the exchange of a request that arrives at time 0."""
+        request = HttpRequest("GET", "/x/1", [], b"")
+        return gateway._exchange(request, route(priority), request_id, 0.0)
+
+    async def test_nested_calls_go_before_others_of_their_priority(
+        self, gateway
+    ):
+        """Guards against work that is lost because its call had to wait."""
+        nested = self.exchange(gateway, 1, PARENT + b".1")
+        other = self.exchange(gateway, 1, b"5a0e3a11")
+        assert nested.rank < other.rank
+
+    async def test_a_higher_priority_goes_before_nested_calls(self, gateway):
+        """Guards against an order that ignores the operator's priority."""
+        nested = self.exchange(gateway, 2, PARENT + b".1")
+        urgent = self.exchange(gateway, 1, b"5a0e3a11")
+        assert urgent.rank < nested.rank
+
+    async def test_nested_calls_may_be_late(self, gateway):
+        """Guards against a refusal that wastes the parent's work."""
+        nested = self.exchange(gateway, 1, PARENT + b".1")
+        other = self.exchange(gateway, 1, b"5a0e3a11")
+        assert other.due < OBJECTIVE_S < nested.due < TIMEOUT_S
