Tell all nodes when the store has a move's end

Change: plans say whether the store has their state; such a plan is final and ends the watch over the driver.

--- a/packages/sidecar/src/vanillamast_sidecar/move_book.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_book.py
@@ -83,11 +83,12 @@
         if move.order.order_id > plan.order_id:
             return False
         move.seen_at = min(move.seen_at, now - plan.elapsed_s)
-        if _RANK[plan.state] < _RANK[move.state]:
+        if not plan.recorded and _overrides(move, plan):
             return False
         move.planned_at = now
         news = (move.share, move.state) != (plan.share, plan.state)
-        news = news or move.plan is None
+        known = move.plan
+        news = news or known is None or known.recorded != plan.recorded
         move.plan = plan
         if news:
             share = move.share
@@ -156,3 +157,10 @@
             evidence = VersionEvidence(record.version, {})
             move.evidence = evidence
         evidence.add(route, failed, duration_s)
+
+
+def _overrides(move: Move, plan: MovePlan) -> bool:
+    """Returns whether what a move knows goes before an unrecorded plan."""
+    if move.plan is not None and move.plan.recorded:
+        return True
+    return _RANK[plan.state] < _RANK[move.state]
--- a/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_keeper.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from vanillamast_sidecar.errors import StoreConflictError, StoreError
 from vanillamast_sidecar.logbook import Logbook
 from vanillamast_sidecar.mesh import Mesh
@@ -97,6 +99,8 @@
         """Returns whether the move has ended for good."""
         if move.state is MoveState.ACTIVE:
             return False
+        if move.plan is not None and move.plan.recorded:
+            return True
         known = self.recorded.get(move.order.service)
         if known == (move.order.order_id, move.state):
             return True
@@ -203,18 +207,9 @@
     def _announce_at_intervals(self, move: Move, now: float) -> None:
         last = self.last_plan.get(move.order.service, 0.0)
         if move.plan is not None and now - last >= PLAN_INTERVAL_S:
-            elapsed = round(now - move.seen_at, 3)
-            plan = move.plan
+            elapsed_s = round(now - move.seen_at, 3)
             self._announce(
-                MovePlan(
-                    plan.service,
-                    plan.order_id,
-                    plan.to_version,
-                    plan.state,
-                    plan.share,
-                    elapsed,
-                ),
-                now,
+                msgspec.structs.replace(move.plan, elapsed_s=elapsed_s), now
             )
 
     def _announce(self, plan: MovePlan, now: float) -> None:
@@ -289,6 +284,7 @@
             state,
             share,
             round(now - move.seen_at, 3),
+            recorded=True,
         )
         self.moves.take_plan(plan, now)
         self._announce(plan, now)
--- a/packages/sidecar/src/vanillamast_sidecar/move_plan.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_plan.py
@@ -15,6 +15,7 @@
       state: How far the move is.
       share: Share of the requests that the new version gets.
       elapsed_s: Time since the order was seen, in seconds.
+      recorded: Whether the store has the state as the move's end.
     """
 
     service: str
@@ -23,6 +24,7 @@
     state: MoveState
     share: float
     elapsed_s: float
+    recorded: bool = False
 
     def log_fields(self) -> dict[str, object]:
         """Returns the plan as fields of a log line."""
@@ -33,4 +35,5 @@
             "state": self.state,
             "share": self.share,
             "elapsed_s": self.elapsed_s,
+            "recorded": self.recorded,
         }
--- a/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
@@ -234,6 +234,7 @@
                         state,
                         share,
                         0.0,
+                        recorded=True,
                     ),
                     now,
                 )
--- a/tests/platform_path/test_configuration_path.py
+++ b/tests/platform_path/test_configuration_path.py
@@ -166,6 +166,23 @@
         assert took_s < 6.0
         assert fleet.backends["m4"].runs
 
+    async def test_an_ended_move_needs_no_driver(self, fleet):
+        """Guards against nodes that look for a driver of an ended move."""
+        await fleet.add(1, "browse", "v2")
+        await fleet.all_ready()
+        await fleet.operator.move("browse", "v2", 4.0)
+
+        async def ended_everywhere():
+            plans = [fleet.last_line(n, "move.plan") for n in fleet.machines]
+            told = [plan for plan in plans if plan and plan["recorded"]]
+            return len(told) >= len(fleet.machines) - 1
+
+        await until(ended_everywhere)
+        # Longer than a driver may be silent.
+        await asyncio.sleep(2.0)
+        for name in fleet.machines:
+            assert fleet.last_line(name, "move.driver_silent") is None
+
     async def test_a_bad_version_is_taken_back(self, fleet):
         """Guards against a bad version that keeps its traffic."""
         for zone in (0, 1):
--- a/tests/sidecar/test_moves.py
+++ b/tests/sidecar/test_moves.py
@@ -1,5 +1,6 @@
 """Tests of moves of traffic between versions."""
 
+import msgspec
 from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.move_book import MoveBook
 from vanillamast_sidecar.move_driver import MoveDriver, share_at
@@ -53,6 +54,18 @@
         assert not book.open_at_server(record("v2"))
         assert book.open_at_server(record("v1"))
 
+    def test_a_recorded_end_is_final(self):
+        """Guards against a late plan that reopens a move's end."""
+        book = MoveBook(lambda _: None)
+        book.take_order(ORDER, 0.0)
+        end = msgspec.structs.replace(
+            plan(MoveState.REVERTED, 0.0), recorded=True
+        )
+        assert book.take_plan(end, 1.0)
+        assert not book.take_plan(plan(MoveState.REVERTED, 0.0), 1.1)
+        assert not book.take_plan(plan(MoveState.COMPLETE, 1.0), 1.2)
+        assert book.moves["browse"].plan == end
+
     def test_a_recorded_end_beats_a_revert(self):
         """Guards against requests to old servers that were stopped."""
         book = MoveBook(lambda _: None)
