Expect more urgent requests to overtake a waiting one

Cause: the expected wait counted only what waited already. Change: the queue keeps the slots that each rank took lately; the wait of a request is stretched by the part that more urgent ranks take.

--- a/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
@@ -4,12 +4,17 @@
 import itertools
 from typing import Generic, TypeVar
 
+from vanillamast_sidecar.decaying_rate import DecayingRate
+
 T = TypeVar("T")
 
 # Weight of the newest duration in a mean: about the last 20 requests.
 DURATION_WEIGHT = 0.1
 # Mean before the first request ended, in seconds.
 INITIAL_MEAN_S = 0.1
+# Part of the slots that more urgent requests are expected to take at most: a
+# request of any rank is admitted while nothing waits before it.
+MOST_OVERTAKEN = 0.8
 
 
 class AdmissionQueue(Generic[T]):
@@ -22,6 +27,7 @@
       running: Requests that hold a slot.
       mean_s: Mean time that a request holds a slot, in seconds.
       route_mean_s: The same by route.
+      used: Slots that the requests of each rank took lately.
       waiting: Sorted (rank, due, order) of the waiting requests.
       items: Item and expected duration of each, by order.
     """
@@ -31,6 +37,7 @@
         self.running = 0
         self.mean_s = INITIAL_MEAN_S
         self.route_mean_s: dict[str, float] = {}
+        self.used: dict[int, DecayingRate] = {}
         self.waiting: list[tuple[int, float, int]] = []
         self.items: dict[int, tuple[T, float]] = {}
         self.order = itertools.count()
@@ -47,8 +54,12 @@
         self.running += 1
         return True
 
-    def expected_wait_s(self, rank: int, due: float) -> float:
-        """Returns how long a request would wait for a slot."""
+    def expected_wait_s(self, rank: int, due: float, now: float) -> float:
+        """Returns how long a request would wait for a slot.
+
+        More urgent requests that arrive meanwhile overtake it; they are
+        expected to take as many slots as lately.
+        """
         if self.running < self.slots and not self.waiting:
             return 0.0
         ahead = sum(
@@ -56,7 +67,12 @@
             for place, at, order in self.waiting
             if (place, at) <= (rank, due)
         )
-        return (ahead + self.mean_s) / max(1, self.slots)
+        slots = max(1, self.slots)
+        overtaken = sum(
+            rate.value(now) for place, rate in self.used.items() if place < rank
+        )
+        left = 1.0 - min(MOST_OVERTAKEN, overtaken / slots)
+        return (ahead + self.mean_s) / (slots * left)
 
     def expected_duration_s(self, route: str) -> float:
         """Returns how long a request of a route holds a slot."""
@@ -93,6 +109,14 @@
         """Returns a slot."""
         self.running -= 1
 
+    def record_use(self, rank: int, held_s: float, now: float) -> None:
+        """Counts the slot that a finished request held, whatever its end."""
+        rate = self.used.get(rank)
+        if rate is None:
+            rate = DecayingRate()
+            self.used[rank] = rate
+        rate.add(held_s, now)
+
     def record(self, route: str, held_s: float) -> None:
         """Counts how long a finished request held its slot."""
         self.mean_s += (held_s - self.mean_s) * DURATION_WEIGHT
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -149,15 +149,16 @@
             return self._not_run(call, reason)
         queue = self.queue
         if not queue.take_slot():
-            wait_s = queue.expected_wait_s(call.rank, call.due)
+            now = self.loop.time()
+            wait_s = queue.expected_wait_s(call.rank, call.due, now)
             duration_s = queue.expected_duration_s(call.route)
-            if self.loop.time() + wait_s + duration_s > call.due:
+            if now + wait_s + duration_s > call.due:
                 return self._not_run(call, Reason.OVERLOADED, wait_s)
             reason = await self._wait(call, queue)
             if reason:
-                return self._not_run(
-                    call, reason, queue.expected_wait_s(call.rank, call.due)
-                )
+                now = self.loop.time()
+                wait_s = queue.expected_wait_s(call.rank, call.due, now)
+                return self._not_run(call, reason, wait_s)
         if call.idempotent:
             return await self._run_in_slot(call, queue)
         # A caller that leaves does not break off what may not run twice.
@@ -240,7 +241,9 @@
         finally:
             queue.release()
             self._grant()
-            self._record(call, result, queue, self.loop.time() - started)
+            ended = self.loop.time()
+            queue.record_use(call.rank, ended - started, ended)
+            self._record(call, result, queue, ended - started)
 
     def _record(
         self,
--- a/tests/sidecar/test_admission_queue.py
+++ b/tests/sidecar/test_admission_queue.py
@@ -48,10 +48,24 @@
         queue.take_slot()
         for _ in range(10):
             queue.push(2, 1.0, 0.2, "page")
-        assert queue.expected_wait_s(1, 1.0) == queue.mean_s / 2
-        assert queue.expected_wait_s(2, 2.0) > 1.0
+        assert queue.expected_wait_s(1, 1.0, 0.0) == queue.mean_s / 2
+        assert queue.expected_wait_s(2, 2.0, 0.0) > 1.0
 
     def test_a_free_slot_means_no_wait(self):
         """Guards against a refusal while the server is idle."""
         queue: AdmissionQueue[str] = AdmissionQueue(1)
-        assert queue.expected_wait_s(5, 0.0) == 0.0
+        assert queue.expected_wait_s(5, 0.0, 0.0) == 0.0
+
+    def test_the_wait_counts_what_will_overtake(self):
+        """Guards against requests that are admitted and then late."""
+        queue: AdmissionQueue[str] = AdmissionQueue(4)
+        for _ in range(4):
+            queue.take_slot()
+        calm_s = queue.expected_wait_s(2, 1.0, 0.0)
+        for step in range(400):
+            # Two of the four slots go to more urgent requests.
+            queue.record_use(1, 0.02, step * 0.01)
+        busy_s = queue.expected_wait_s(2, 1.0, 4.0)
+        assert 1.8 * calm_s < busy_s < 2.2 * calm_s
+        assert queue.expected_wait_s(1, 1.0, 4.0) == calm_s
+        assert queue.expected_wait_s(2, 1.0, 20.0) < 1.01 * calm_s
