Split the operator's view from the watch, and the exchange from the gateway

Change: OperatorView, Exchange in files of their own; compress and decompress stand beside their only user. Behaviour unchanged.

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -1,9 +1,9 @@
 """Takes the requests of the machine and finds servers for them."""
 
 import asyncio
-import dataclasses
 
 from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.exchange import Exchange
 from vanillamast_sidecar.http_message import (
     Headers,
     HttpRequest,
@@ -61,48 +61,6 @@
 NOT_FOUND = 404
 
 
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One request of a caller.
-
-    Attributes:
-      request: The request.
-      route: Its route.
-      service: Service that it goes to.
-      request_id: Id of the caller's attempt.
-      arrived: When it was read, in loop time.
-      deadline: When the caller must have an answer, in loop time.
-      due: When a server should have answered, in loop time.
-      latest: When a near server should have answered for the request to stay
-        in its failure domain, in loop time.
-      rank: Place among the requests that wait for a server.
-      headers: Fields to forward.
-      tried: Servers that were offered the request.
-      attempts: Attempts that arrived at a server.
-      refusals: Nodes that refused it.
-      may_have_run: Whether some attempt may have run.
-      last: How the last attempt ended.
-      answer: A server's failure that is delivered if no other server answers.
-    """
-
-    request: HttpRequest
-    route: Route
-    service: str
-    request_id: bytes
-    arrived: float
-    deadline: float
-    due: float
-    latest: float
-    rank: int
-    headers: Headers
-    tried: set[str]
-    attempts: int = 0
-    refusals: int = 0
-    may_have_run: bool = False
-    last: CallResult | None = None
-    answer: HttpResponse | None = None
-
-
 class Gateway:
     """First hop of a request: from its caller to the node beside a server.
 
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable
 
 from vanillamast_sidecar.directory import Directory
@@ -384,17 +383,3 @@
         if message.record.failure_domain != self.settings.failure_domain:
             connection.codec.compress()
         self._dial_due(now)
-
-
-def compress(raw: bytes) -> bytes:
-    """Packs a configuration for the way between nodes."""
-    return zlib.compress(raw, 6)
-
-
-def decompress(data: bytes) -> bytes:
-    """Unpacks a configuration.
-
-    Raises:
-      zlib.error: The bytes are damaged.
-    """
-    return zlib.decompress(data)
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -22,6 +22,7 @@
 from vanillamast_sidecar.move_book import MoveBook
 from vanillamast_sidecar.move_keeper import MoveKeeper
 from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.operator_view import OperatorView
 from vanillamast_sidecar.operator_watch import OperatorWatch
 from vanillamast_sidecar.server_api import Deregistration, ServerApi
 from vanillamast_sidecar.server_executor import ServerExecutor
@@ -129,9 +130,15 @@
             self.metrics,
         )
         self.callers = HttpListener(self.gateway.handle)
-        self.watch = OperatorWatch(
-            store, self.mesh, self.moves, self._apply, log, self.metrics
+        view = OperatorView(
+            self.mesh,
+            self.moves,
+            self._apply,
+            store.decode_snapshot,
+            log,
+            self.metrics,
         )
+        self.watch = OperatorWatch(store, self.mesh, view, log, self.metrics)
         self.keeper = MoveKeeper(
             self.mesh, self.moves, self.executor, store, log, self.metrics
         )
--- a/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_watch.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import zlib
-from collections.abc import Callable
 
 from vanillamast_sidecar.errors import (
     InvalidConfigurationError,
@@ -11,17 +9,13 @@
     StoreTruncatedError,
 )
 from vanillamast_sidecar.logbook import Logbook
-from vanillamast_sidecar.mesh import Mesh, compress, decompress
+from vanillamast_sidecar.mesh import Mesh
 from vanillamast_sidecar.messages import FetchOperator, OperatorState, Tick
 from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_book import MoveBook
-from vanillamast_sidecar.move_order import MoveOrder
-from vanillamast_sidecar.move_plan import MovePlan
-from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.operator_view import OperatorView
 from vanillamast_sidecar.peer import Peer
 from vanillamast_sidecar.reader_duty import FRESH_S, ReaderDuty
-from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.store_port import OperatorUpdate, Store
+from vanillamast_sidecar.store_port import Store
 
 # Length of one wait for a change, in seconds, near the longest that stores
 # allow: each wait that ends without one costs a call.
@@ -53,13 +47,9 @@
     Attributes:
       store: The store.
       mesh: Other nodes.
-      moves: Moves of traffic.
-      apply: Puts a configuration in force.
+      view: What this node knows.
       log: Logbook.
       metrics: Metrics.
-      offset: How far the operator's stream was read.
-      snapshot: Newest configuration.
-      packed: The same, compressed, for other nodes; empty until asked for.
       connected: Whether the store answered the last call.
       duty: Decides whether this node reads the store.
       reading: The task that reads the store, None while others do.
@@ -71,28 +61,22 @@
         self,
         store: Store,
         mesh: Mesh,
-        moves: MoveBook,
-        apply: Callable[[Snapshot], None],
+        view: OperatorView,
         log: Logbook,
         metrics: Metrics,
     ):
         self.store = store
         self.mesh = mesh
-        self.moves = moves
-        self.apply = apply
+        self.view = view
         self.log = log
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
-        self.offset = -1
-        self.snapshot: Snapshot | None = None
-        self.packed = b""
         self.connected = False
         self.duty = ReaderDuty(mesh.directory)
         self.reading: asyncio.Task[None] | None = None
         self.fetch_at = 0.0
         mesh.on_tick = self.take_tick
         mesh.on_operator_state = self.take_state
-        mesh.operator_state = self.state
 
     # From the store.
 
@@ -101,7 +85,7 @@
         try:
             while True:
                 now = self.loop.time()
-                must_read = self.offset < 0 or self.duty.must_read(now)
+                must_read = self.view.offset < 0 or self.duty.must_read(now)
                 if self.reading is not None and self.reading.done():
                     self._note_reader_failed(self.reading)
                 if must_read and self.reading is None:
@@ -133,7 +117,7 @@
 
     def _log_duty(self, reads: bool) -> None:
         self.metrics.set("store_reader", float(reads))
-        self.log.write("operator.duty", reads=reads, offset=self.offset)
+        self.log.write("operator.duty", reads=reads, offset=self.view.offset)
 
     async def _read(self) -> None:
         """Follows the store and checks the path to it."""
@@ -146,27 +130,30 @@
         failures = 0
         while True:
             try:
-                if self.offset < 0:
+                if self.view.offset < 0:
                     update = await self.store.newest_operator_state()
-                    await self._settle_old_orders(update.orders)
+                    if update.orders:
+                        recorded = await self.store.move_states()
+                        self.view.settle_old_orders(update.orders, recorded)
                 else:
                     update = await self.store.follow_operator(
-                        self.offset, WAIT_S
+                        self.view.offset, WAIT_S
                     )
                 failures = 0
                 self._note_store(True, "")
-                if self._take(update):
+                self.fetch_at = 0.0
+                if self.view.take(update):
                     await asyncio.sleep(COALESCE_S)
             except StoreTruncatedError as error:
                 self.log.write(
                     "operator.truncated",
-                    offset=self.offset,
+                    offset=self.view.offset,
                     first_offset=error.first_offset,
                 )
-                self.offset = -1
+                self.view.offset = -1
             except InvalidConfigurationError as error:
                 self.log.write("operator.invalid", error=str(error))
-                self.offset = -1
+                self.view.offset = -1
                 await asyncio.sleep(LONGEST_RETRY_S)
             except StoreError as error:
                 self._note_store(False, str(error))
@@ -209,87 +196,14 @@
         self.connected = connected
         self.metrics.set("store_connected", float(connected))
         kind = "store.regained" if connected else "store.lost"
-        self.log.write(kind, offset=self.offset, error=error)
-
-    async def _settle_old_orders(self, orders: list[MoveOrder]) -> None:
-        """Learns how moves ended that were ordered before the start."""
-        if not orders:
-            return
-        recorded = await self.store.move_states()
-        now = self.loop.time()
-        for order in orders:
-            state, version, order_id = recorded.states.get(
-                order.service, (MoveState.ACTIVE, "", -1)
-            )
-            if version != order.to_version or order_id != order.order_id:
-                continue
-            self.moves.take_order(order, now)
-            if state is not MoveState.ACTIVE:
-                share = 1.0 if state is MoveState.COMPLETE else 0.0
-                self.moves.take_plan(
-                    MovePlan(
-                        order.service,
-                        order.order_id,
-                        order.to_version,
-                        state,
-                        share,
-                        0.0,
-                        recorded=True,
-                    ),
-                    now,
-                )
-
-    def _take(self, update: OperatorUpdate) -> bool:
-        """Takes an update; returns whether it brought anything."""
-        self.offset = max(self.offset, update.next_offset)
-        self.mesh.operator_offset = max(0, self.offset)
-        self.fetch_at = 0.0
-        news = self._take_orders(update.orders)
-        if update.snapshot is not None:
-            news = self._take_snapshot(update.snapshot, "store") or news
-        return news
-
-    def _take_orders(self, orders: list[MoveOrder]) -> bool:
-        news = False
-        now = self.loop.time()
-        for order in orders:
-            completed = self.moves.complete_order(order)
-            if completed or self.moves.take_order(order, now):
-                news = True
-                self.log.write(
-                    "move.ordered",
-                    service=order.service,
-                    to=order.to_version,
-                    over_s=order.over_s,
-                    order=order.order_id,
-                )
-        return news
-
-    def _take_snapshot(self, snapshot: Snapshot, source: str) -> bool:
-        """Puts a newer configuration in force; never goes back."""
-        known = self.snapshot
-        if known is not None and snapshot.version <= known.version:
-            return False
-        self.snapshot = snapshot
-        self.packed = b""
-        self.apply(snapshot)
-        self.mesh.config_version = snapshot.version
-        self.metrics.set("config_version", snapshot.version)
-        self.log.write(
-            "config.applied",
-            version=snapshot.version,
-            previous=known.version if known is not None else -1,
-            routes=len(snapshot.routes),
-            source=source,
-        )
-        return True
+        self.log.write(kind, offset=self.view.offset, error=error)
 
     # From near nodes.
 
     def take_tick(self, peer: Peer, tick: Tick) -> None:
         """Fetches from a near node what the own path does not bring."""
         behind = tick.config_version > self.mesh.config_version or (
-            tick.operator_offset > max(0, self.offset)
+            tick.operator_offset > max(0, self.view.offset)
         )
         now = self.loop.time()
         if not behind:
@@ -304,42 +218,7 @@
             self.fetch_at = now + OVERDUE_S
             peer.link.send(FetchOperator())
 
-    def state(self) -> OperatorState | None:
-        """Returns what another node may take over, None if nothing."""
-        if self.snapshot is None:
-            return None
-        if not self.packed:
-            self.packed = compress(self.snapshot.raw)
-        orders = [
-            (
-                move.order.service,
-                move.order.to_version,
-                move.order.over_s,
-                move.order.order_id,
-            )
-            for move in self.moves.moves.values()
-            if move.order.over_s > 0.0
-        ]
-        plans = [
-            move.plan
-            for move in self.moves.moves.values()
-            if move.plan is not None
-        ]
-        return OperatorState(max(0, self.offset), self.packed, orders, plans)
-
     def take_state(self, state: OperatorState) -> None:
         """Takes over what a near node knows."""
-        try:
-            snapshot = self.store.decode_snapshot(decompress(state.config))
-        except (InvalidConfigurationError, zlib.error) as error:
-            self.log.write("operator.invalid", error=str(error), source="peer")
-            return
         self.fetch_at = 0.0
-        self._take_snapshot(snapshot, "peer")
-        self._take_orders([MoveOrder(*fields) for fields in state.orders])
-        now = self.loop.time()
-        for plan in state.plans:
-            self.moves.take_plan(plan, now)
-        if state.offset > 0:
-            self.offset = max(self.offset, state.offset)
-            self.mesh.operator_offset = self.offset
+        self.view.take_state(state)
