--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -415,7 +415,7 @@
             self.metrics.observe("request_duration", took_s)
             return exchange.answer
         last = exchange.last
-        reason = last.reason if last is not None else Reason.NO_SERVER
+        reason = last.reason if last is not None else self._unoffered(exchange)
         if exchange.may_have_run:
             expired = last is not None and last.outcome is Outcome.EXPIRED
             status = GATEWAY_TIMEOUT if expired else BAD_GATEWAY
@@ -426,7 +426,18 @@
         self._log_end(exchange, UNAVAILABLE, reason)
         return self._refuse(exchange.request_id, reason, wait_s)
 
+    def _unoffered(self, exchange: Exchange) -> Reason:
+        """Returns why a request was offered to no server."""
+        peers = self.mesh.directory.serving(exchange.service)
+        now = self.loop.time()
+        if any(
+            peer.usable and peer.full_for(exchange.rank, now) for peer in peers
+        ):
+            return Reason.OVERLOADED
+        return Reason.NO_SERVER
+
     def _log_end(self, exchange: Exchange, status: int, reason: Reason) -> None:
+        peers = self.mesh.directory.serving(exchange.service)
         self.log.write(
             "request.failed",
             request=exchange.request_id.decode("latin-1"),
@@ -436,6 +447,8 @@
             reason=reason,
             attempts=exchange.attempts,
             refusals=exchange.refusals,
+            servers=len(peers),
+            usable=sum(peer.usable for peer in peers),
             after_s=round(self.loop.time() - exchange.arrived, 3),
             config_version=self.mesh.config_version,
         )
--- a/packages/sidecar/src/vanillamast_sidecar/logbook.py
+++ b/packages/sidecar/src/vanillamast_sidecar/logbook.py
@@ -11,6 +11,17 @@
 BUFFER_BYTES = 262144
 # Lines of one kind a second; what goes beyond is counted and summed up.
 LINES_PER_KIND = 50
+# The same for the ends of requests that were not served, which on-call
+# engineers look up by their id: some 60 KB a second at most.
+LINES_PER_END_KIND = 200
+END_KINDS = frozenset(
+    (
+        "request.failed",
+        "request.refused",
+        "request.no_route",
+        "request.caller_gone",
+    )
+)
 FLUSH_INTERVAL_S = 0.2  # Bounds the wake-ups that logs cost.
 
 
@@ -52,7 +63,8 @@
             self._new_second(int(now))
         count = self.counts.get(kind, 0) + 1
         self.counts[kind] = count
-        if count > LINES_PER_KIND:
+        most = LINES_PER_END_KIND if kind in END_KINDS else LINES_PER_KIND
+        if count > most:
             self.suppressed[kind] = self.suppressed.get(kind, 0) + 1
             return
         self._append(now, kind, fields)
--- a/tests/sidecar/test_gateway.py
+++ b/tests/sidecar/test_gateway.py
@@ -4,11 +4,15 @@
 from types import SimpleNamespace
 
 import pytest
+from vanillamast_sidecar.directory import Directory
 from vanillamast_sidecar.field_names import FieldNames
 from vanillamast_sidecar.gateway import Gateway
 from vanillamast_sidecar.http_message import HttpRequest
+from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.logbook import Logbook
 from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.route import Route
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
@@ -49,9 +53,10 @@
         is_nested=lambda request_id: request_id.startswith(PARENT + b".")
     )
     log = Logbook("m1", os.open(os.devnull, os.O_WRONLY))
+    directory = Directory(NodeRecord("127.0.0.1:1", "a", 1, 0, False, None))
     return Gateway(
         settings,
-        SimpleNamespace(),
+        SimpleNamespace(directory=directory),
         executor,
         SimpleNamespace(),
         log,
@@ -86,3 +91,41 @@
         nested = self.exchange(gateway, 1, PARENT + b".1")
         other = self.exchange(gateway, 1, b"5a0e3a11")
         assert other.due < OBJECTIVE_S < nested.due < TIMEOUT_S
+
+
+class TestUnofferedRequests:
+    """Why a request was offered to no server."""
+
+    def serving(self, gateway, **fields):
+        """Adds a node with a server; returns it as the gateway sees it."""
+        server = InstanceRecord(
+            "i-1", 1, 1, "browse", "v1", 4, True, False, 0.0, "127.0.0.2:1"
+        )
+        record = NodeRecord("127.0.0.2:1", "a", 1, 0, False, server)
+        peer = gateway.mesh.directory.learn(record, True, 0.0)
+        peer.link = SimpleNamespace(up=True)
+        for name, value in fields.items():
+            setattr(peer, name, value)
+        return peer
+
+    def reason(self, gateway):
+        """Returns the reason for a request of the usual rank."""
+        request = HttpRequest("GET", "/x/1", [], b"")
+        exchange = gateway._exchange(request, route(1), b"5a0e3a11", 0.0)
+        return gateway._unoffered(exchange)
+
+    async def test_servers_that_have_just_refused(self, gateway):
+        """Guards against logs that call full servers unreachable."""
+        soon = gateway.loop.time() + 60.0
+        self.serving(gateway, refused_until=soon, refused_rank=0)
+        assert self.reason(gateway) is Reason.OVERLOADED
+
+    async def test_no_server_at_all(self, gateway):
+        """Guards against logs that call a missing service overloaded."""
+        assert self.reason(gateway) is Reason.NO_SERVER
+
+    async def test_servers_that_cannot_be_reached(self, gateway):
+        """Guards against logs that call a silent node's server full."""
+        soon = gateway.loop.time() + 60.0
+        self.serving(gateway, refused_until=soon, refused_rank=0, silent=True)
+        assert self.reason(gateway) is Reason.NO_SERVER
--- a/tests/sidecar/test_logbook.py
+++ b/tests/sidecar/test_logbook.py
@@ -70,3 +70,16 @@
         assert len(attempts) + told == 500
         os.close(reader)
         os.close(writer)
+
+    def test_ends_of_requests_have_a_bound_of_their_own(self):
+        """Guards against failed requests that left no line under load."""
+        reader, writer = os.pipe()
+        log = Logbook("n", writer)
+        log.second = int(time.time()) + 1_000_000
+        log._new_second = lambda second: None
+        for _ in range(300):
+            log.write("request.attempt")
+            log.write("request.failed")
+        assert log.suppressed == {"request.attempt": 250, "request.failed": 100}
+        os.close(reader)
+        os.close(writer)
