List plans in one place and replace changed fields of records only

Cause: a last read of the change found the list of plans written twice (greeting and state handed on) and records rebuilt field by field in three places. Change: MoveBook.plans; msgspec.structs.replace. Behaviour unchanged.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from vanillamast_sidecar.directory import Directory
 from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.load_report import LoadReport
@@ -117,13 +119,11 @@
     ) -> NodeRecord:
         """Tells all nodes that this node or its server has changed."""
         own = self.directory.own.record
-        record = NodeRecord(
-            own.address,
-            own.failure_domain,
-            own.incarnation,
-            own.revision + 1,
-            stopping,
-            instance,
+        record = msgspec.structs.replace(
+            own,
+            revision=own.revision + 1,
+            stopping=stopping,
+            instance=instance,
         )
         self.directory.set_own(record)
         self.broadcast(Announce(record))
@@ -159,14 +159,7 @@
         if record.incarnation >= own.incarnation and record != own:
             # The clock stood ahead when the earlier process started.
             self.directory.set_own(
-                NodeRecord(
-                    own.address,
-                    own.failure_domain,
-                    record.incarnation + 1,
-                    own.revision,
-                    own.stopping,
-                    own.instance,
-                )
+                msgspec.structs.replace(own, incarnation=record.incarnation + 1)
             )
         if record.instance is not None:
             self.on_own_past(record.instance)
@@ -372,13 +365,13 @@
             peer.last_heard = now
             peer.next_dial = 0.0
         self.inbound.add(connection)
-        plans = [
-            move.plan
-            for move in self.moves.moves.values()
-            if move.plan is not None
-        ]
         connection.send(
-            Welcome(self.directory.own.record, others, plans, self.load())
+            Welcome(
+                self.directory.own.record,
+                others,
+                self.moves.plans(),
+                self.load(),
+            )
         )
         if message.record.failure_domain != self.settings.failure_domain:
             connection.codec.compress()
--- a/packages/sidecar/src/vanillamast_sidecar/move_book.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_book.py
@@ -106,6 +106,11 @@
         move.order = order
         return True
 
+    def plans(self) -> list[MovePlan]:
+        """Returns the newest plan of each move that has one."""
+        plans = (move.plan for move in self.moves.values())
+        return [plan for plan in plans if plan is not None]
+
     def prefers_new(self, service: str) -> bool | None:
         """Returns whether the next request goes to the new version.
 
--- a/packages/sidecar/src/vanillamast_sidecar/operator_view.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_view.py
@@ -144,12 +144,9 @@
             for move in self.moves.moves.values()
             if move.order.over_s > 0.0
         ]
-        plans = [
-            move.plan
-            for move in self.moves.moves.values()
-            if move.plan is not None
-        ]
-        return OperatorState(max(0, self.offset), self.packed, orders, plans)
+        return OperatorState(
+            max(0, self.offset), self.packed, orders, self.moves.plans()
+        )
 
     def take_state(self, state: OperatorState) -> None:
         """Takes over what a near node knows."""
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -1,5 +1,7 @@
 """Which backend server runs beside the node."""
 
+import msgspec
+
 from vanillamast_sidecar.heartbeat import Heartbeat
 from vanillamast_sidecar.instance_record import InstanceRecord
 
@@ -113,17 +115,8 @@
         ready = not leaving and not self.down
         if (known.leaving, known.ready) == (leaving, ready):
             return False
-        self.current = InstanceRecord(
-            known.id,
-            known.born_ms,
-            known.sequence,
-            known.service,
-            known.version,
-            known.slots,
-            ready,
-            leaving,
-            known.cold_s,
-            known.address,
+        self.current = msgspec.structs.replace(
+            known, ready=ready, leaving=leaving
         )
         return True
 
