--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -27,6 +27,12 @@
 )
 
 
+def make_frame(message: Message) -> bytes:
+    """Returns the frame of a message, which suits every connection."""
+    payload = _encoder.encode(message)
+    return LENGTH.pack(len(payload)) + payload
+
+
 class FrameCodec:
     """Encodes messages as a byte stream and decodes them.
 
@@ -53,8 +59,10 @@
 
     def encode(self, message: Message) -> bytes:
         """Encodes a message as the next bytes of the stream."""
-        payload = _encoder.encode(message)
-        frame = LENGTH.pack(len(payload)) + payload
+        return self.encode_frame(make_frame(message))
+
+    def encode_frame(self, frame: bytes) -> bytes:
+        """Returns a frame as the next bytes of the stream."""
         compressor = self.compressor
         if compressor is None:
             return frame
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -339,8 +339,10 @@
 
     async def _run_remotely(self, exchange: Exchange, peer: Peer) -> CallResult:
         instance = peer.record.instance
-        link = peer.link
-        assert instance is not None and link is not None
+        assert instance is not None
+        link = await self.mesh.links.get(peer)
+        if link is None:
+            return CallResult(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
         now = self.loop.time()
         request = exchange.request
         route = exchange.route
--- a/packages/sidecar/src/vanillamast_sidecar/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership.py
@@ -1,4 +1,6 @@
-"""The nodes that a node knows, also by the service of their server."""
+"""The nodes that a node knows, by service and by failure domain."""
+
+import zlib
 
 from vanillamast_sidecar.node_record import NodeRecord
 from vanillamast_sidecar.peer import Peer
@@ -10,19 +12,22 @@
     Attributes:
       own: This node.
       peers: All nodes by address, including this one.
-      peers_by_service: Nodes with a server, by the service of that server.
+      removed: Incarnation and revision of the removed nodes, by address.
     """
 
     def __init__(self, own: NodeRecord):
         self.own = Peer(own, same_domain=True, is_self=True)
         self.peers: dict[str, Peer] = {own.address: self.own}
-        self.peers_by_service: dict[str, list[Peer]] = {}
-        self._rebuild_index()
+        self.removed: dict[str, tuple[int, int]] = {}
+        self._changed = True
+        self._by_service: dict[str, list[Peer]] = {}
+        self._by_domain: dict[str, list[Peer]] = {}
+        self._digest = 0
 
     def set_own(self, record: NodeRecord) -> None:
         """Replaces this node's own record."""
         self.own.record = record
-        self._rebuild_index()
+        self._changed = True
 
     def apply_record(
         self, record: NodeRecord, direct: bool, now: float
@@ -40,11 +45,15 @@
             return None
         peer = self.peers.get(record.address)
         if peer is None:
+            removed = self.removed.get(record.address)
+            version = (record.incarnation, record.revision)
+            if removed is not None and version <= removed and not direct:
+                return None
+            self.removed.pop(record.address, None)
             same_domain = (
                 record.failure_domain == self.own.record.failure_domain
             )
             peer = Peer(record, same_domain, is_self=False)
-            peer.known_since = now
             peer.last_received_at = now
             self.peers[record.address] = peer
         elif direct or record.is_newer_than(peer.record):
@@ -53,26 +62,54 @@
             return None
         if record.instance is not None:
             peer.cold_until = now + record.instance.cold_s
-        self._rebuild_index()
+        self._changed = True
         return peer
 
     def remove(self, address: str) -> None:
-        """Removes a node."""
-        if self.peers.pop(address, None) is not None:
-            self._rebuild_index()
+        """Removes a node until it announces itself again."""
+        peer = self.peers.pop(address, None)
+        if peer is not None:
+            record = peer.record
+            self.removed[address] = (record.incarnation, record.revision)
+            self._changed = True
 
     def peers_serving(self, service: str) -> list[Peer]:
         """Returns the nodes whose server belongs to a service."""
-        return self.peers_by_service.get(service, [])
+        self._update_index()
+        return self._by_service.get(service, [])
+
+    def peers_by_domain(self) -> dict[str, list[Peer]]:
+        """Returns the nodes of each failure domain, ordered by address."""
+        self._update_index()
+        return self._by_domain
+
+    def own_domain(self) -> list[Peer]:
+        """Returns the nodes of this failure domain, ordered by address."""
+        return self.peers_by_domain()[self.own.record.failure_domain]
 
     def other_peers(self) -> list[Peer]:
         """Returns all nodes but this one."""
         return [peer for peer in self.peers.values() if not peer.is_self]
 
-    def _rebuild_index(self) -> None:
-        index: dict[str, list[Peer]] = {}
-        for peer in self.peers.values():
-            instance = peer.record.instance
-            if instance is not None:
-                index.setdefault(instance.service, []).append(peer)
-        self.peers_by_service = index
+    def digest(self) -> int:
+        """Returns a checksum that is equal for equal sets of records."""
+        self._update_index()
+        return self._digest
+
+    def _update_index(self) -> None:
+        if not self._changed:
+            return
+        self._changed = False
+        by_service: dict[str, list[Peer]] = {}
+        by_domain: dict[str, list[Peer]] = {}
+        digest = 0
+        for address, peer in sorted(self.peers.items()):
+            record = peer.record
+            by_domain.setdefault(record.failure_domain, []).append(peer)
+            if record.instance is not None:
+                by_service.setdefault(record.instance.service, []).append(peer)
+            version = f"{address} {record.incarnation} {record.revision};"
+            digest = zlib.crc32(version.encode(), digest)
+        self._by_service = by_service
+        self._by_domain = by_domain
+        self._digest = digest
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -1,25 +1,32 @@
-"""Connections between nodes and the messages that they exchange."""
+"""How the nodes of the fleet hear of each other."""
 
 import asyncio
-import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from vanillamast_sidecar.event_logger import EventLogger
+from vanillamast_sidecar.frame_codec import make_frame
+from vanillamast_sidecar.hub import HUB_INTERVAL_S, Hub
+from vanillamast_sidecar.hub_selector import HUBS_PER_DOMAIN, select_hubs
+from vanillamast_sidecar.hub_view import HubView
 from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.link_pool import LinkPool
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.membership import Membership
 from vanillamast_sidecar.messages import (
-    Announce,
     AnyMessage,
+    DomainStatus,
     Evidence,
     FetchOperator,
+    FetchRecords,
     Hello,
+    HubReport,
     Message,
     MoveAnnouncement,
     NodeHeartbeat,
     OperatorState,
+    Records,
     Reply,
     Welcome,
 )
@@ -28,28 +35,34 @@
 from vanillamast_sidecar.node_record import NodeRecord
 from vanillamast_sidecar.peer import Peer
 from vanillamast_sidecar.peer_link import PeerLink
+from vanillamast_sidecar.peer_monitor import PeerMonitor
 from vanillamast_sidecar.peer_server import CallRunner, PeerServer
+from vanillamast_sidecar.record_relay import RecordRelay
 from vanillamast_sidecar.settings import Address, SidecarSettings
 
-MAINTENANCE_INTERVAL_S = 0.1  # Also the interval of heartbeats.
-# A same-domain node is unresponsive after four missed heartbeats.
-HEARTBEAT_TIMEOUT_S = 0.45
-# A cross-domain node with calls in flight is pinged after this time without
-# a message, and is unresponsive if no message follows for as long again.
-PING_TIMEOUT_S = 0.25
-MIN_RECONNECT_DELAY_S = 0.2
-# Bounds how long a node that is reachable again goes unnoticed.
-MAX_RECONNECT_DELAY_S = 1.5
-# A node that is unreachable for this long is removed from the membership; it
-# announces itself when it returns.
-REMOVE_AFTER_S = 90.0
+# Heartbeats go to the hubs in turn.
+MAINTENANCE_INTERVAL_S = HUB_INTERVAL_S / HUBS_PER_DOMAIN
+# Interval of the statuses that hubs of different failure domains send each
+# other.
+STATUS_INTERVAL_S = 2.0
+# Every fifth report of a hub has a digest.
+REPORTS_PER_DIGEST = 5
+# Least time between two requests of this node for all records.
+FETCH_RECORDS_INTERVAL_S = 2.0
+# A hub is pinged after two missing reports, and hubs of other failure domains
+# after this time without a message.
+HUB_QUIET_S = 0.45
+DOMAIN_HUB_QUIET_S = 1.0
 
 
 class Mesh:
-    """Maintains a connection to every other node.
+    """Distributes records, loads and move statuses over the fleet's hubs.
 
-    A node sends its own calls and announcements on the connections that it
-    opened, and answers calls on those that other nodes opened.
+    Each node sends heartbeats to the hubs of its failure domain and gets their
+    reports. Hubs pass records and move statuses on to the nodes of their
+    failure domain and to the hubs of the others. Calls take a direct
+    connection, which is opened on use. Nodes send on the connections that they
+    opened, and answer on those that other nodes opened.
 
     Attributes:
       settings: Settings of the node.
@@ -59,9 +72,20 @@
       get_load: Returns the load of the local server.
       log: Event logger.
       metrics: Metrics.
+      links: Connections that this node opened.
+      monitor: Detects nodes that no longer answer.
+      hub: What this node knows as a hub.
+      view: What the hubs of the failure domain have reported.
+      relay: Batches the records that this node passes on as a hub.
+      hubs: The hubs that this node uses, in the order of their addresses.
+      is_hub: Whether this node acts as a hub.
+      domain_hubs: Hubs of the other failure domains that this node uses as a
+        hub, by failure domain.
+      subscribers: Connections of the nodes that use this one as a hub.
       on_previous_record: Handles a record of this node's previous process.
       on_evidence: Handles evidence on a move, with the sender's address.
-      on_heartbeat: Handles the heartbeat of a same-domain node.
+      on_versions: Handles the operator state's version that another node of
+        the failure domain has: the node, configuration version and offset.
       on_operator_state: Handles the operator's state as another node has it.
       get_operator_state: Returns the operator's state as this node has it.
       inbound: Connections that other nodes opened.
@@ -90,13 +114,26 @@
         self.get_load = get_load
         self.log = log
         self.metrics = metrics
+        self.links = LinkPool(
+            self.membership,
+            self._make_hello,
+            self._handle_link_message,
+            self._handle_connected,
+            log,
+        )
+        self.monitor = PeerMonitor(self.membership, self.links, log, metrics)
+        self.hub = Hub(self.membership)
+        self.view = HubView(self.membership)
+        self.relay = RecordRelay(self._relay_records)
+        self.hubs: list[Peer] = []
+        self.is_hub = False
+        self.domain_hubs: dict[str, list[Peer]] = {}
+        self.subscribers: set[PeerServer] = set()
         self.on_previous_record: Callable[[InstanceRecord], None] = lambda _: (
             None
         )
         self.on_evidence: Callable[[str, Evidence], None] = lambda *_: None
-        self.on_heartbeat: Callable[[Peer, NodeHeartbeat], None] = lambda *_: (
-            None
-        )
+        self.on_versions: Callable[[Peer, int, int], None] = lambda *_: None
         self.on_operator_state: Callable[[OperatorState], None] = lambda _: None
         self.get_operator_state: Callable[[], OperatorState | None] = lambda: (
             None
@@ -108,6 +145,10 @@
         self.operator_offset = 0
         self.store_contact_at: float | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.ticks = 0
+        self.status_sent_at = 0.0
+        self.reported_silent: set[str] = set()
+        self.fetched_records_at = -FETCH_RECORDS_INTERVAL_S
 
     async def listen(self, address: Address) -> asyncio.Server:
         """Starts to accept connections of other nodes."""
@@ -116,7 +157,7 @@
                 self.run_call,
                 self.get_load,
                 self._handle_inbound_message,
-                self.inbound.discard,
+                self._handle_inbound_closed,
             ),
             address.host,
             address.port,
@@ -137,190 +178,290 @@
             instance=instance,
         )
         self.membership.set_own(record)
-        self.broadcast(Announce(record))
+        self.broadcast(Records([record]))
         return record
 
     def broadcast(self, message: Message) -> None:
-        """Sends a message to all connected nodes."""
-        for peer in self.membership.other_peers():
-            if peer.link is not None:
-                peer.link.send(message)
-
-    def send(self, address: str, message: Message) -> bool:
-        """Sends a message to a node; returns whether it is connected."""
+        """Sends a message to all nodes, through the hubs."""
+        frame = make_frame(message)
+        for hub in self.hubs:
+            if hub.link is not None:
+                hub.link.send_frame(frame)
+        if self.is_hub:
+            self._pass_on(frame, to_domains=True)
+
+    def send(self, address: str, message: Message) -> None:
+        """Sends a message to a node, connecting to it first if necessary."""
         peer = self.membership.peers.get(address)
-        if peer is None or peer.link is None or not peer.link.up:
-            return False
-        peer.link.send(message)
-        return True
+        if peer is None or peer.is_self or not peer.reachable:
+            return
+        if peer.link is not None and peer.link.up:
+            peer.link.last_used_at = self.loop.time()
+            peer.link.send(message)
+            return
+        task = self.loop.create_task(self._connect_and_send(peer, message))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _connect_and_send(self, peer: Peer, message: Message) -> None:
+        link = await self.links.get(peer)
+        if link is not None:
+            link.send(message)
 
-    def apply_records(self, records: list[NodeRecord]) -> None:
-        """Applies records that come from the store or from third nodes."""
+    def apply_records(self, records: list[NodeRecord]) -> list[NodeRecord]:
+        """Applies records that come from the store or from third nodes.
+
+        Returns:
+          The records that were new.
+        """
         now = self.loop.time()
         own = self.membership.own.record
+        new = []
         for record in records:
             if record.address == own.address:
                 self._handle_previous_record(record)
-            else:
-                self.membership.apply_record(record, direct=False, now=now)
-        self._connect_due_peers(now)
+            elif self.membership.apply_record(record, direct=False, now=now):
+                new.append(record)
+        return new
+
+    def apply_listed_nodes(self, records: list[NodeRecord]) -> None:
+        """Applies the list of nodes that the store has."""
+        # Nodes that were cut off for long are tried again.
+        self.membership.removed.clear()
+        self.wants_nodes = False
+        self.apply_records(records)
+
+    def _log_record(self, record: NodeRecord) -> None:
+        instance = record.instance
+        self.log.write(
+            "peer.changed",
+            peer=record.address,
+            revision=record.revision,
+            stopping=record.stopping,
+            instance=instance.id if instance is not None else None,
+            ready=instance.ready if instance is not None else False,
+            version=instance.version if instance is not None else None,
+        )
 
     def _handle_previous_record(self, record: NodeRecord) -> None:
         own = self.membership.own.record
         if record.incarnation >= own.incarnation and record != own:
             # The clock was ahead when the previous process started. Only a
             # higher incarnation replaces that record at the other nodes.
-            self.membership.set_own(
-                msgspec.structs.replace(own, incarnation=record.incarnation + 1)
+            replacement = msgspec.structs.replace(
+                own, incarnation=record.incarnation + 1
             )
+            self.membership.set_own(replacement)
+            self.broadcast(Records([replacement]))
         if record.instance is not None:
             self.on_previous_record(record.instance)
 
     # Periodic maintenance.
 
     async def run(self) -> None:
-        """Connects, sends heartbeats and checks peers until cancelled."""
+        """Keeps the node connected to its hubs until cancelled."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now = self.loop.time()
-            self._connect_due_peers(now)
-            self._send_heartbeats(now)
-            self._detect_unresponsive_peers(now)
-
-    def _connect_due_peers(self, now: float) -> None:
-        for peer in self.membership.other_peers():
-            if peer.connected or peer.connecting or now < peer.next_connect_at:
-                continue
-            if (
-                peer.link is None
-                and now - peer.last_received_at > REMOVE_AFTER_S
-            ):
-                self.membership.remove(peer.record.address)
-                continue
-            peer.connecting = True
-            task = self.loop.create_task(self._connect(peer))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _connect(self, peer: Peer) -> None:
-        host, _, port = peer.record.address.rpartition(":")
-        link = PeerLink(
-            peer.record.address,
-            not peer.same_domain,
-            self._handle_link_message,
-            self._handle_link_lost,
-        )
-        hello = Hello(self.membership.own.record, self.wants_nodes)
-        connected = await link.open(host, int(port), hello)
-        now = self.loop.time()
-        peer.connecting = False
-        if connected and link.up:
-            peer.link = link
-            peer.failed_connects = 0
-            peer.last_received_at = now
-            peer.unresponsive = False
-            if self.membership.own.record != hello.record:
-                # The record changed while the hello was on its way.
-                link.send(Announce(self.membership.own.record))
-            self.log.write("peer.connected", peer=peer.record.address)
-            return
-        wait = min(
-            MAX_RECONNECT_DELAY_S,
-            MIN_RECONNECT_DELAY_S * 2**peer.failed_connects,
-        )
-        peer.failed_connects = min(peer.failed_connects + 1, 8)
-        peer.next_connect_at = now + wait * random.uniform(0.8, 1.2)
-
-    def _send_heartbeats(self, now: float) -> None:
+            self.ticks += 1
+            self._select_hubs(now)
+            heartbeat = self._make_heartbeat(now)
+            self._send_heartbeat(heartbeat)
+            if self.is_hub:
+                self._act_as_hub(heartbeat, now)
+            unheard = self.view.find_unheard(now)
+            for address in self.monitor.apply_unheard(unheard, now):
+                self.hub.remove(address)
+            self._maintain_links(now)
+
+    def _select_hubs(self, now: float) -> None:
+        """Chooses the hubs and connects to them."""
+        by_domain = self.membership.peers_by_domain()
+        own_domain = self.membership.own.record.failure_domain
+        hubs = select_hubs(by_domain[own_domain])
+        self.hubs = [peer for peer in hubs if not peer.is_self]
+        was_hub = self.is_hub
+        self.is_hub = len(self.hubs) < len(hubs) or bool(self.subscribers)
+        if self.is_hub and not was_hub:
+            self.hub.reset()
+        self.domain_hubs = {}
+        if self.is_hub:
+            self.domain_hubs = {
+                domain: select_hubs(peers)
+                for domain, peers in by_domain.items()
+                if domain != own_domain
+            }
+        for peer in (*self.hubs, *self._other_domains_hubs()):
+            if peer.link is None and now >= peer.next_connect_at:
+                self.links.connect(peer)
+
+    def _other_domains_hubs(self) -> Iterable[Peer]:
+        return (peer for peers in self.domain_hubs.values() for peer in peers)
+
+    def _make_heartbeat(self, now: float) -> NodeHeartbeat:
         load = self.get_load()
+        self.membership.own.apply_load_report(load, now)
         age_s = None
         if self.store_contact_at is not None:
             age_s = round(now - self.store_contact_at, 3)
-        heartbeat = NodeHeartbeat(
+        return NodeHeartbeat(
             load, self.config_version, self.operator_offset, age_s
         )
-        self.membership.own.apply_load_report(load, now)
-        for peer in self.membership.other_peers():
-            if peer.same_domain and peer.link is not None:
+
+    def _send_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
+        """Sends the heartbeat to one of the hubs, in turn."""
+        for position, peer in enumerate(self.hubs):
+            turn = self.ticks % HUBS_PER_DOMAIN == position % HUBS_PER_DOMAIN
+            if turn and peer.link is not None:
                 peer.link.send(heartbeat)
 
-    def _detect_unresponsive_peers(self, now: float) -> None:
-        for peer in self.membership.other_peers():
-            link = peer.link
-            if link is None or not link.up:
-                continue
-            last_received_at = max(peer.last_received_at, link.last_received_at)
-            if peer.same_domain:
-                self._set_unresponsive(
-                    peer,
-                    now - last_received_at > HEARTBEAT_TIMEOUT_S,
-                    last_received_at,
-                )
-            elif link.pending and now - link.last_received_at > PING_TIMEOUT_S:
-                link.ping(now)
-                timed_out = now - link.ping_sent_at > PING_TIMEOUT_S
-                self._set_unresponsive(peer, timed_out, last_received_at)
-            elif peer.unresponsive and not link.ping_sent_at:
-                self._set_unresponsive(peer, False, last_received_at)
-
-    def _set_unresponsive(
-        self, peer: Peer, unresponsive: bool, last_received_at: float
+    def _maintain_links(self, now: float) -> None:
+        max_quiet_s = {
+            peer.record.address: DOMAIN_HUB_QUIET_S
+            for peer in self._other_domains_hubs()
+        }
+        for peer in self.hubs:
+            max_quiet_s[peer.record.address] = HUB_QUIET_S
+        self.monitor.check_links(max_quiet_s, now)
+        self.links.reconnect_failed(now)
+        self.links.close_idle(max_quiet_s.keys(), now)
+
+    # Work of a hub.
+
+    def _act_as_hub(self, heartbeat: NodeHeartbeat, now: float) -> None:
+        """Collects and reports the state of the failure domain."""
+        own = self.membership.own.record.address
+        self.hub.handle_heartbeat(own, heartbeat, now)
+        silent = self.hub.find_silent(now)
+        self._contact_silent_nodes(silent, now)
+        unheard = silent | self.hub.find_remote_silent(now)
+        lost_domains = self._find_lost_domains()
+        self.view.apply_own(own, unheard, lost_domains, now)
+        # A node that another hub hears is not silent.
+        self._send_status(silent & self.view.find_unheard(now), now)
+        if self.ticks % HUBS_PER_DOMAIN == 0:
+            self._send_report(unheard, lost_domains, now)
+
+    def _send_report(
+        self, unheard: set[str], lost_domains: list[str], now: float
     ) -> None:
-        if unresponsive == peer.unresponsive:
-            if unresponsive and peer.link is not None:
-                peer.link.give_up_retryable_calls()
-            return
-        peer.unresponsive = unresponsive
-        kind = "peer.silent" if unresponsive else "peer.heard"
-        self.log.write(
-            kind,
-            peer=peer.record.address,
-            age_s=round(self.loop.time() - last_received_at, 3),
+        for connection in list(self.subscribers):
+            if not self.hub.is_heard(connection.peer_address, now):
+                self.subscribers.discard(connection)
+        reports = self.ticks // HUBS_PER_DOMAIN
+        digest = 0
+        if reports % REPORTS_PER_DIGEST == 0:
+            digest = self.membership.digest()
+        report = self.hub.make_report(unheard, lost_domains, digest, now)
+        self._pass_on(make_frame(report), to_domains=False)
+
+    def _contact_silent_nodes(self, silent: set[str], now: float) -> None:
+        """Connects to silent nodes, which may not know of this hub."""
+        for address in silent:
+            peer = self.membership.peers[address]
+            if peer.link is None and now >= peer.next_connect_at:
+                self.links.connect(peer)
+
+    def _find_lost_domains(self) -> list[str]:
+        """Returns the failure domains with no reachable hub."""
+        return sorted(
+            domain
+            for domain, peers in self.membership.peers_by_domain().items()
+            if domain in self.domain_hubs
+            and not self._is_domain_connected(peers)
+            and any(peer.failed or peer.unresponsive for peer in peers)
         )
-        if unresponsive and peer.link is not None:
-            count = peer.link.give_up_retryable_calls()
-            self.metrics.count("peer_silences")
-            self.log.write(
-                "peer.calls_given_up", peer=peer.record.address, calls=count
-            )
+
+    def _is_domain_connected(self, peers: list[Peer]) -> bool:
+        return any(peer.connected and not peer.unresponsive for peer in peers)
+
+    def _send_status(self, silent: set[str], now: float) -> None:
+        """Reports silent nodes to the hubs of the other failure domains."""
+        if (
+            silent == self.reported_silent
+            and now - self.status_sent_at < STATUS_INTERVAL_S
+        ):
+            return
+        self.reported_silent = silent
+        self.status_sent_at = now
+        status = DomainStatus(sorted(silent), self.membership.digest())
+        for peer in self._other_domains_hubs():
+            if peer.link is not None:
+                peer.link.send(status)
+
+    def _pass_on(
+        self,
+        frame: bytes,
+        to_domains: bool,
+        sender: PeerServer | None = None,
+    ) -> None:
+        """Sends a frame to the nodes that use this hub, and to other hubs."""
+        for connection in self.subscribers:
+            if connection is not sender:
+                connection.send_frame(frame)
+        if to_domains:
+            for peer in self._other_domains_hubs():
+                if peer.link is not None:
+                    peer.link.send_frame(frame)
+
+    def _relay_records(
+        self, records: list[NodeRecord], same_domain: bool
+    ) -> None:
+        if self.is_hub:
+            self._pass_on(make_frame(Records(records)), same_domain)
 
     def reset_links(self) -> None:
         """Closes all connections after this process was suspended."""
-        for peer in self.membership.other_peers():
-            if peer.link is not None:
-                peer.link.close()
-            peer.next_connect_at = 0.0
+        self.links.reset()
         for connection in list(self.inbound):
             connection.close()
 
-    # Messages.
+    # Connections.
 
-    def _handle_link_lost(self, link: PeerLink) -> None:
-        peer = self._find_peer(link)
-        if peer is not None:
-            peer.link = None
-            peer.next_connect_at = 0.0
-            self.log.write("peer.lost", peer=peer.record.address)
+    def _make_hello(self, peer: Peer) -> Hello:
+        # A silent node may know of nodes that this one does not.
+        wants_nodes = self.wants_nodes or peer.silent_since is not None
+        return Hello(self.membership.own.record, wants_nodes)
+
+    def _handle_connected(self, peer: Peer, hello: Hello) -> None:
+        link = peer.link
+        if link is None:
+            return
+        if self.membership.own.record != hello.record:
+            # The record changed while the hello was on its way.
+            link.send(Records([self.membership.own.record]))
+        if self.is_hub and not peer.same_domain:
+            for status in self.moves.statuses():
+                link.send(MoveAnnouncement(status))
+
+    def _handle_inbound_closed(self, connection: PeerServer) -> None:
+        self.inbound.discard(connection)
+        self.subscribers.discard(connection)
+
+    # Messages on the connections that this node opened.
 
     def _handle_link_message(self, link: PeerLink, message: AnyMessage) -> None:
-        peer = self._find_peer(link)
-        if peer is None:
-            if isinstance(message, Welcome):
-                self._handle_welcome(message)
+        peer = self.membership.peers.get(link.address)
+        if isinstance(message, Welcome):
+            self._handle_welcome(message)
+            return
+        if peer is None or peer.link is not link:
             return
         now = self.loop.time()
         peer.last_received_at = now
         if isinstance(message, Reply):
             peer.apply_load_report(message.load, now)
-        elif isinstance(message, Welcome):
-            self._handle_welcome(message)
+        elif isinstance(message, HubReport):
+            self._handle_report(peer, message)
+        elif isinstance(message, Records):
+            self._handle_records(message.records, peer)
+        elif isinstance(message, FetchRecords):
+            link.send(Records(self._all_records()))
+        elif isinstance(message, MoveAnnouncement):
+            self._handle_move_status(message, peer, None)
         elif isinstance(message, OperatorState):
             self.on_operator_state(message)
 
-    def _find_peer(self, link: PeerLink) -> Peer | None:
-        peer = self.membership.peers.get(link.address)
-        return peer if peer is not None and peer.link is link else None
-
     def _handle_welcome(self, message: Welcome) -> None:
         now = self.loop.time()
         peer = self.membership.apply_record(
@@ -328,9 +469,37 @@
         )
         if peer is not None:
             peer.apply_load_report(message.load, now)
+            self.relay.add([message.record], peer.same_domain)
         for status in message.move_statuses:
             self.moves.apply_status(status, now)
-        self.apply_records(message.others)
+        self.relay.add(self.apply_records(message.others), same_domain=True)
+
+    def _handle_report(self, peer: Peer, report: HubReport) -> None:
+        """Applies the report of a hub of this failure domain."""
+        now = self.loop.time()
+        address = peer.record.address
+        self.view.apply_report(address, report, now)
+        for version in report.versions:
+            source = self.membership.peers.get(version.address)
+            if source is not None and not source.is_self:
+                self.on_versions(
+                    source, version.config_version, version.operator_offset
+                )
+        if report.digest and self.view.needs_records(address, report.digest):
+            self._fetch_records(peer)
+
+    def _fetch_records(self, peer: Peer) -> None:
+        now = self.loop.time()
+        if now - self.fetched_records_at >= FETCH_RECORDS_INTERVAL_S:
+            self.fetched_records_at = now
+            self.log.write("peer.records_fetched", peer=peer.record.address)
+            if peer.link is not None:
+                peer.link.send(FetchRecords())
+
+    def _all_records(self) -> list[NodeRecord]:
+        return [peer.record for peer in self.membership.peers.values()]
+
+    # Messages on the connections that other nodes opened.
 
     def _handle_inbound_message(
         self, connection: PeerServer, message: AnyMessage
@@ -344,40 +513,80 @@
             return
         peer.last_received_at = now
         if isinstance(message, NodeHeartbeat):
-            peer.apply_load_report(message.load, now)
-            peer.store_contact_at = None
-            if message.store_age_s is not None:
-                peer.store_contact_at = now - message.store_age_s
-            self.on_heartbeat(peer, message)
-        elif isinstance(message, Announce):
-            self._handle_announcement(message.record)
+            self._handle_heartbeat(connection, peer, message)
+        elif isinstance(message, Records):
+            self._handle_records(message.records, peer)
         elif isinstance(message, MoveAnnouncement):
-            if self.moves.apply_status(message.status, now):
-                self.log.write("move.plan", **message.status.log_fields())
+            self._handle_move_status(message, peer, connection)
+        elif isinstance(message, DomainStatus):
+            self._handle_domain_status(peer, message)
         elif isinstance(message, Evidence):
             self.on_evidence(connection.peer_address, message)
+        elif isinstance(message, FetchRecords):
+            connection.send(Records(self._all_records()))
+            # The sender may have records that this node lacks.
+            connection.send(FetchRecords())
         elif isinstance(message, FetchOperator):
             state = self.get_operator_state()
             if state is not None:
                 connection.send(state)
 
-    def _handle_announcement(self, record: NodeRecord) -> None:
-        if (
-            self.membership.apply_record(record, False, self.loop.time())
-            is None
-        ):
-            return
-        instance = record.instance
-        self.log.write(
-            "peer.changed",
-            peer=record.address,
-            revision=record.revision,
-            stopping=record.stopping,
-            instance=instance.id if instance is not None else None,
-            ready=instance.ready if instance is not None else False,
-            version=instance.version if instance is not None else None,
+    def _handle_heartbeat(
+        self, connection: PeerServer, peer: Peer, heartbeat: NodeHeartbeat
+    ) -> None:
+        """Applies the heartbeat of a node that uses this one as a hub."""
+        now = self.loop.time()
+        peer.apply_load_report(heartbeat.load, now)
+        peer.store_contact_at = None
+        if heartbeat.store_age_s is not None:
+            peer.store_contact_at = now - heartbeat.store_age_s
+        self.hub.handle_heartbeat(peer.record.address, heartbeat, now)
+        if connection not in self.subscribers:
+            self.subscribers.add(connection)
+            self.is_hub = True
+            silent = self.hub.find_silent(now)
+            connection.send(
+                self.hub.make_first_report(
+                    silent | self.hub.find_remote_silent(now),
+                    self._find_lost_domains(),
+                    now,
+                )
+            )
+            for status in self.moves.statuses():
+                connection.send(MoveAnnouncement(status))
+        self.on_versions(
+            peer, heartbeat.config_version, heartbeat.operator_offset
         )
 
+    def _handle_records(self, records: list[NodeRecord], peer: Peer) -> None:
+        """Applies records and passes the new ones on."""
+        new = self.apply_records(records)
+        for record in new:
+            self._log_record(record)
+        self.relay.add(new, peer.same_domain)
+
+    def _handle_move_status(
+        self,
+        message: MoveAnnouncement,
+        peer: Peer,
+        connection: PeerServer | None,
+    ) -> None:
+        """Applies a move status and passes it on if it is new."""
+        status = message.status
+        known = self.moves.known_elapsed_s(status)
+        changed = self.moves.apply_status(status, self.loop.time())
+        if changed:
+            self.log.write("move.plan", **status.log_fields())
+        if self.is_hub and (changed or status.elapsed_s > known):
+            self._pass_on(make_frame(message), peer.same_domain, connection)
+
+    def _handle_domain_status(self, peer: Peer, status: DomainStatus) -> None:
+        now = self.loop.time()
+        address = peer.record.address
+        self.hub.handle_status(address, status, now)
+        if self.view.needs_records(address, status.digest):
+            self._fetch_records(peer)
+
     def _handle_hello(self, connection: PeerServer, message: Hello) -> None:
         now = self.loop.time()
         address = message.record.address
@@ -391,7 +600,7 @@
             others.extend(
                 peer.record
                 for peer in self.membership.other_peers()
-                if peer.record.address != address and peer.connected
+                if peer.record.address != address
             )
         peer = self.membership.apply_record(
             message.record, direct=True, now=now
@@ -399,6 +608,9 @@
         if peer is not None:
             peer.last_received_at = now
             peer.next_connect_at = 0.0
+            if known is None or previous != message.record:
+                self._log_record(message.record)
+                self.relay.add([message.record], peer.same_domain)
         self.inbound.add(connection)
         connection.send(
             Welcome(
@@ -410,4 +622,3 @@
         )
         if message.record.failure_domain != self.settings.failure_domain:
             connection.codec.enable_compression()
-        self._connect_due_peers(now)
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/messages.py
@@ -48,18 +48,20 @@
     load: LoadReport
 
 
-class Announce(Message, tag=3, frozen=True):
-    """A change of the sending node.
+class Records(Message, tag=3, frozen=True):
+    """Records of nodes, from the nodes themselves or passed on by a hub.
 
     Attributes:
-      record: New record of the sending node.
+      records: The records.
     """
 
-    record: NodeRecord
+    records: list[NodeRecord]
 
 
 class NodeHeartbeat(Message, tag=4, frozen=True):
-    """Heartbeat between the nodes of one failure domain.
+    """Heartbeat of a node to a hub of its failure domain.
+
+    The hub sends its reports to the nodes that send it heartbeats.
 
     Attributes:
       load: Load of the sender's backend server.
@@ -229,10 +231,65 @@
     body: bytes
 
 
+class VersionReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a node has applied of the operator's state.
+
+    Attributes:
+      address: Address of the node.
+      config_version: Version of its configuration, -1 without one.
+      operator_offset: Offset up to which it has read the operator's stream.
+      store_age_s: Time since it last received a response of the store; None
+        while it does not read the stream.
+    """
+
+    address: str
+    config_version: int
+    operator_offset: int
+    store_age_s: float | None
+
+
+class HubReport(Message, tag=16, frozen=True):
+    """State of a failure domain, from one of its hubs to its nodes.
+
+    Attributes:
+      names: Numbers of nodes in `loads` with their addresses: those that are
+        new since the last report, all in the first report to a node.
+      loads: Number and load of each node whose load has changed since the
+        last report; all in the first report to a node.
+      silent: Addresses of nodes that no hub of their failure domain hears.
+      lost_domains: Failure domains that the hub cannot reach.
+      versions: Versions of the hub and of the nodes that read the store.
+      digest: Digest of the hub's records; 0 if the report has none.
+    """
+
+    names: list[tuple[int, str]]
+    loads: list[tuple[int, LoadReport]]
+    silent: list[str]
+    lost_domains: list[str]
+    versions: list[VersionReport]
+    digest: int
+
+
+class DomainStatus(Message, tag=17, frozen=True):
+    """State of a failure domain, from one of its hubs to other domains' hubs.
+
+    Attributes:
+      silent: Addresses of its nodes that the hub does not hear.
+      digest: Digest of the hub's records.
+    """
+
+    silent: list[str]
+    digest: int
+
+
+class FetchRecords(Message, tag=18, frozen=True):
+    """Asks for all records that the receiver has."""
+
+
 AnyMessage = (
     Hello
     | Welcome
-    | Announce
+    | Records
     | NodeHeartbeat
     | Call
     | Cancel
@@ -245,4 +302,7 @@
     | OperatorState
     | SlotGranted
     | Confirm
+    | HubReport
+    | DomainStatus
+    | FetchRecords
 )
--- a/packages/sidecar/src/vanillamast_sidecar/move_controller.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_controller.py
@@ -208,7 +208,7 @@
                 continue
             if instance.version == move.spec.to_version:
                 has_new_server = has_new_server or peer.usable
-            elif peer.connected and not peer.unresponsive and instance.ready:
+            elif peer.reachable and instance.ready:
                 old_nodes.add(peer.record.address)
         return old_nodes, has_new_server
 
@@ -299,4 +299,4 @@
 
 
 def _may_drive(peer: Peer) -> bool:
-    return peer.connected and not peer.unresponsive and not peer.record.stopping
+    return peer.reachable and not peer.record.stopping
--- a/packages/sidecar/src/vanillamast_sidecar/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_table.py
@@ -102,6 +102,14 @@
             self.on_change(status.service)
         return changed
 
+    def known_elapsed_s(self, status: MoveStatus) -> float:
+        """Returns the age of the move in the newest status; -1 without one."""
+        move = self.by_service.get(status.service)
+        if move is None or move.status is None:
+            return -1.0
+        known = move.status
+        return known.elapsed_s if known.move_id == status.move_id else -1.0
+
     def complete_spec(self, spec: MoveSpec) -> bool:
         """Stores a spec if its status came first; returns whether it did."""
         move = self.by_service.get(spec.service)
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -330,8 +330,7 @@
                     records = await self.store.list_nodes()
                 announced = True
                 self.nodes_known = True
-                self.mesh.wants_nodes = False
-                self.mesh.apply_records(records)
+                self.mesh.apply_listed_nodes(records)
                 self.log.write("nodes.read", count=len(records))
                 await asyncio.sleep(NODES_REFRESH_INTERVAL_S)
             except StoreError as error:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
@@ -13,7 +13,6 @@
 from vanillamast_sidecar.mesh import Mesh
 from vanillamast_sidecar.messages import (
     FetchOperator,
-    NodeHeartbeat,
     OperatorState,
 )
 from vanillamast_sidecar.metrics import Metrics
@@ -48,9 +47,9 @@
 class OperatorStateSync:
     """Reads configurations and move specs from the store or from a peer.
 
-    Two nodes of each failure domain read the store. Heartbeats announce a
-    node's configuration version and offset; nodes that are behind fetch the
-    newer state from a node of their failure domain.
+    Two nodes of each failure domain, its hubs, read the store. Their reports
+    announce their configuration version and offset; nodes that are behind
+    fetch the newer state from them.
 
     Attributes:
       store: Coordination store.
@@ -83,7 +82,7 @@
         self.reader_policy = StoreReaderPolicy(mesh.membership)
         self.read_task: asyncio.Task[None] | None = None
         self.fetch_at = 0.0
-        mesh.on_heartbeat = self.handle_node_heartbeat
+        mesh.on_versions = self.handle_versions
         mesh.on_operator_state = self.handle_operator_state
 
     # From the store.
@@ -212,12 +211,12 @@
 
     # From other nodes.
 
-    def handle_node_heartbeat(
-        self, peer: Peer, heartbeat: NodeHeartbeat
+    def handle_versions(
+        self, peer: Peer, config_version: int, operator_offset: int
     ) -> None:
-        """Fetches newer state from a peer that announces it."""
-        behind = heartbeat.config_version > self.mesh.config_version or (
-            heartbeat.operator_offset > max(0, self.state.offset)
+        """Fetches newer state from a peer that has it."""
+        behind = config_version > self.mesh.config_version or (
+            operator_offset > max(0, self.state.offset)
         )
         now = self.loop.time()
         if not behind:
@@ -227,10 +226,10 @@
             if self.read_task is None:
                 wait_s = random.uniform(0.0, FETCH_JITTER_S)
             self.fetch_at = now + wait_s
-        if now >= self.fetch_at and peer.link is not None:
-            # Without an answer in time, a later heartbeat triggers a retry.
+        if now >= self.fetch_at:
+            # Without an answer in time, a later report triggers a retry.
             self.fetch_at = now + PEER_FETCH_DELAY_S
-            peer.link.send(FetchOperator())
+            self.mesh.send(peer.record.address, FetchOperator())
 
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -1,5 +1,6 @@
 """A node and its server, as this node knows them."""
 
+import asyncio
 import math
 
 from vanillamast_sidecar.load_report import LoadReport
@@ -27,13 +28,16 @@
       other_load: Requests of other nodes at the server by that report.
       last_received_at: When its last message arrived, in loop time.
       unresponsive: Whether no messages arrive although its connection is open.
+      silent_since: Since when the hubs do not hear it, in loop time; None
+        while they do.
+      failed: Whether the last attempt to connect failed or the connection was
+        lost, until the next successful attempt.
       cold_until: When its server has warmed up, in loop time.
       refused_until: Until when its server counts as full, in loop time.
       refused_rank: Lowest rank of the requests for which it counts as full.
       next_connect_at: When to connect again, in loop time.
       failed_connects: Failed attempts to connect since the last success.
-      connecting: Whether an attempt is under way.
-      known_since: When the node became known, in loop time.
+      connecting: Task of the attempt that is under way, None without one.
       store_contact_at: When the node last received a response of the store,
         in loop time; None while it does not read the operator's stream.
     """
@@ -50,20 +54,28 @@
         self.other_load = 0.0
         self.last_received_at = 0.0
         self.unresponsive = False
+        self.silent_since: float | None = None
+        self.failed = False
         self.cold_until = 0.0
         self.refused_until = 0.0
         self.refused_rank = 0
         self.next_connect_at = 0.0
         self.failed_connects = 0
-        self.connecting = False
-        self.known_since = 0.0
+        self.connecting: asyncio.Task[PeerLink | None] | None = None
         self.store_contact_at: float | None = None
 
     @property
     def connected(self) -> bool:
-        """Returns whether calls can be sent to the node."""
+        """Returns whether a connection to the node is open."""
         return self.is_self or (self.link is not None and self.link.up)
 
+    @property
+    def reachable(self) -> bool:
+        """Returns whether nothing shows that the node cannot be reached."""
+        return not (
+            self.unresponsive or self.failed or self.silent_since is not None
+        )
+
     @property
     def usable(self) -> bool:
         """Returns whether its server accepts requests of this node."""
@@ -72,8 +84,7 @@
             instance is not None
             and instance.ready
             and not self.record.stopping
-            and not self.unresponsive
-            and self.connected
+            and self.reachable
         )
 
     def is_full_for(self, rank: int, now: float) -> bool:
--- a/packages/sidecar/src/vanillamast_sidecar/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_link.py
@@ -75,8 +75,10 @@
       welcomed: Whether the peer has answered the hello.
       pending: Calls that wait for a reply, by id.
       last_received_at: When the last message arrived, in loop time.
+      last_used_at: When the last call was sent, in loop time.
       ping_sent_at: When an unanswered ping was sent, in loop time; 0 without
         one.
+      closed_as_idle: Whether this node closed the connection for lack of use.
     """
 
     def __init__(
@@ -96,7 +98,9 @@
         self.welcomed = False
         self.pending: dict[int, PendingCall] = {}
         self.last_received_at = 0.0
+        self.last_used_at = 0.0
         self.ping_sent_at = 0.0
+        self.closed_as_idle = False
         self.next_id = 0
         self._welcome_received: asyncio.Future[None] = self.loop.create_future()
 
@@ -127,6 +131,11 @@
         if self.up:
             self._write(message)
 
+    def send_frame(self, frame: bytes) -> None:
+        """Sends an encoded message if the connection is open."""
+        if self.up and self.transport is not None:
+            self.transport.write(self.codec.encode_frame(frame))
+
     def _write(self, message: Message) -> None:
         if self.transport is not None:
             self.transport.write(self.codec.encode(message))
@@ -152,6 +161,7 @@
         if not self.up:
             return _failed_reply(0, Outcome.NOT_RUN, Reason.CONNECT_FAILED)
         self.next_id += 1
+        self.last_used_at = self.loop.time()
         call_id = self.next_id
         pending = PendingCall(self.loop.create_future(), idempotent, body)
         self.pending[call_id] = pending
@@ -192,6 +202,12 @@
         """Closes the connection with a reset."""
         close_with_reset(self.transport)
 
+    def close_idle(self) -> None:
+        """Closes a connection that is no longer used."""
+        self.closed_as_idle = True
+        if self.transport is not None:
+            self.transport.close()
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -83,6 +83,12 @@
         if transport is not None and not transport.is_closing():
             transport.write(self.codec.encode(message))
 
+    def send_frame(self, frame: bytes) -> None:
+        """Sends an encoded message if the connection is open."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.write(self.codec.encode_frame(frame))
+
     def close(self) -> None:
         """Closes the connection with a reset."""
         close_with_reset(self.transport)
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -1,5 +1,6 @@
 """Chooses the backend server for an attempt."""
 
+import dataclasses
 import random
 from collections.abc import Iterable
 
@@ -22,6 +23,45 @@
 SAMPLED_SERVERS = 2
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerEstimate:
+    """How long a request is expected to take at a server.
+
+    Attributes:
+      peer: Node of the server.
+      wait_s: Expected wait for a slot.
+      duration_s: Expected service time.
+    """
+
+    peer: Peer
+    wait_s: float
+    duration_s: float
+
+    @property
+    def is_free(self) -> bool:
+        """Returns whether the server should have a free slot."""
+        return self.wait_s <= 0.0
+
+    @property
+    def cost_s(self) -> float:
+        """Returns the expected time to a response plus penalties."""
+        cost = self.wait_s + self.duration_s
+        cost += self.peer.load.failure_share * FAILURE_PENALTY_S
+        return cost if self.peer.same_domain else cost + CROSS_DOMAIN_PENALTY_S
+
+    def is_acceptable(self, deadline: float, now: float) -> bool:
+        """Returns whether the server should be in time and seldom fails."""
+        return (
+            now + self.wait_s + self.duration_s <= deadline
+            and self.peer.load.failure_share < MAX_FAILURE_SHARE
+        )
+
+
+def estimate_server(peer: Peer, now: float) -> ServerEstimate:
+    """Returns the estimate for a request that is sent now."""
+    return ServerEstimate(peer, *peer.expected_times_s(now))
+
+
 class ServerSelector:
     """Chooses the server that is expected to answer first.
 
@@ -108,19 +148,30 @@
         A request goes to another failure domain only if no server of this one
         is expected to answer in time.
         """
-        acceptable = [
-            peer
-            for peer in peers
-            if _is_acceptable(peer, same_domain_deadline, now)
-        ]
-        same_domain = [peer for peer in acceptable if peer.same_domain]
-        return (
-            self._select_untried(same_domain, now)
-            or self._select_from_sample(same_domain or acceptable, now)
-            or self._select_lowest_cost(peers, now)
-        )
+        estimates: list[ServerEstimate] = []
+        for same_domain in (True, False):
+            found = [
+                estimate_server(peer, now)
+                for peer in peers
+                if peer.same_domain == same_domain
+            ]
+            estimates += found
+            acceptable = [
+                estimate
+                for estimate in found
+                if estimate.is_acceptable(same_domain_deadline, now)
+            ]
+            best = (
+                self._select_untried(acceptable, now) if same_domain else None
+            )
+            best = best or self._select_from_sample(acceptable)
+            if best is not None:
+                return best
+        return self._select_lowest_cost(estimates)
 
-    def _select_untried(self, peers: list[Peer], now: float) -> Peer | None:
+    def _select_untried(
+        self, estimates: list[ServerEstimate], now: float
+    ) -> Peer | None:
         """Returns an idle server that this node never used, or None at random.
 
         The speed of a server is known only after it was used. Among `n`
@@ -128,47 +179,35 @@
         nodes send their requests to a new server at once.
         """
         untried = [
-            peer
-            for peer in peers
-            if peer.is_untried(now) and peer.expected_times_s(now)[0] <= 0.0
+            estimate.peer
+            for estimate in estimates
+            if estimate.is_free and estimate.peer.is_untried(now)
         ]
-        if not untried or self.rng.random() * len(peers) >= len(untried):
+        if not untried or self.rng.random() * len(estimates) >= len(untried):
             return None
         return self.rng.choice(untried)
 
-    def _select_from_sample(self, peers: list[Peer], now: float) -> Peer | None:
+    def _select_from_sample(
+        self, estimates: list[ServerEstimate]
+    ) -> Peer | None:
         """Returns the best of a random sample; free servers go first."""
-        free = [peer for peer in peers if peer.expected_times_s(now)[0] <= 0.0]
-        candidates = free or peers
+        free = [estimate for estimate in estimates if estimate.is_free]
+        candidates = free or estimates
         if len(candidates) > SAMPLED_SERVERS:
             candidates = self.rng.sample(candidates, SAMPLED_SERVERS)
-        return self._select_lowest_cost(candidates, now)
+        return self._select_lowest_cost(candidates)
 
-    def _select_lowest_cost(self, peers: list[Peer], now: float) -> Peer | None:
-        if not peers:
+    def _select_lowest_cost(
+        self, estimates: list[ServerEstimate]
+    ) -> Peer | None:
+        if not estimates:
             return None
-        costs = [(estimate_cost_s(peer, now), peer) for peer in peers]
+        costs = [(estimate.cost_s, estimate.peer) for estimate in estimates]
         max_cost = min(cost for cost, _ in costs) + TIE_S
         ties = [peer for cost, peer in costs if cost <= max_cost]
         return ties[0] if len(ties) == 1 else self.rng.choice(ties)
 
 
-def estimate_cost_s(peer: Peer, now: float) -> float:
-    """Returns the expected time to a response plus penalties."""
-    wait, duration = peer.expected_times_s(now)
-    cost = wait + duration + peer.load.failure_share * FAILURE_PENALTY_S
-    return cost if peer.same_domain else cost + CROSS_DOMAIN_PENALTY_S
-
-
-def _is_acceptable(peer: Peer, deadline: float, now: float) -> bool:
-    """Returns whether a server should answer in time and seldom fails."""
-    wait, duration = peer.expected_times_s(now)
-    return (
-        now + wait + duration <= deadline
-        and peer.load.failure_share < MAX_FAILURE_SHARE
-    )
-
-
 def _is_candidate(peer: Peer, tried: set[str], rank: int, now: float) -> bool:
     instance = peer.record.instance
     return (
--- a/packages/sidecar/src/vanillamast_sidecar/store_reader_policy.py
+++ b/packages/sidecar/src/vanillamast_sidecar/store_reader_policy.py
@@ -48,12 +48,7 @@
 
 
 def _is_candidate(peer: Peer) -> bool:
-    return (
-        peer.same_domain
-        and peer.connected
-        and not peer.unresponsive
-        and not peer.record.stopping
-    )
+    return peer.same_domain and peer.reachable and not peer.record.stopping
 
 
 def _is_active_reader(peer: Peer, now: float) -> bool:
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 
+import msgspec
 import pytest
 from vanillamast_sidecar.call_result import CallResult
 from vanillamast_sidecar.event_logger import EventLogger
@@ -10,7 +11,10 @@
 from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.mesh import Mesh
+from vanillamast_sidecar.messages import MoveAnnouncement
 from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.move_status import MoveStatus
 from vanillamast_sidecar.move_table import MoveTable
 from vanillamast_sidecar.node_record import NodeRecord
 from vanillamast_sidecar.outcome import Outcome
@@ -59,9 +63,19 @@
             log,
             Metrics(),
         )
-        servers.append(await mesh.listen(Address(host, PORT)))
-        tasks.append(asyncio.create_task(mesh.run()))
+        server = await mesh.listen(Address(host, PORT))
+        task = asyncio.create_task(mesh.run())
+
+        def stop() -> None:
+            """Ends the mesh as a killed process would."""
+            task.cancel()
+            server.close()
+            mesh.reset_links()
+
+        servers.append(server)
+        tasks.append(task)
         meshes.append(mesh)
+        mesh.stop_for_test = stop
         return mesh
 
     yield make
@@ -75,11 +89,124 @@
 
 async def until(check):
     """Waits until a check holds; a timeout fails the test."""
-    async with asyncio.timeout(10.0):
+    async with asyncio.timeout(20.0):
         while not check():
             await asyncio.sleep(0.01)
 
 
+def linked(mesh: Mesh) -> set[str]:
+    """Returns the nodes to which a mesh has opened a connection."""
+    return set(mesh.links.linked)
+
+
+def instances(mesh: Mesh) -> set[str]:
+    """Returns the ids of the servers that a mesh knows."""
+    return {
+        peer.record.instance.id
+        for peer in mesh.membership.other_peers()
+        if peer.record.instance is not None
+    }
+
+
+class TestHubs:
+    """What a fleet of four nodes in each of three failure domains does."""
+
+    @pytest.fixture
+    async def fleet(self, make_mesh):
+        """Starts twelve meshes that all know each other's address."""
+        meshes = [
+            await make_mesh(f"127.24.{number}.{position}", domain)
+            for number, domain in enumerate("abc")
+            for position in range(1, 5)
+        ]
+        records = [mesh.membership.own.record for mesh in meshes]
+        for mesh in meshes:
+            mesh.apply_listed_nodes(records)
+        await until(lambda: all(len(m.hubs) > 0 for m in meshes))
+        await until(
+            lambda: all(hub.connected for mesh in meshes for hub in mesh.hubs)
+        )
+        return meshes
+
+    def announce_all(self, meshes):
+        """Announces a server of each node."""
+        for mesh in meshes:
+            mesh.announce(instance(mesh.settings.node), False)
+
+    async def test_records_reach_every_node(self, fleet):
+        """Guards against nodes that never learn of a server."""
+        self.announce_all(fleet)
+        await until(lambda: all(len(instances(m)) == 11 for m in fleet))
+
+    async def test_nodes_at_rest_are_connected_to_hubs_only(self, fleet):
+        """Guards against connections that grow with the fleet."""
+        self.announce_all(fleet)
+        await until(lambda: all(len(instances(m)) == 11 for m in fleet))
+        for mesh in fleet:
+            if not mesh.is_hub:
+                hubs = {hub.record.address for hub in mesh.hubs}
+                assert linked(mesh) == hubs
+
+    async def test_loads_reach_the_nodes_of_the_domain(self, fleet):
+        """Guards against placing by loads that are never updated."""
+        fleet[3].get_load = lambda: LoadReport(5, 3, 0.2, 0.0)
+        address = fleet[3].membership.own.record.address
+        await until(
+            lambda: all(
+                mesh.membership.peers[address].load.running == 5
+                for mesh in fleet[:3]
+            )
+        )
+
+    async def test_records_reach_every_node_without_the_first_hubs(self, fleet):
+        """Guards against a failure domain that is mute when its hubs die."""
+        for mesh in fleet[:2]:
+            mesh.stop_for_test()
+        self.announce_all(fleet[2:])
+        await until(lambda: all(len(instances(m)) == 9 for m in fleet[2:]))
+
+    async def test_a_dead_node_is_out_of_use_everywhere(self, fleet):
+        """Guards against requests to a node that only its hubs know dead."""
+        dead = fleet[3]
+        dead.stop_for_test()
+        address = dead.membership.own.record.address
+        await until(
+            lambda: all(
+                not mesh.membership.peers[address].reachable
+                for mesh in fleet
+                if mesh is not dead
+            )
+        )
+
+    async def test_a_move_status_reaches_every_node(self, fleet):
+        """Guards against nodes that keep using a version that was reverted."""
+        status = MoveStatus("browse", 1, "v2", MoveState.REVERTED, 0.0, 1.0)
+        fleet[6].broadcast(MoveAnnouncement(status))
+        others = [mesh for mesh in fleet if mesh is not fleet[6]]
+        await until(
+            lambda: all(mesh.moves.statuses() == [status] for mesh in others)
+        )
+
+    async def test_a_node_that_missed_a_record_gets_it(self, fleet):
+        """Guards against a lost message that leaves a record out for ever."""
+        hidden = fleet[7]
+        revised = msgspec.structs.replace(
+            hidden.membership.own.record,
+            revision=5,
+            instance=instance("hidden"),
+        )
+        # Only a hub of the domain knows the record.
+        fleet[4].membership.apply_record(revised, False, 0.0)
+        hidden.membership.set_own(revised)
+        await until(
+            lambda: all(
+                "i-hidden" in instances(mesh)
+                for mesh in fleet
+                if mesh is not hidden
+            )
+        )
+
+
 class TestMesh:
     """Announcements reach every node, whenever they are made."""
 
--- a/tests/sidecar/test_reader_duty.py
+++ b/tests/sidecar/test_store_reader_policy.py
@@ -47,7 +47,7 @@
         return StoreReaderPolicy(self.membership).must_read(NOW)
 
 
-class TestReaderDuty:
+class TestStoreReaderPolicy:
     """Few nodes read the store, and no node is left without a reader."""
 
     @pytest.mark.parametrize("host", HOSTS)
@@ -80,7 +80,7 @@
         assert not fourth.must_read()
 
     @pytest.mark.parametrize(
-        "loss", ["unresponsive", "stopping", "unconnected"]
+        "loss", ["unresponsive", "stopping", "failed", "silent"]
     )
     def test_lost_readers_are_replaced(self, loss):
         """Guards against failed readers that still count as readers."""
@@ -93,8 +93,10 @@
             peer.unresponsive = True
         elif loss == "stopping":
             peer.record = record(HOSTS[0], stopping=True)
+        elif loss == "failed":
+            peer.failed = True
         else:
-            peer.link = None
+            peer.silent_since = NOW
         assert fleet.must_read()
 
     def test_readers_of_other_domains_do_not_count(self):
