Bound responses and run pipelined requests at the same time

Pipelined requests ran one after the other, and a message that was rejected behind others got no answer of its own.

Change: limits on the head, fields, body, interim responses and bytes around a body, and a budget for all bodies of the process; beyond them the connection is closed at once with a typed error (reason too_large; the request may have run). Bytes on an idle connection close it. Of pipelined requests, GET and HEAD run at the same time, up to eight; responses keep their order; at a stop, all started requests are answered before the connection closes; a rejected message gets its response after the earlier ones.

--- a/packages/sidecar/src/vanillamast_sidecar/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/client_connection.py
@@ -7,13 +7,16 @@
 
 import httptools
 
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.errors import (
     ConnectError,
     ConnectionLostError,
     MalformedResponseError,
     ResponseTimeoutError,
+    ResponseTooLargeError,
 )
 from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.response_limits import ResponseLimits
 
 # Unacknowledged data or unanswered probes end a connection after this time,
 # which is below the 1 s after which callers give up.
@@ -53,9 +56,14 @@
 class ClientConnection(asyncio.Protocol):
     """Sends one request at a time and reads its response.
 
+    Bytes that no request waits for close the connection. So does a response
+    beyond the limits, at once: a faulty server may send bytes without end.
+
     Attributes:
       id_field: Header field in which responses echo the request's id, in
         lower case; empty if they do not.
+      limits: Limits on responses.
+      budget: Body bytes that all connections of the process may keep.
       transport: The connection; None while it is not open.
       idle_since: When the last response ended, in loop time.
       idle_limit_s: Idle timeout that the peer announced, in seconds; 0 if it
@@ -64,8 +72,15 @@
       requests_sent: Requests sent so far.
     """
 
-    def __init__(self, id_field: bytes = b""):
+    def __init__(
+        self,
+        id_field: bytes = b"",
+        limits: ResponseLimits | None = None,
+        budget: ByteBudget | None = None,
+    ):
         self.id_field = id_field
+        self.limits = limits or ResponseLimits()
+        self.budget = budget or ByteBudget(self.limits.total_bytes)
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
@@ -81,6 +96,11 @@
         self._reason_phrase = b""
         self._ends_at_close = False
         self._in_response = False
+        self._in_body = False
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._framing_bytes = 0
+        self._interim_responses = 0
 
     async def open(self, host: str, port: int, timeout_s: float) -> None:
         """Connects.
@@ -125,6 +145,8 @@
         self._waiter = waiter
         self._expected_id = expected_id
         self._head_only = head_only
+        self._framing_bytes = 0
+        self._interim_responses = 0
         self.requests_sent += 1
         timer = self.loop.call_later(timeout_s, self._expire)
         transport.write(data)
@@ -136,6 +158,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._drop_body()
             self.idle_since = self.loop.time()
 
     def _expire(self) -> None:
@@ -168,12 +191,45 @@
         configure_socket(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Passes the bytes to the parser."""
+        """Passes the bytes to the parser within the limits."""
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # They belong to no request.
+            self.close()
+            return
+        body_bytes = self._body_bytes
+        in_body = self._in_body
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(MalformedResponseError(repr(error)))
             self.close()
+            return
+        if not in_body:
+            self._head_bytes = (
+                0 if self._in_body else self._head_bytes + len(data)
+            )
+        # Chunk sizes, extensions and trailers are not part of the body.
+        self._framing_bytes += max(
+            0, len(data) - max(0, self._body_bytes - body_bytes)
+        )
+        limits = self.limits
+        if self._head_bytes > limits.head_bytes:
+            self._reject("status line and header section")
+        elif self._framing_bytes > limits.head_bytes + limits.body_bytes:
+            self._reject("bytes around the body")
+
+    def _reject(self, part: str) -> None:
+        """Ends a response that exceeds a limit."""
+        self._fail(ResponseTooLargeError(f"{part} exceeds the limit"))
+        self._drop_body()
+        self.close()
+
+    def _drop_body(self) -> None:
+        """Frees the bytes of the response being received."""
+        self.budget.release(self._body_bytes)
+        self._body_bytes = 0
+        self._body = []
 
     def eof_received(self) -> bool:
         """Ends a response that is delimited by the end of the connection."""
@@ -192,10 +248,11 @@
     def on_message_begin(self) -> None:
         """Starts a response; an unexpected one closes the connection."""
         self._headers = []
-        self._body = []
+        self._drop_body()
         self._reason_phrase = b""
         self._ends_at_close = False
         self._in_response = True
+        self._in_body = False
         waiter = self._waiter
         if waiter is None or waiter.done():
             self.reusable = False
@@ -208,9 +265,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header field."""
         self._headers.append((name, value))
+        if len(self._headers) > self.limits.fields:
+            self._reject("number of fields")
 
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited."""
+        self._in_body = True
         framed = any(
             name.lower() in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
@@ -225,7 +285,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
-        self._body.append(data)
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            return
+        if self._body_bytes + len(data) > self.limits.body_bytes:
+            self._reject("body")
+        elif not self.budget.try_acquire(len(data)):
+            self._reject("sum of all bodies")
+        else:
+            self._body_bytes += len(data)
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Delivers the response."""
@@ -236,6 +305,9 @@
             return
         status = self.parser.get_status_code()
         if status < 200:
+            self._interim_responses += 1
+            if self._interim_responses > self.limits.interim_responses:
+                self._reject("number of interim responses")
             return
         self._in_response = False
         keep_alive = self.parser.should_keep_alive() and not self._ends_at_close
--- a/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
@@ -1,6 +1,8 @@
 """Idle connections to the local backend server."""
 
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.client_connection import ClientConnection
+from vanillamast_sidecar.response_limits import ResponseLimits
 
 # Subtracted from the idle timeout that the server announces: the announced
 # time is rounded to seconds, and the server may close a connection earlier.
@@ -19,13 +21,24 @@
       host: Host of the server.
       port: Port of the server.
       id_field: Header field in which responses echo the request's id.
+      limits: Limits on responses.
+      budget: Body bytes that all connections of the process may keep.
       idle: Idle connections, oldest first.
     """
 
-    def __init__(self, host: str, port: int, id_field: bytes):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        id_field: bytes,
+        limits: ResponseLimits,
+        budget: ByteBudget,
+    ):
         self.host = host
         self.port = port
         self.id_field = id_field
+        self.limits = limits
+        self.budget = budget
         self.idle: list[ClientConnection] = []
 
     async def acquire(
@@ -51,7 +64,7 @@
                 self.idle.pop().close()
                 continue
             break
-        connection = ClientConnection(self.id_field)
+        connection = ClientConnection(self.id_field, self.limits, self.budget)
         await connection.open(self.host, self.port, connect_timeout_s)
         return connection
 
--- a/packages/sidecar/src/vanillamast_sidecar/errors.py
+++ b/packages/sidecar/src/vanillamast_sidecar/errors.py
@@ -19,6 +19,10 @@
     """The received bytes are not a valid response to the request."""
 
 
+class ResponseTooLargeError(MalformedResponseError):
+    """The response exceeds a limit; the request may have run."""
+
+
 class ResponseTimeoutError(SidecarError):
     """No complete response arrived in time."""
 
--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections of callers."""
 
 import asyncio
+import dataclasses
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +15,14 @@
 
 # Reading from a connection pauses while more pipelined requests are pending.
 MAX_PIPELINED_REQUESTS = 32
+# Requests of one connection that run at the same time.
+MAX_CONCURRENT_REQUESTS = 8
+# Methods that may run before the responses to earlier requests were sent. A
+# request behind a response that closes its connection is sent again, whatever
+# its kind, so no other one may have run.
+CONCURRENT_METHODS = frozenset(("GET", "HEAD"))
+# Bytes that arrive with the last byte of a header section.
+READ_BYTES = 262_144
 
 
 class HttpListener:
@@ -50,15 +59,39 @@
             connection.close_if_idle()
 
 
+@dataclasses.dataclass(slots=True)
+class PendingRequest:
+    """A request whose response has not been sent yet.
+
+    Attributes:
+      request: The request; None if it was rejected while it was read.
+      rejection: Response to a rejected request.
+      arrived_at: When the whole request had arrived, in loop time.
+      keep_alive: Whether the connection stays open after it.
+      task: Runs the request; None before it has started.
+    """
+
+    request: HttpRequest | None
+    rejection: HttpResponse | None
+    arrived_at: float
+    keep_alive: bool
+    task: asyncio.Task[HttpResponse] | None = None
+
+    @property
+    def may_overtake(self) -> bool:
+        """Returns whether it may run while earlier requests still run."""
+        request = self.request
+        return request is not None and request.method in CONCURRENT_METHODS
+
+
 class HttpConnection(asyncio.Protocol):
     """Reads requests and writes their responses in the same order.
 
     Attributes:
       listener: State shared with the other connections.
       transport: The connection; None while it is not open.
-      pending: Complete requests that wait for the previous one, each with its
-        arrival time and whether the connection stays open after it.
-      task: Runs the pending requests; None while there are none.
+      pending: Requests without a response, in the order of their arrival.
+      task: Writes the responses; None while there is nothing to write.
     """
 
     def __init__(self, listener: HttpListener):
@@ -66,15 +99,17 @@
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.pending: deque[tuple[HttpRequest, float, bool]] = deque()
+        self.pending: deque[PendingRequest] = deque()
         self.task: asyncio.Task[None] | None = None
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
+        self._unparsed_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._in_message = False
+        self._in_head = False
         self._rejected = False
 
     # Callbacks of the transport.
@@ -98,12 +133,24 @@
             self._reject(400)
         except httptools.HttpParserError:
             self._reject(400)
+        # The parser keeps an incomplete header field of any length.
+        self._unparsed_bytes += len(data)
+        if not self._in_head:
+            self._unparsed_bytes = 0
+        elif (
+            self._unparsed_bytes
+            > self.listener.limits.header_bytes + READ_BYTES
+        ):
+            self._reject(431)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Drops pending requests and cancels the active one."""
+        """Cancels all requests."""
         self.transport = None
         self.listener.connections.discard(self)
         self._stop_timer()
+        for entry in self.pending:
+            if entry.task is not None:
+                entry.task.cancel()
         self.pending.clear()
         if self.task is not None:
             self.task.cancel()
@@ -118,6 +165,7 @@
         self._body = []
         self._body_bytes = 0
         self._in_message = True
+        self._in_head = True
         self._start_timer(
             self.listener.limits.header_timeout_s, self._handle_header_timeout
         )
@@ -139,11 +187,14 @@
 
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller expects it."""
+        self._in_head = False
         self._stop_timer()
         if self._rejected or self.transport is None:
             return
         for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
+            expected = name == b"expect" and value.lower() == b"100-continue"
+            # Behind other requests, it would precede their responses.
+            if expected and not self.pending:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -165,32 +216,64 @@
             b"".join(self._body),
         )
         keep_alive = self.parser.should_keep_alive()
-        self.pending.append((request, self.loop.time(), keep_alive))
+        self._add_pending(
+            PendingRequest(request, None, self.loop.time(), keep_alive)
+        )
+
+    # Responses.
+
+    def _add_pending(self, entry: PendingRequest) -> None:
+        self.pending.append(entry)
         if (
             len(self.pending) > MAX_PIPELINED_REQUESTS
             and self.transport is not None
         ):
             self.transport.pause_reading()
+        self._start_pending()
         if self.task is None:
-            self.task = self.loop.create_task(self._respond_to_pending())
+            self.task = self.loop.create_task(self._write_responses())
+
+    def _start_pending(self) -> None:
+        """Starts the requests that may run now."""
+        for position, entry in enumerate(self.pending):
+            if position >= MAX_CONCURRENT_REQUESTS:
+                return
+            if position > 0 and (
+                not entry.may_overtake
+                or not self.pending[position - 1].may_overtake
+                or not self.pending[position - 1].keep_alive
+                or self.listener.closing
+            ):
+                return
+            if entry.task is None and entry.request is not None:
+                entry.task = self.loop.create_task(
+                    self._run(entry.request, entry.arrived_at)
+                )
 
-    # Responses.
+    async def _run(
+        self, request: HttpRequest, arrived_at: float
+    ) -> HttpResponse:
+        self.listener.active_requests += 1
+        try:
+            return await self.listener.handler(request, arrived_at)
+        finally:
+            self.listener.active_requests -= 1
 
-    async def _respond_to_pending(self) -> None:
+    async def _write_responses(self) -> None:
+        """Writes the responses in the order of the requests."""
         try:
             while self.pending:
-                request, arrived_at, keep_alive = self.pending.popleft()
-                self.listener.active_requests += 1
+                entry = self.pending[0]
+                self._start_pending()
                 try:
-                    response = await self.listener.handler(request, arrived_at)
+                    response = await self._get_response(entry)
                 except Exception:
                     # The exception handler of the event loop logs the error.
-                    self._write(request, HttpResponse(500, []), False)
+                    self._write(entry, HttpResponse(500, []), False)
                     raise
-                finally:
-                    self.listener.active_requests -= 1
-                if not self._write(request, response, keep_alive):
+                if not self._write(entry, response, entry.keep_alive):
                     return
+                self.pending.popleft()
         finally:
             self.task = None
         if self.transport is not None:
@@ -201,34 +284,50 @@
                     self._handle_idle_timeout,
                 )
 
+    async def _get_response(self, entry: PendingRequest) -> HttpResponse:
+        if entry.task is None:
+            return entry.rejection or HttpResponse(500, [])
+        return await entry.task
+
     def _write(
-        self, request: HttpRequest, response: HttpResponse, keep_alive: bool
+        self, entry: PendingRequest, response: HttpResponse, keep_alive: bool
     ) -> bool:
         """Writes a response; returns whether the connection stays open."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        keep_alive = (
-            keep_alive and not self.listener.closing and not self._rejected
-        )
-        transport.write(
-            encode_response(response, keep_alive, request.method == "HEAD")
+        keep_alive = keep_alive and (
+            not self.listener.closing or self._owes_later_response()
         )
+        request = entry.request
+        head_only = request is not None and request.method == "HEAD"
+        transport.write(encode_response(response, keep_alive, head_only))
         if not keep_alive:
             self._shut_down()
         return keep_alive
 
+    def _owes_later_response(self) -> bool:
+        """Returns whether a request behind the first one has been started."""
+        return len(self.pending) > 1 and (
+            self.pending[1].task is not None
+            or self.pending[1].rejection is not None
+        )
+
     def _reject(self, status: int) -> None:
-        """Rejects a request that violates the protocol or a limit."""
+        """Rejects a request that violates the protocol or a limit.
+
+        Its response follows those to the earlier requests.
+        """
         if self._rejected:
             return
         self._rejected = True
-        transport = self.transport
-        if transport is None:
-            return
-        if self.task is None:
-            transport.write(encode_response(HttpResponse(status, []), False))
-            self._shut_down()
+        self._stop_timer()
+        if self.transport is not None:
+            self._add_pending(
+                PendingRequest(
+                    None, HttpResponse(status, []), self.loop.time(), False
+                )
+            )
 
     def _shut_down(self) -> None:
         self._stop_timer()
--- a/packages/sidecar/src/vanillamast_sidecar/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/reason.py
@@ -22,6 +22,7 @@
     PEER_SILENT = "peer_silent"
     CONNECTION_LOST = "connection_lost"
     MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
     TIMEOUT = "timeout"
     CALLER_GONE = "caller_gone"
     NOT_CONFIRMED = "not_confirmed"
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from vanillamast_sidecar.admission_queue import AdmissionQueue
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.call_result import CallResult
 from vanillamast_sidecar.client_connection import ClientConnection
 from vanillamast_sidecar.connection_pool import ConnectionPool
@@ -13,6 +14,7 @@
     ConnectionLostError,
     MalformedResponseError,
     ResponseTimeoutError,
+    ResponseTooLargeError,
 )
 from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.http_message import HttpResponse
@@ -54,6 +56,7 @@
       pool: Idle connections; None before the first heartbeat.
       incarnation: Id and start time of the server of the queue and the pool.
       failure_share: Recent share of failed requests.
+      response_budget: Bytes of responses that are kept at once.
       running_request_ids: Ids of the requests that the server runs.
     """
 
@@ -77,6 +80,7 @@
         self.pool: ConnectionPool | None = None
         self.incarnation: tuple[str, int] = ("", 0)
         self.failure_share = DecayingShare()
+        self.response_budget = ByteBudget(settings.response_limits.total_bytes)
         self.running_request_ids: set[bytes] = set()
 
     def get_load(self) -> LoadReport:
@@ -122,7 +126,11 @@
             self.pool.drop_idle()
         host, _, port = current.address.rpartition(":")
         self.pool = ConnectionPool(
-            host, int(port), self.settings.fields.request_id
+            host,
+            int(port),
+            self.settings.fields.request_id,
+            self.settings.response_limits,
+            self.response_budget,
         )
         # Requests that the old incarnation still runs release their slots to
         # its own queue.
@@ -341,6 +349,8 @@
             outcome, reason = Outcome.EXPIRED, Reason.TIMEOUT
             # The idle connections may be unresponsive for the same reason.
             pool.drop_idle()
+        except ResponseTooLargeError:
+            reason = Reason.TOO_LARGE
         except MalformedResponseError:
             reason = Reason.MALFORMED
         except ConnectionLostError:
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from vanillamast_sidecar.field_names import FieldNames
+from vanillamast_sidecar.response_limits import ResponseLimits
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -67,6 +68,7 @@
       heartbeat_s: Interval of the local server's heartbeats.
       bounds: Guarantees of the deployment.
       fields: Names of the deployment's header fields.
+      response_limits: Limits on the responses of the local server.
     """
 
     node: str
@@ -81,3 +83,6 @@
     heartbeat_s: float
     bounds: Bounds
     fields: FieldNames
+    response_limits: ResponseLimits = dataclasses.field(
+        default_factory=ResponseLimits
+    )
--- /dev/null
+++ b/tests/sidecar/test_client_connection.py
@@ -0,0 +1,243 @@
+"""Tests of responses that are malformed, late, doubled or without end."""
+
+import asyncio
+import gc
+import tracemalloc
+
+import pytest
+from vanillamast_sidecar.byte_budget import ByteBudget
+from vanillamast_sidecar.client_connection import ClientConnection
+from vanillamast_sidecar.errors import (
+    ConnectionLostError,
+    MalformedResponseError,
+    ResponseTimeoutError,
+    ResponseTooLargeError,
+)
+from vanillamast_sidecar.response_limits import ResponseLimits
+
+HOST = "127.26.0.1"
+ID_FIELD = b"x-id"
+LIMITS = ResponseLimits()
+PIECE_BYTES = 65_536
+SLOTS = 9
+# Bytes that one connection may hold beyond its body: what the socket buffers
+# and one read of the event loop, several times.
+SLACK_BYTES = 2_097_152
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# What a faulty server sends first, and then again and again.
+FLOODS = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * PIECE_BYTES),
+    "header field": (HEAD + b"X-Long: ", b"x" * PIECE_BYTES),
+    "header fields": (HEAD, b"X-Field: value\r\n" * 1000),
+    "body with a length": (
+        HEAD + b"Content-Length: 1000000000000\r\n\r\n",
+        b"x" * PIECE_BYTES,
+    ),
+    "body to the end": (HEAD + b"\r\n", b"x" * PIECE_BYTES),
+    "chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * PIECE_BYTES + b"\r\n",
+    ),
+    "chunk extension": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
+        b"x" * PIECE_BYTES,
+    ),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Field: value\r\n" * 1000,
+    ),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+}
+
+
+class Backend:
+    """A server that answers each request with scripted bytes.
+
+    Attributes:
+      script: Coroutine function that answers one connection.
+      port: Port that it listens on.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.port = 0
+
+    async def start(self) -> asyncio.Server:
+        """Starts to listen."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            await self.script(reader, writer)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+@pytest.fixture
+async def serve():
+    """Starts backends and returns connections to them."""
+    servers = []
+
+    async def start(script, limits=LIMITS, budget=None) -> ClientConnection:
+        backend = Backend(script)
+        servers.append(await backend.start())
+        connection = ClientConnection(ID_FIELD, limits, budget)
+        await connection.open(HOST, backend.port, 2.0)
+        return connection
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def flood(first: bytes, piece: bytes):
+    """Returns a script that sends bytes until the connection is closed."""
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        while True:
+            writer.write(piece)
+            await writer.drain()
+
+    return script
+
+
+def answer(request_id: bytes, body: bytes) -> bytes:
+    """Returns a complete response."""
+    return b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s" % (
+        request_id,
+        len(body),
+        body,
+    )
+
+
+async def ask(connection, request_id=b"1", timeout_s=20.0):
+    """Sends a request."""
+    return await connection.send_request(
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", timeout_s, request_id
+    )
+
+
+class TestBytesWithoutEnd:
+    """A faulty server costs its own request and nothing else."""
+
+    @pytest.mark.parametrize("part", FLOODS)
+    async def test_the_connection_is_closed_at_the_limit(self, serve, part):
+        """Guards against a process that keeps all that a server sends."""
+        connection = await serve(flood(*FLOODS[part]))
+        with pytest.raises(ResponseTooLargeError):
+            await ask(connection)
+        assert not connection.reusable
+        assert connection.budget.used == 0
+
+    async def test_memory_is_flat_at_all_slots(self, serve):
+        """Guards against a server that takes down the process beside it."""
+        limits = ResponseLimits(body_bytes=1_048_576, total_bytes=4_194_304)
+        budget = ByteBudget(limits.total_bytes)
+        parts = [FLOODS[name] for name in ("chunks", "body to the end")]
+        connections = [
+            await serve(flood(*parts[n % 2]), limits, budget)
+            for n in range(SLOTS)
+        ]
+        gc.collect()
+        tracemalloc.start()
+        try:
+            results = await asyncio.gather(
+                *(ask(connection) for connection in connections),
+                return_exceptions=True,
+            )
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert {type(result) for result in results} == {ResponseTooLargeError}
+        # Twice the budget: chunks, and one joined copy of each at most.
+        assert peak < 2 * limits.total_bytes + SLOTS * SLACK_BYTES
+        assert budget.used == 0
+
+    async def test_a_slow_trickle_ends_with_the_time(self, serve):
+        """Guards against a slot that a trickle of bytes holds for ever."""
+
+        async def trickle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD)
+            while True:
+                writer.write(b"X-Field: value\r\n")
+                await asyncio.sleep(0.05)
+
+        connection = await serve(trickle)
+        with pytest.raises(ResponseTimeoutError):
+            await ask(connection, timeout_s=0.3)
+        assert not connection.reusable
+
+    async def test_a_response_at_the_limit_is_taken(self, serve):
+        """Guards against limits that refuse what they should allow."""
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", b"x" * LIMITS.body_bytes))
+            await writer.drain()
+
+        response = await ask(await serve(script))
+        assert len(response.body) == LIMITS.body_bytes
+
+
+class TestForeignBytes:
+    """A caller gets its own whole response or a failure."""
+
+    async def test_a_late_second_copy_is_not_the_next_response(self, serve):
+        """Guards against a response that answers another request."""
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", b"first"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", b"first") + answer(b"2", b"second"))
+            await asyncio.sleep(1.0)
+
+        connection = await serve(script)
+        assert (await ask(connection, b"1")).body == b"first"
+        assert (await ask(connection, b"2")).body == b"second"
+        assert not connection.reusable
+
+    async def test_bytes_on_an_idle_connection_close_it(self, serve):
+        """Guards against a second copy that waits for the next request."""
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(b"1", b"first"))
+            await asyncio.sleep(0.05)
+            writer.write(b"\r\n" * 10)
+            await asyncio.sleep(1.0)
+
+        connection = await serve(script)
+        await ask(connection)
+        async with asyncio.timeout(5.0):
+            while connection.is_usable(connection.loop.time(), 60.0):
+                await asyncio.sleep(0.01)
+
+    @pytest.mark.parametrize(
+        "whole",
+        [
+            answer(b"1", b"body"),
+            HEAD
+            + b"X-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"4\r\nbody\r\n0\r\n\r\n",
+        ],
+    )
+    async def test_a_response_cut_at_any_byte_is_a_failure(self, serve, whole):
+        """Guards against a broken-off response that looks complete."""
+        for length in range(len(whole)):
+
+            async def script(reader, writer, length=length):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(whole[:length])
+                await writer.drain()
+
+            connection = await serve(script)
+            with pytest.raises((ConnectionLostError, MalformedResponseError)):
+                await ask(connection)
--- /dev/null
+++ b/tests/sidecar/test_http_listener.py
@@ -0,0 +1,208 @@
+"""Tests of callers' connections: pipelining, rejections, planned stops."""
+
+import asyncio
+import contextlib
+
+import pytest
+from vanillamast_sidecar.caller_limits import CallerLimits
+from vanillamast_sidecar.http_listener import (
+    MAX_CONCURRENT_REQUESTS,
+    READ_BYTES,
+    HttpListener,
+)
+from vanillamast_sidecar.http_message import HttpResponse
+
+HOST = "127.27.0.1"
+
+
+class Caller:
+    """A connection to a listener whose handler waits for the test.
+
+    Attributes:
+      started: Targets of the requests that the handler has started.
+      cancelled: Targets of the requests that were cancelled.
+      release: Events that end the requests, by target.
+    """
+
+    def __init__(self):
+        self.started = []
+        self.cancelled = []
+        self.release = {}
+        self.listener = HttpListener(
+            self.handle, CallerLimits(header_bytes=512)
+        )
+
+    async def handle(self, request, arrived_at):
+        """Answers with the target once the test allows it."""
+        self.started.append(request.target)
+        event = self.release.setdefault(request.target, asyncio.Event())
+        try:
+            await event.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return HttpResponse(200, [], request.target.encode())
+
+    def finish(self, *targets):
+        """Lets requests end."""
+        for target in targets:
+            self.release.setdefault(target, asyncio.Event()).set()
+
+    def send(self, *requests):
+        """Sends requests, each `METHOD target`, without waiting."""
+        for request in requests:
+            self.writer.write(f"{request} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    async def read(self):
+        """Returns the status and the body of the next response."""
+        async with asyncio.timeout(5.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = 0
+            for line in head.lower().split(b"\r\n"):
+                if line.startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            body = await self.reader.readexactly(length)
+        return int(head.split()[1]), body.decode(), b"close" in head.lower()
+
+    async def is_closed(self):
+        """Returns whether the listener closes the connection."""
+        async with asyncio.timeout(5.0):
+            return await self.reader.read() == b""
+
+
+async def until(check):
+    """Waits until a check holds; a timeout fails the test."""
+    async with asyncio.timeout(5.0):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def caller():
+    """Connects a caller to a listener."""
+    found = Caller()
+    server = await found.listener.listen(HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    found.reader, found.writer = await asyncio.open_connection(HOST, port)
+    yield found
+    found.writer.close()
+    server.close()
+
+
+class TestPipelining:
+    """Requests sent before the first response."""
+
+    async def test_reading_requests_run_at_the_same_time(self, caller):
+        """Guards against requests that wait for those sent before them."""
+        caller.send("GET /a", "GET /b", "GET /c")
+        await until(lambda: caller.started == ["/a", "/b", "/c"])
+        caller.finish("/c", "/b")
+        await asyncio.sleep(0.05)
+        caller.finish("/a")
+        assert [(await caller.read())[1] for _ in range(3)] == [
+            "/a",
+            "/b",
+            "/c",
+        ]
+
+    async def test_the_number_of_running_requests_is_bounded(self, caller):
+        """Guards against a caller that takes all slots by one connection."""
+        targets = [
+            f"/{number}" for number in range(MAX_CONCURRENT_REQUESTS + 4)
+        ]
+        caller.send(*(f"GET {target}" for target in targets))
+        await until(lambda: len(caller.started) == MAX_CONCURRENT_REQUESTS)
+        await asyncio.sleep(0.05)
+        assert len(caller.started) == MAX_CONCURRENT_REQUESTS
+        caller.finish(*targets)
+        assert [(await caller.read())[1] for _ in targets] == targets
+
+    async def test_a_writing_request_waits_for_the_earlier_ones(self, caller):
+        """Guards against a second run of what is sent again after a close."""
+        caller.send("GET /a", "POST /b", "GET /c")
+        await until(lambda: caller.started)
+        await asyncio.sleep(0.05)
+        assert caller.started == ["/a"]
+        caller.finish("/a")
+        await until(lambda: "/b" in caller.started)
+        await asyncio.sleep(0.05)
+        assert caller.started == ["/a", "/b"]
+        caller.finish("/b", "/c")
+        assert [(await caller.read())[1] for _ in range(3)] == [
+            "/a",
+            "/b",
+            "/c",
+        ]
+
+    async def test_requests_behind_a_closing_response_are_not_run(self, caller):
+        """Guards against a run of what the caller sends again."""
+        caller.writer.write(
+            b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        caller.send("GET /b")
+        await until(lambda: caller.started)
+        await asyncio.sleep(0.05)
+        caller.finish("/a", "/b")
+        assert (await caller.read()) == (200, "/a", True)
+        assert await caller.is_closed()
+        assert caller.started == ["/a"]
+
+    async def test_a_caller_that_leaves_cancels_all_requests(self, caller):
+        """Guards against servers at work for callers that are gone."""
+        caller.send("GET /a", "GET /b")
+        await until(lambda: len(caller.started) == 2)
+        caller.writer.transport.abort()
+        await until(lambda: sorted(caller.cancelled) == ["/a", "/b"])
+
+
+class TestRejections:
+    """A rejected message gets its response after the earlier ones."""
+
+    async def test_earlier_requests_are_answered_first(self, caller):
+        """Guards against a request cut off by a later malformed one."""
+        caller.send("GET /a")
+        await until(lambda: caller.started)
+        caller.writer.write(b"NONSENSE\r\n\r\n")
+        await asyncio.sleep(0.05)
+        caller.finish("/a")
+        assert (await caller.read())[:2] == (200, "/a")
+        status, _, closes = await caller.read()
+        assert (status, closes) == (400, True)
+        assert await caller.is_closed()
+
+    async def test_a_header_field_without_end_is_rejected(self, caller):
+        """Guards against a caller that fills the process's memory."""
+        caller.writer.write(b"GET / HTTP/1.1\r\nX-Long: ")
+        await until(lambda: caller.listener.connections)
+        sent = 0
+        while caller.listener.connections:
+            # The rest of the bytes finds a closed connection.
+            with contextlib.suppress(ConnectionError):
+                caller.writer.write(b"x" * 65_536)
+                await caller.writer.drain()
+            sent += 65_536
+            assert sent < 64 * READ_BYTES
+            await asyncio.sleep(0)
+        assert caller.started == []
+
+
+class TestPlannedStop:
+    """Requests that were accepted are answered before the connection ends."""
+
+    async def test_running_requests_are_answered(self, caller):
+        """Guards against accepted requests that are cut off at a stop."""
+        caller.send("GET /a", "GET /b")
+        await until(lambda: len(caller.started) == 2)
+        caller.listener.closing = True
+        caller.listener.close_idle()
+        caller.finish("/a", "/b")
+        assert await caller.read() == (200, "/a", False)
+        assert await caller.read() == (200, "/b", True)
+        assert await caller.is_closed()
+
+    async def test_a_request_that_was_just_accepted_is_answered(self, caller):
+        """Guards against requests lost between the accept and the stop."""
+        caller.listener.closing = True
+        caller.send("GET /a")
+        caller.finish("/a")
+        assert await caller.read() == (200, "/a", True)
