Fetch newer state only from nodes that can be reached; estimate by route

Its hub kept reporting the version of a store reader that had stopped; the node asked that one first in each report and dropped the request, and then waited before it asked again.

Change: hubs leave out versions without a recent heartbeat, and a fetch that could not be sent delays nothing. Both tests failed first.

--- a/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
@@ -10,8 +10,11 @@
 
 # Weight of the newest duration in a moving mean over about 20 requests.
 NEWEST_DURATION_WEIGHT = 0.1
-# Mean service time before the first request has ended.
+# Mean service time before the first request has arrived.
 INITIAL_MEAN_SERVICE_S = 0.1
+# Mean service time before the first request has ended, as a share of the time
+# that the first request has until its soft deadline.
+INITIAL_DURATION_SHARE = 0.4
 # Largest share of the slots that more urgent requests are expected to take,
 # so that requests of the lowest rank are admitted while none wait before them.
 MAX_OVERTAKEN_SHARE = 0.8
@@ -27,6 +30,7 @@
       running: Requests that hold a slot.
       mean_service_s: Mean time that a request holds a slot, in seconds.
       mean_service_s_by_route: The same by route.
+      recorded: Number of durations that the mean is made of.
       slot_use: Mean number of slots that each rank used recently.
       waiting: Sorted (rank, soft_deadline, sequence) of the waiting requests.
       items: Item and expected duration of each, by sequence number.
@@ -37,6 +41,7 @@
         self.running = 0
         self.mean_service_s = INITIAL_MEAN_SERVICE_S
         self.mean_service_s_by_route: dict[str, float] = {}
+        self.recorded = 0
         self.slot_use: dict[int, DecayingRate] = {}
         self.waiting: list[tuple[int, float, int]] = []
         self.items: dict[int, tuple[T, float]] = {}
@@ -54,6 +59,20 @@
         self.running += 1
         return True
 
+    def assume_duration(self, remaining_s: float) -> None:
+        """Estimates the mean service time while no request has ended.
+
+        A restarted node else takes requests for shorter than they are, and
+        queues more of them than can end in time.
+
+        Args:
+          remaining_s: Time until a request's soft deadline.
+        """
+        if not self.recorded:
+            self.mean_service_s = max(
+                INITIAL_MEAN_SERVICE_S, remaining_s * INITIAL_DURATION_SHARE
+            )
+
     def expected_wait_s(
         self, rank: int, soft_deadline: float, now: float
     ) -> float:
@@ -125,9 +144,9 @@
 
     def record_duration(self, route: str, held_s: float) -> None:
         """Updates the mean service times with an ended request."""
-        self.mean_service_s += (
-            held_s - self.mean_service_s
-        ) * NEWEST_DURATION_WEIGHT
+        self.recorded += 1
+        weight = max(NEWEST_DURATION_WEIGHT, 1.0 / self.recorded)
+        self.mean_service_s += (held_s - self.mean_service_s) * weight
         mean_s = self.mean_service_s_by_route.get(route)
         if mean_s is None:
             self.mean_service_s_by_route[route] = held_s
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -19,6 +19,7 @@
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.retry_budget import RetryBudget
 from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.route_durations import RouteDurations
 from vanillamast_sidecar.route_table import RouteTable
 from vanillamast_sidecar.server_call import ServerCall
 from vanillamast_sidecar.server_executor import ServerExecutor
@@ -76,6 +77,7 @@
       route_table: Routes of the active configuration.
       splits: Traffic split between the services of a route, by route name.
       budgets: Retry budgets by service.
+      durations: Durations of routes, compared with others.
       exit_deadline: When the process exits at the latest, in loop time.
     """
 
@@ -99,6 +101,7 @@
         self.route_table = RouteTable(())
         self.splits: dict[str, WeightedSplit] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.durations = RouteDurations()
         self.exit_deadline = float("inf")
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
@@ -110,6 +113,7 @@
             if split is not None and split.split == route.split:
                 unchanged_splits[route.name] = split
         self.splits = unchanged_splits
+        self.durations.keep_routes({route.name for route in snapshot.routes})
         self.snapshot = snapshot
 
     # A request.
@@ -251,6 +255,7 @@
                 exchange.rank,
                 exchange.same_domain_deadline,
                 now,
+                self.durations.get_ratio(exchange.route.name, exchange.service),
             )
             if peer is None or now >= exchange.deadline:
                 return self._finish(exchange)
@@ -270,6 +275,7 @@
         route = exchange.route
         exchange.tried_instances.add(instance.id)
         wait_s, _ = peer.expected_times_s(now)
+        mean_s = peer.load.mean_service_s
         load_age_s = now - peer.load_received_at
         peer.outstanding += 1
         peer.used_incarnation = (instance.id, instance.born_ms)
@@ -296,6 +302,10 @@
             status=result.response.status if result.response else 0,
             took_s=round(ended - now, 4),
         )
+        if wait_s <= 0.0 and _is_success(result) and now >= peer.cold_until:
+            self.durations.add(
+                route.name, exchange.service, ended - now, mean_s
+            )
         self._record_attempt(exchange, peer, result, ended)
         return result
 
@@ -492,6 +502,11 @@
         return HttpResponse(status, headers, reason.encode() + b"\n")
 
 
+def _is_success(result: CallResult) -> bool:
+    response = result.response
+    return response is not None and response.status < 500
+
+
 def _parse_milliseconds(value: bytes) -> float | None:
     """Returns milliseconds as seconds, None if the value is not a number."""
     try:
--- a/packages/sidecar/src/vanillamast_sidecar/hub.py
+++ b/packages/sidecar/src/vanillamast_sidecar/hub.py
@@ -20,6 +20,9 @@
 # A node that becomes a hub, or learns of a node, waits this long for that
 # node's first heartbeat.
 FIRST_HEARTBEAT_TIMEOUT_S = 1.2
+# A hub reports the version of a store reader for this long after its last
+# heartbeat.
+VERSION_LIFETIME_S = 2 * HEARTBEAT_TIMEOUT_S
 # A hub sends reports to a node for this long after its last heartbeat.
 SUBSCRIPTION_S = 2.0
 # Silent nodes of other domains count until their hubs have not repeated them
@@ -185,7 +188,8 @@
         versions = [
             _add_age(entry.version, now - entry.version_at)
             for address, entry in entries.items()
-            if address == own or entry.version.store_age_s is not None
+            if now - entry.version_at <= VERSION_LIFETIME_S
+            and (address == own or entry.version.store_age_s is not None)
         ]
         return HubReport(
             [(entries[address].number, address) for address in named],
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -190,18 +190,23 @@
         if self.is_hub:
             self._pass_on(frame, to_domains=True)
 
-    def send(self, address: str, message: Message) -> None:
-        """Sends a message to a node, connecting to it first if necessary."""
+    def send(self, address: str, message: Message) -> bool:
+        """Sends a message to a node, connecting to it first if necessary.
+
+        Returns:
+          Whether the node can be reached as far as this one knows.
+        """
         peer = self.membership.peers.get(address)
         if peer is None or peer.is_self or not peer.reachable:
-            return
+            return False
         if peer.link is not None and peer.link.up:
             peer.link.last_used_at = self.loop.time()
             peer.link.send(message)
-            return
+            return True
         task = self.loop.create_task(self._connect_and_send(peer, message))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return True
 
     async def _connect_and_send(self, peer: Peer, message: Message) -> None:
         link = await self.links.get(peer)
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
@@ -230,10 +230,11 @@
             elif self.read_task is None:
                 wait_s = random.uniform(0.0, FETCH_JITTER_S)
             self.fetch_at = now + wait_s
-        if now >= self.fetch_at:
+        if now < self.fetch_at:
+            return
+        if self.mesh.send(peer.record.address, FetchOperator()):
             # Without an answer in time, a later report triggers a retry.
             self.fetch_at = now + PEER_FETCH_DELAY_S
-            self.mesh.send(peer.record.address, FetchOperator())
 
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -156,6 +156,7 @@
         if reason:
             return self._refuse(call, reason)
         queue = self.queue
+        queue.assume_duration(call.soft_deadline - self.loop.time())
         if not queue.try_acquire_slot():
             now = self.loop.time()
             wait_s = queue.expected_wait_s(call.rank, call.soft_deadline, now)
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_selector.py
@@ -57,9 +57,19 @@
         )
 
 
-def estimate_server(peer: Peer, now: float) -> ServerEstimate:
-    """Returns the estimate for a request that is sent now."""
-    return ServerEstimate(peer, *peer.expected_times_s(now))
+def estimate_server(
+    peer: Peer, duration_ratio: float, now: float
+) -> ServerEstimate:
+    """Returns the estimate for a request that is sent now.
+
+    Args:
+      peer: Node of the server.
+      duration_ratio: Duration of the request, compared with the mean of the
+        server's requests.
+      now: Loop time, in seconds.
+    """
+    wait_s, mean_s = peer.expected_times_s(now)
+    return ServerEstimate(peer, wait_s, mean_s * duration_ratio)
 
 
 class ServerSelector:
@@ -82,6 +92,7 @@
         rank: int,
         same_domain_deadline: float,
         now: float,
+        duration_ratio: float = 1.0,
     ) -> Peer | None:
         """Returns the node of the best server, None if there is no server.
 
@@ -94,6 +105,8 @@
             time; other failure domains are used only if no server of this one
             is expected to answer by then.
           now: Loop time, in seconds.
+          duration_ratio: Duration of the request, compared with the mean of a
+            server's requests.
         """
         ready_peers = [
             peer
@@ -113,6 +126,7 @@
                     if _is_candidate(peer, tried, rank, now)
                 ],
                 same_domain_deadline,
+                duration_ratio,
                 now,
             )
             if best is not None:
@@ -141,7 +155,11 @@
         return [new, old] if self.moves.old_has_share(service) else [new]
 
     def _select_best(
-        self, peers: list[Peer], same_domain_deadline: float, now: float
+        self,
+        peers: list[Peer],
+        same_domain_deadline: float,
+        duration_ratio: float,
+        now: float,
     ) -> Peer | None:
         """Returns the best acceptable server, or the one of the lowest cost.
 
@@ -151,7 +169,7 @@
         estimates: list[ServerEstimate] = []
         for same_domain in (True, False):
             found = [
-                estimate_server(peer, now)
+                estimate_server(peer, duration_ratio, now)
                 for peer in peers
                 if peer.same_domain == same_domain
             ]
--- a/tests/sidecar/test_admission_queue.py
+++ b/tests/sidecar/test_admission_queue.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from vanillamast_sidecar.admission_queue import AdmissionQueue
 
 
@@ -69,3 +70,23 @@
         assert 1.8 * calm_s < busy_s < 2.2 * calm_s
         assert queue.expected_wait_s(1, 1.0, 4.0) == calm_s
         assert queue.expected_wait_s(2, 1.0, 20.0) < 1.01 * calm_s
+
+
+class TestFirstDurations:
+    """Estimates of a queue that has seen few requests."""
+
+    def test_the_wait_is_estimated_before_a_request_has_ended(self):
+        """Guards against a restarted node that admits far too many."""
+        queue: AdmissionQueue[str] = AdmissionQueue(1)
+        queue.assume_duration(1.0)
+        assert queue.try_acquire_slot()
+        assert queue.expected_wait_s(1, 1.0, 0.0) == pytest.approx(0.4)
+
+    def test_the_first_durations_replace_the_estimate(self):
+        """Guards against an estimate that outlives the first requests."""
+        queue: AdmissionQueue[str] = AdmissionQueue(1)
+        queue.assume_duration(1.0)
+        for held_s in (0.1, 0.3):
+            queue.record_duration("r", held_s)
+        queue.assume_duration(5.0)
+        assert queue.mean_service_s == pytest.approx(0.2)
--- a/tests/sidecar/test_hub.py
+++ b/tests/sidecar/test_hub.py
@@ -112,3 +112,10 @@
             for version in hub.make_report(set(), [], 0, 1.5).versions
         }
         assert versions == {address(1): None, address(2): 0.7}
+
+    def test_lost_store_readers_are_not_reported(self):
+        """Guards against nodes that fetch from a reader that is gone."""
+        hub = make_hub()
+        hub.handle_heartbeat(address(2), heartbeat(store_age_s=0.2), 1.0)
+        later = 1.0 + 2 * HEARTBEAT_TIMEOUT_S + 0.1
+        assert hub.make_report(set(), [], 0, later).versions == []
--- /dev/null
+++ b/tests/sidecar/test_operator_state_sync.py
@@ -0,0 +1,93 @@
+"""Tests of the choice of a node to fetch newer operator state from."""
+
+import os
+from types import SimpleNamespace
+
+import pytest
+from vanillamast_sidecar.event_logger import EventLogger
+from vanillamast_sidecar.messages import FetchOperator
+from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.operator_state_sync import (
+    PEER_FETCH_DELAY_S,
+    OperatorStateSync,
+)
+
+from tests.sidecar.hub_fixture import address, membership
+
+
+class FakeMesh:
+    """Stands in for the mesh of node 5, which knows the hubs 1 and 2.
+
+    Attributes:
+      sent: Addresses to which a request for the state was sent.
+    """
+
+    def __init__(self):
+        self.membership = membership(5, [1, 2], [])
+        self.config_version = 36
+        self.sent = []
+
+    def send(self, target, message):
+        """Sends a message to a node that can be reached."""
+        assert isinstance(message, FetchOperator)
+        if not self.membership.peers[target].reachable:
+            return False
+        self.sent.append(target)
+        return True
+
+
+class FakeClock:
+    """Stands in for the loop.
+
+    Attributes:
+      now: Time, in seconds.
+    """
+
+    def __init__(self):
+        self.now = 100.0
+
+    def time(self):
+        """Returns the time."""
+        return self.now
+
+
+@pytest.fixture
+async def sync():
+    """Returns the sync of a node that has a configuration."""
+    state = SimpleNamespace(offset=7, snapshot=object())
+    log = EventLogger("m", os.open(os.devnull, os.O_WRONLY))
+    found = OperatorStateSync(None, FakeMesh(), state, log, Metrics())
+    found.loop = FakeClock()
+    return found
+
+
+class TestFetches:
+    """A node that is behind asks a node that can answer."""
+
+    async def test_a_lost_reader_does_not_delay_the_fetch(self, sync):
+        """Guards against a node that keeps asking one that is gone."""
+        peers = sync.mesh.membership.peers
+        peers[address(1)].failed = True
+        for _ in range(20):
+            # The lost reader's version comes first in each report.
+            sync.handle_versions(peers[address(1)], 40, 8)
+            sync.handle_versions(peers[address(2)], 44, 9)
+            sync.loop.now += 0.1
+        assert set(sync.mesh.sent) == {address(2)}
+
+    async def test_a_fetch_is_repeated_only_after_a_while(self, sync):
+        """Guards against a flood of requests while an answer is on its way."""
+        peer = sync.mesh.membership.peers[address(1)]
+        sync.handle_versions(peer, 40, 8)
+        sync.loop.now += PEER_FETCH_DELAY_S
+        for _ in range(5):
+            sync.handle_versions(peer, 40, 8)
+        assert len(sync.mesh.sent) == 1
+
+    async def test_a_node_that_is_not_behind_does_not_fetch(self, sync):
+        """Guards against fetches at rest."""
+        peer = sync.mesh.membership.peers[address(1)]
+        for _ in range(5):
+            sync.handle_versions(peer, 36, 7)
+            sync.loop.now += 0.2
+        assert sync.mesh.sent == []
--- a/tests/sidecar/test_server_selector.py
+++ b/tests/sidecar/test_server_selector.py
@@ -63,7 +63,7 @@
         peer.apply_load_report(load, NOW)
         return peer
 
-    def choose(self) -> str:
+    def choose(self, duration_ratio: float = 1.0) -> str:
         """Chooses a server, which then has one more outstanding request."""
         peer = self.selector.choose(
             self.membership.peers_serving("browse"),
@@ -72,6 +72,7 @@
             1,
             SAME_DOMAIN_DEADLINE,
             NOW,
+            duration_ratio,
         )
         assert peer is not None
         peer.outstanding += 1
@@ -129,6 +130,13 @@
         chooser.report("10.1.0.0", LoadReport(SLOTS, 12, 0.3, 0.0))
         assert chooser.choose().startswith("10.2.")
 
+    def test_short_requests_stay_beside_long_ones(self):
+        """Guards against lookups that cross domains for the exports' mean."""
+        chooser = Chooser(1, same_domain=1, cross_domain=3)
+        chooser.report("10.1.0.0", LoadReport(1, 0, 1.2, 0.0))
+        assert chooser.choose().startswith("10.2.")
+        assert chooser.choose(duration_ratio=0.1) == "10.1.0.0:2"
+
     def test_a_new_server_is_tried_by_few_nodes_at_once(self):
         """Guards against all nodes trying a new server at the same time."""
         tried = 0
