Part the work of a hub from the mesh; restart failed tasks

An unexpected error in one of the node's five tasks ended it for ever, unnoticed: a node whose mesh task had failed would have been without hubs, heartbeats and timeouts while it still said that it is ready.

Change: hub_duty.py holds what a node does as a hub. Each task is supervised: an error is logged as node.task_failed and the task is started again.

--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
@@ -0,0 +1,187 @@
+"""What a node does as a hub of its failure domain."""
+
+from collections.abc import Iterator
+
+from vanillamast_sidecar.frame_codec import make_frame
+from vanillamast_sidecar.hub import Hub
+from vanillamast_sidecar.hub_selector import HUBS_PER_DOMAIN, select_hubs
+from vanillamast_sidecar.hub_view import HubView
+from vanillamast_sidecar.link_pool import LinkPool
+from vanillamast_sidecar.membership import Membership
+from vanillamast_sidecar.messages import DomainStatus, NodeHeartbeat, Records
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.peer_server import PeerServer
+from vanillamast_sidecar.record_relay import RecordRelay
+
+# Interval of the statuses that hubs of different failure domains send each
+# other.
+STATUS_INTERVAL_S = 2.0
+# Every fifth report of a hub has a digest.
+REPORTS_PER_DIGEST = 5
+
+
+class HubDuty:
+    """Reports the state of the failure domain and passes messages on.
+
+    Attributes:
+      membership: Known nodes.
+      links: Connections that this node opened.
+      view: What the hubs of the failure domain have reported.
+      hub: State of the failure domain, from the heartbeats of its nodes.
+      relay: Batches the records that this node passes on.
+      active: Whether this node acts as a hub.
+      subscribers: Connections of the nodes that use this one as a hub.
+      domain_hubs: Hubs of the other failure domains, by failure domain.
+      ticks: Number of heartbeat intervals since the start.
+      reported_silent: Silent nodes in the last status.
+      status_sent_at: When the last status was sent, in loop time.
+    """
+
+    def __init__(self, membership: Membership, links: LinkPool, view: HubView):
+        self.membership = membership
+        self.links = links
+        self.view = view
+        self.hub = Hub(membership)
+        self.relay = RecordRelay(self._relay_records)
+        self.active = False
+        self.subscribers: set[PeerServer] = set()
+        self.domain_hubs: dict[str, list[Peer]] = {}
+        self.ticks = 0
+        self.reported_silent: set[str] = set()
+        self.status_sent_at = 0.0
+
+    def update(self, is_selected: bool) -> None:
+        """Starts or ends the duty and selects the other domains' hubs.
+
+        Args:
+          is_selected: Whether this node is among the hubs of its domain. It
+            also acts as a hub while other nodes take it for one.
+        """
+        was_active = self.active
+        self.active = is_selected or bool(self.subscribers)
+        if self.active and not was_active:
+            self.hub.reset()
+        own_domain = self.membership.own.record.failure_domain
+        self.domain_hubs = {
+            domain: select_hubs(peers)
+            for domain, peers in self.membership.peers_by_domain().items()
+            if self.active and domain != own_domain
+        }
+
+    def other_hubs(self) -> Iterator[Peer]:
+        """Yields the hubs of the other failure domains."""
+        for peers in self.domain_hubs.values():
+            yield from peers
+
+    def work(self, heartbeat: NodeHeartbeat, now: float) -> None:
+        """Collects and reports the state of the failure domain.
+
+        Args:
+          heartbeat: Heartbeat of this node.
+          now: Loop time, in seconds.
+        """
+        self.ticks += 1
+        own = self.membership.own.record.address
+        self.hub.handle_heartbeat(own, heartbeat, now)
+        silent = self.hub.find_silent(now)
+        self._contact_silent_nodes(silent, now)
+        unheard = silent | self.hub.find_remote_silent(now)
+        lost_domains = self.find_lost_domains()
+        self.view.apply_own(own, unheard, lost_domains, now)
+        # A node that another hub hears is not silent.
+        self._send_status(silent & self.view.find_unheard(now), now)
+        if self.ticks % HUBS_PER_DOMAIN == 0:
+            self._send_report(unheard, lost_domains, now)
+
+    def _contact_silent_nodes(self, silent: set[str], now: float) -> None:
+        """Connects to silent nodes, which may not know of this hub."""
+        for address in silent:
+            peer = self.membership.peers[address]
+            if peer.link is None and now >= peer.next_connect_at:
+                self.links.connect(peer)
+
+    def find_lost_domains(self) -> list[str]:
+        """Returns the failure domains with no reachable hub."""
+        by_domain = self.membership.peers_by_domain()
+        return sorted(
+            domain
+            for domain in self.domain_hubs
+            if not _is_connected(by_domain[domain])
+            and any(
+                peer.failed or peer.unresponsive for peer in by_domain[domain]
+            )
+        )
+
+    def _send_status(self, silent: set[str], now: float) -> None:
+        """Reports silent nodes to the hubs of the other failure domains."""
+        if (
+            silent == self.reported_silent
+            and now - self.status_sent_at < STATUS_INTERVAL_S
+        ):
+            return
+        self.reported_silent = silent
+        self.status_sent_at = now
+        status = DomainStatus(sorted(silent), self.membership.digest())
+        for peer in self.other_hubs():
+            if peer.link is not None:
+                peer.link.send(status)
+
+    def _send_report(
+        self, unheard: set[str], lost_domains: list[str], now: float
+    ) -> None:
+        for connection in list(self.subscribers):
+            if not self.hub.is_heard(connection.peer_address, now):
+                self.subscribers.discard(connection)
+        reports = self.ticks // HUBS_PER_DOMAIN
+        digest = 0
+        if reports % REPORTS_PER_DIGEST == 0:
+            digest = self.membership.digest()
+        report = self.hub.make_report(unheard, lost_domains, digest, now)
+        self.pass_on(make_frame(report), to_domains=False)
+
+    def handle_heartbeat(
+        self, connection: PeerServer, heartbeat: NodeHeartbeat, now: float
+    ) -> bool:
+        """Stores a heartbeat; returns whether the sender is a new subscriber.
+
+        A new subscriber gets a report on all nodes.
+        """
+        self.hub.handle_heartbeat(connection.peer_address, heartbeat, now)
+        if connection in self.subscribers:
+            return False
+        self.subscribers.add(connection)
+        self.active = True
+        silent = self.hub.find_silent(now) | self.hub.find_remote_silent(now)
+        connection.send(
+            self.hub.make_first_report(silent, self.find_lost_domains(), now)
+        )
+        return True
+
+    def pass_on(
+        self, frame: bytes, to_domains: bool, sender: PeerServer | None = None
+    ) -> None:
+        """Sends a frame to the nodes that use this hub, and to other hubs.
+
+        Args:
+          frame: The encoded message.
+          to_domains: Whether the hubs of other failure domains get it.
+          sender: Connection that it came from, which does not get it.
+        """
+        for connection in self.subscribers:
+            if connection is not sender:
+                connection.send_frame(frame)
+        if to_domains:
+            for peer in self.other_hubs():
+                if peer.link is not None:
+                    peer.link.send_frame(frame)
+
+    def _relay_records(
+        self, records: list[NodeRecord], same_domain: bool
+    ) -> None:
+        if self.active:
+            self.pass_on(make_frame(Records(records)), same_domain)
+
+
+def _is_connected(peers: list[Peer]) -> bool:
+    return any(peer.connected and not peer.unresponsive for peer in peers)
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -1,13 +1,14 @@
 """How the nodes of the fleet hear of each other."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
 from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.frame_codec import make_frame
-from vanillamast_sidecar.hub import HUB_INTERVAL_S, Hub
+from vanillamast_sidecar.hub import HUB_INTERVAL_S
+from vanillamast_sidecar.hub_duty import HubDuty
 from vanillamast_sidecar.hub_selector import HUBS_PER_DOMAIN, select_hubs
 from vanillamast_sidecar.hub_view import HubView
 from vanillamast_sidecar.instance_record import InstanceRecord
@@ -37,16 +38,10 @@
 from vanillamast_sidecar.peer_link import PeerLink
 from vanillamast_sidecar.peer_monitor import PeerMonitor
 from vanillamast_sidecar.peer_server import CallRunner, PeerServer
-from vanillamast_sidecar.record_relay import RecordRelay
 from vanillamast_sidecar.settings import Address, SidecarSettings
 
 # Heartbeats go to the hubs in turn.
 MAINTENANCE_INTERVAL_S = HUB_INTERVAL_S / HUBS_PER_DOMAIN
-# Interval of the statuses that hubs of different failure domains send each
-# other.
-STATUS_INTERVAL_S = 2.0
-# Every fifth report of a hub has a digest.
-REPORTS_PER_DIGEST = 5
 # Least time between two requests of this node for all records.
 FETCH_RECORDS_INTERVAL_S = 2.0
 # A hub is pinged after two missing reports, and hubs of other failure domains
@@ -74,14 +69,9 @@
       metrics: Metrics.
       links: Connections that this node opened.
       monitor: Detects nodes that no longer answer.
-      hub: What this node knows as a hub.
       view: What the hubs of the failure domain have reported.
-      relay: Batches the records that this node passes on as a hub.
+      duty: What this node does as a hub.
       hubs: The hubs that this node uses, in the order of their addresses.
-      is_hub: Whether this node acts as a hub.
-      domain_hubs: Hubs of the other failure domains that this node uses as a
-        hub, by failure domain.
-      subscribers: Connections of the nodes that use this one as a hub.
       on_previous_record: Handles a record of this node's previous process.
       on_evidence: Handles evidence on a move, with the sender's address.
       on_versions: Handles the operator state's version that another node of
@@ -122,13 +112,9 @@
             log,
         )
         self.monitor = PeerMonitor(self.membership, self.links, log, metrics)
-        self.hub = Hub(self.membership)
         self.view = HubView(self.membership)
-        self.relay = RecordRelay(self._relay_records)
+        self.duty = HubDuty(self.membership, self.links, self.view)
         self.hubs: list[Peer] = []
-        self.is_hub = False
-        self.domain_hubs: dict[str, list[Peer]] = {}
-        self.subscribers: set[PeerServer] = set()
         self.on_previous_record: Callable[[InstanceRecord], None] = lambda _: (
             None
         )
@@ -146,10 +132,13 @@
         self.store_contact_at: float | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.ticks = 0
-        self.status_sent_at = 0.0
-        self.reported_silent: set[str] = set()
         self.fetched_records_at = -FETCH_RECORDS_INTERVAL_S
 
+    @property
+    def is_hub(self) -> bool:
+        """Returns whether this node acts as a hub."""
+        return self.duty.active
+
     async def listen(self, address: Address) -> asyncio.Server:
         """Starts to accept connections of other nodes."""
         return await self.loop.create_server(
@@ -188,7 +177,7 @@
             if hub.link is not None:
                 hub.link.send_frame(frame)
         if self.is_hub:
-            self._pass_on(frame, to_domains=True)
+            self.duty.pass_on(frame, to_domains=True)
 
     def send(self, address: str, message: Message) -> bool:
         """Sends a message to a node, connecting to it first if necessary.
@@ -277,36 +266,21 @@
             heartbeat = self._make_heartbeat(now)
             self._send_heartbeat(heartbeat)
             if self.is_hub:
-                self._act_as_hub(heartbeat, now)
+                self.duty.work(heartbeat, now)
             unheard = self.view.find_unheard(now)
             for address in self.monitor.apply_unheard(unheard, now):
-                self.hub.remove(address)
+                self.duty.hub.remove(address)
             self._maintain_links(now)
 
     def _select_hubs(self, now: float) -> None:
         """Chooses the hubs and connects to them."""
-        by_domain = self.membership.peers_by_domain()
-        own_domain = self.membership.own.record.failure_domain
-        hubs = select_hubs(by_domain[own_domain])
+        hubs = select_hubs(self.membership.own_domain())
         self.hubs = [peer for peer in hubs if not peer.is_self]
-        was_hub = self.is_hub
-        self.is_hub = len(self.hubs) < len(hubs) or bool(self.subscribers)
-        if self.is_hub and not was_hub:
-            self.hub.reset()
-        self.domain_hubs = {}
-        if self.is_hub:
-            self.domain_hubs = {
-                domain: select_hubs(peers)
-                for domain, peers in by_domain.items()
-                if domain != own_domain
-            }
-        for peer in (*self.hubs, *self._other_domains_hubs()):
+        self.duty.update(is_selected=len(self.hubs) < len(hubs))
+        for peer in (*self.hubs, *self.duty.other_hubs()):
             if peer.link is None and now >= peer.next_connect_at:
                 self.links.connect(peer)
 
-    def _other_domains_hubs(self) -> Iterable[Peer]:
-        return (peer for peers in self.domain_hubs.values() for peer in peers)
-
     def _make_heartbeat(self, now: float) -> NodeHeartbeat:
         load = self.get_load()
         self.membership.own.apply_load_report(load, now)
@@ -327,7 +301,7 @@
     def _maintain_links(self, now: float) -> None:
         max_quiet_s = {
             peer.record.address: DOMAIN_HUB_QUIET_S
-            for peer in self._other_domains_hubs()
+            for peer in self.duty.other_hubs()
         }
         for peer in self.hubs:
             max_quiet_s[peer.record.address] = HUB_QUIET_S
@@ -335,90 +309,6 @@
         self.links.reconnect_failed(now)
         self.links.close_idle(max_quiet_s.keys(), now)
 
-    # Work of a hub.
-
-    def _act_as_hub(self, heartbeat: NodeHeartbeat, now: float) -> None:
-        """Collects and reports the state of the failure domain."""
-        own = self.membership.own.record.address
-        self.hub.handle_heartbeat(own, heartbeat, now)
-        silent = self.hub.find_silent(now)
-        self._contact_silent_nodes(silent, now)
-        unheard = silent | self.hub.find_remote_silent(now)
-        lost_domains = self._find_lost_domains()
-        self.view.apply_own(own, unheard, lost_domains, now)
-        # A node that another hub hears is not silent.
-        self._send_status(silent & self.view.find_unheard(now), now)
-        if self.ticks % HUBS_PER_DOMAIN == 0:
-            self._send_report(unheard, lost_domains, now)
-
-    def _send_report(
-        self, unheard: set[str], lost_domains: list[str], now: float
-    ) -> None:
-        for connection in list(self.subscribers):
-            if not self.hub.is_heard(connection.peer_address, now):
-                self.subscribers.discard(connection)
-        reports = self.ticks // HUBS_PER_DOMAIN
-        digest = 0
-        if reports % REPORTS_PER_DIGEST == 0:
-            digest = self.membership.digest()
-        report = self.hub.make_report(unheard, lost_domains, digest, now)
-        self._pass_on(make_frame(report), to_domains=False)
-
-    def _contact_silent_nodes(self, silent: set[str], now: float) -> None:
-        """Connects to silent nodes, which may not know of this hub."""
-        for address in silent:
-            peer = self.membership.peers[address]
-            if peer.link is None and now >= peer.next_connect_at:
-                self.links.connect(peer)
-
-    def _find_lost_domains(self) -> list[str]:
-        """Returns the failure domains with no reachable hub."""
-        return sorted(
-            domain
-            for domain, peers in self.membership.peers_by_domain().items()
-            if domain in self.domain_hubs
-            and not self._is_domain_connected(peers)
-            and any(peer.failed or peer.unresponsive for peer in peers)
-        )
-
-    def _is_domain_connected(self, peers: list[Peer]) -> bool:
-        return any(peer.connected and not peer.unresponsive for peer in peers)
-
-    def _send_status(self, silent: set[str], now: float) -> None:
-        """Reports silent nodes to the hubs of the other failure domains."""
-        if (
-            silent == self.reported_silent
-            and now - self.status_sent_at < STATUS_INTERVAL_S
-        ):
-            return
-        self.reported_silent = silent
-        self.status_sent_at = now
-        status = DomainStatus(sorted(silent), self.membership.digest())
-        for peer in self._other_domains_hubs():
-            if peer.link is not None:
-                peer.link.send(status)
-
-    def _pass_on(
-        self,
-        frame: bytes,
-        to_domains: bool,
-        sender: PeerServer | None = None,
-    ) -> None:
-        """Sends a frame to the nodes that use this hub, and to other hubs."""
-        for connection in self.subscribers:
-            if connection is not sender:
-                connection.send_frame(frame)
-        if to_domains:
-            for peer in self._other_domains_hubs():
-                if peer.link is not None:
-                    peer.link.send_frame(frame)
-
-    def _relay_records(
-        self, records: list[NodeRecord], same_domain: bool
-    ) -> None:
-        if self.is_hub:
-            self._pass_on(make_frame(Records(records)), same_domain)
-
     def reset_links(self) -> None:
         """Closes all connections after this process was suspended."""
         self.links.reset()
@@ -445,7 +335,7 @@
 
     def _handle_inbound_closed(self, connection: PeerServer) -> None:
         self.inbound.discard(connection)
-        self.subscribers.discard(connection)
+        self.duty.subscribers.discard(connection)
 
     # Messages on the connections that this node opened.
 
@@ -478,10 +368,12 @@
         )
         if peer is not None:
             peer.apply_load_report(message.load, now)
-            self.relay.add([message.record], peer.same_domain)
+            self.duty.relay.add([message.record], peer.same_domain)
         for status in message.move_statuses:
             self.moves.apply_status(status, now)
-        self.relay.add(self.apply_records(message.others), same_domain=True)
+        self.duty.relay.add(
+            self.apply_records(message.others), same_domain=True
+        )
 
     def _handle_report(self, peer: Peer, report: HubReport) -> None:
         """Applies the report of a hub of this failure domain."""
@@ -549,18 +441,7 @@
         peer.store_contact_at = None
         if heartbeat.store_age_s is not None:
             peer.store_contact_at = now - heartbeat.store_age_s
-        self.hub.handle_heartbeat(peer.record.address, heartbeat, now)
-        if connection not in self.subscribers:
-            self.subscribers.add(connection)
-            self.is_hub = True
-            silent = self.hub.find_silent(now)
-            connection.send(
-                self.hub.make_first_report(
-                    silent | self.hub.find_remote_silent(now),
-                    self._find_lost_domains(),
-                    now,
-                )
-            )
+        if self.duty.handle_heartbeat(connection, heartbeat, now):
             for status in self.moves.statuses():
                 connection.send(MoveAnnouncement(status))
         self.on_versions(
@@ -572,7 +453,7 @@
         new = self.apply_records(records)
         for record in new:
             self._log_record(record)
-        self.relay.add(new, peer.same_domain)
+        self.duty.relay.add(new, peer.same_domain)
 
     def _handle_move_status(
         self,
@@ -587,12 +468,12 @@
         if changed:
             self.log.write("move.plan", **status.log_fields())
         if self.is_hub and (changed or status.elapsed_s > known):
-            self._pass_on(make_frame(message), peer.same_domain, connection)
+            self.duty.pass_on(make_frame(message), peer.same_domain, connection)
 
     def _handle_domain_status(self, peer: Peer, status: DomainStatus) -> None:
         now = self.loop.time()
         address = peer.record.address
-        self.hub.handle_status(address, status, now)
+        self.duty.hub.handle_status(address, status, now)
         if self.view.needs_records(address, status.digest):
             self._fetch_records(peer)
 
@@ -619,7 +500,7 @@
             peer.next_connect_at = 0.0
             if known is None or previous != message.record:
                 self._log_record(message.record)
-                self.relay.add([message.record], peer.same_domain)
+                self.duty.relay.add([message.record], peer.same_domain)
         self.inbound.add(connection)
         connection.send(
             Welcome(
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
@@ -39,6 +40,8 @@
 # monotonic clock between two checks.
 MIN_SUSPENSION_S = 0.3
 NODES_RETRY_DELAY_S = 0.5
+# Delay before a task that failed with an unexpected error is started again.
+TASK_RESTART_DELAY_S = 0.1
 # A node without a connection reads the list again after this time: the nodes
 # in the list may be gone, or others may have started at the same moment.
 ALONE_RETRY_DELAY_S = 1.0
@@ -174,13 +177,13 @@
             service=self.settings.service,
         )
         tasks = [
-            self.loop.create_task(work)
+            self.loop.create_task(self._supervise(work))
             for work in (
-                self.mesh.run(),
-                self.operator_sync.run(),
-                self.move_controller.run(),
-                self._sync_nodes(),
-                self._run_checks(),
+                self.mesh.run,
+                self.operator_sync.run,
+                self.move_controller.run,
+                self._sync_nodes,
+                self._run_checks,
             )
         ]
         await self.stop_requested.wait()
@@ -193,6 +196,22 @@
         self.log.flush()
         return 0
 
+    async def _supervise(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a task for ever; logs an unexpected error and starts it again.
+
+        The task would else end unnoticed while the process seems sound.
+        """
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                self.log.write(
+                    "node.task_failed",
+                    task=getattr(work, "__qualname__", repr(work)),
+                    error=repr(error),
+                )
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
     async def _listen(self, settings: SidecarSettings) -> None:
         """Opens the listeners whose address has changed or is new."""
         handlers: dict[str, tuple[Address, Handler]] = {
