--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 
 import pytest
 from vanillamast_platform.log_records import (
@@ -16,6 +17,7 @@
     StoreTruncatedError,
     StoreUnknownOutcomeError,
 )
+from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.move_spec import MoveSpec
 from vanillamast_sidecar.move_state import MoveState
 from vanillamast_sidecar.node_record import NodeRecord
@@ -39,7 +41,8 @@
 @pytest.fixture
 async def store(emulated):
     """Returns a `LogStore` on the emulated store."""
-    client = LogStore(StoreSettings(Address(HOST, PORT), 3.0), "m1")
+    log = EventLogger("m1", os.open(os.devnull, os.O_WRONLY))
+    client = LogStore(StoreSettings(Address(HOST, PORT), 3.0), "m1", log)
     yield client
     client.reset()
 
@@ -56,6 +59,35 @@
         await store.put_node(first)
         assert await store.list_nodes() == [first, second]
 
+    async def test_foreign_records_hide_no_others(self, store, emulated):
+        """Guards against one malformed record that stops the whole fleet."""
+        node = NodeRecord("10.0.0.1:1", "a", 5, 0, False, None)
+        await store.put_node(node)
+        await emulated.put("keyed.vanillamast-nodes", "foreign", b"\xc1{")
+        assert await store.list_nodes() == [node]
+        value = json.dumps({"version": 4, "resources": []}).encode()
+        await emulated.put("keyed.op", "config", value)
+        await emulated.put("keyed.op", "rollout/s", b"nonsense")
+        move = {"service": "t", "to": "v2", "over_s": 9.0}
+        await emulated.put("keyed.op", "rollout/t", json.dumps(move).encode())
+        for update in (
+            await store.read_operator_state(),
+            await store.poll_operator(0, 1.0),
+        ):
+            assert update.snapshot.version == 4
+            assert [spec.service for spec in update.move_specs] == ["t"]
+
+    async def test_a_malformed_configuration_keeps_the_last_one(
+        self, store, emulated
+    ):
+        """Guards against a reader that starts over for ever."""
+        value = json.dumps({"version": 4, "resources": []}).encode()
+        await emulated.put("keyed.op", "config", value)
+        await emulated.put("keyed.op", "config", b"{")
+        update = await store.poll_operator(0, 1.0)
+        assert update.snapshot.version == 4
+        assert update.next_offset == 2
+
     async def test_a_change_ends_the_wait(self, store, emulated):
         """Guards against changes that are delivered only after a full wait."""
         update = await store.read_operator_state()
