--- a/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
@@ -51,12 +51,13 @@
         self.reported_silent: set[str] = set()
         self.status_sent_at = 0.0
 
-    def update(self, is_selected: bool) -> None:
+    def update(self, is_selected: bool, now: float) -> None:
         """Starts or ends the duty and selects the other domains' hubs.
 
         Args:
           is_selected: Whether this node is among the hubs of its domain. It
             also acts as a hub while other nodes take it for one.
+          now: Loop time, in seconds.
         """
         was_active = self.active
         self.active = is_selected or bool(self.subscribers)
@@ -64,7 +65,7 @@
             self.hub.reset()
         own_domain = self.membership.own.record.failure_domain
         self.domain_hubs = {
-            domain: select_hubs(peers)
+            domain: select_hubs(peers, now)
             for domain, peers in self.membership.peers_by_domain().items()
             if self.active and domain != own_domain
         }
--- a/packages/sidecar/src/vanillamast_sidecar/link_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/link_pool.py
@@ -64,6 +64,7 @@
         if task is None:
             task = self.loop.create_task(self._connect(peer))
             peer.connecting = task
+            peer.connecting_since = self.loop.time()
         return task
 
     async def _connect(self, peer: Peer) -> PeerLink | None:
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -228,6 +228,7 @@
         self.membership.removed.clear()
         self.wants_nodes = False
         self.apply_records(records)
+        self._select_hubs(self.loop.time())
 
     def _log_record(self, record: NodeRecord) -> None:
         instance = record.instance
@@ -274,9 +275,9 @@
 
     def _select_hubs(self, now: float) -> None:
         """Chooses the hubs and connects to them."""
-        hubs = select_hubs(self.membership.own_domain())
+        hubs = select_hubs(self.membership.own_domain(), now)
         self.hubs = [peer for peer in hubs if not peer.is_self]
-        self.duty.update(is_selected=len(self.hubs) < len(hubs))
+        self.duty.update(len(self.hubs) < len(hubs), now)
         for peer in (*self.hubs, *self.duty.other_hubs()):
             if peer.link is None and now >= peer.next_connect_at:
                 self.links.connect(peer)
@@ -329,6 +330,9 @@
         if self.membership.own.record != hello.record:
             # The record changed while the hello was on its way.
             link.send(Records([self.membership.own.record]))
+        if peer in self.hubs:
+            # The hub answers with a report on the whole failure domain.
+            link.send(self._make_heartbeat(self.loop.time()))
         if self.is_hub and not peer.same_domain:
             for status in self.moves.statuses():
                 link.send(MoveAnnouncement(status))
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -38,6 +38,7 @@
       next_connect_at: When to connect again, in loop time.
       failed_connects: Failed attempts to connect since the last success.
       connecting: Task of the attempt that is under way, None without one.
+      connecting_since: When that attempt began, in loop time.
       store_contact_at: When the node last received a response of the store,
         in loop time; None while it does not read the operator's stream.
     """
@@ -62,6 +63,7 @@
         self.next_connect_at = 0.0
         self.failed_connects = 0
         self.connecting: asyncio.Task[PeerLink | None] | None = None
+        self.connecting_since = 0.0
         self.store_contact_at: float | None = None
 
     @property
@@ -76,6 +78,10 @@
             self.unresponsive or self.failed or self.silent_since is not None
         )
 
+    def is_connecting_since(self, time: float) -> bool:
+        """Returns whether an attempt that began by a time is under way."""
+        return self.connecting is not None and self.connecting_since <= time
+
     @property
     def usable(self) -> bool:
         """Returns whether its server accepts requests of this node."""
--- a/packages/sidecar/src/vanillamast_sidecar/store_reader_policy.py
+++ b/packages/sidecar/src/vanillamast_sidecar/store_reader_policy.py
@@ -12,8 +12,9 @@
 READER_FRESHNESS_S = 0.9
 
 # A started node waits this long for the state of its hubs: the time to read
-# the list of nodes, to connect and to get a report, several times over.
-START_WAIT_S = 1.5
+# the list of nodes, to connect, and to get a report and the state. The first
+# nodes of the list may be gone, and callers wait.
+START_WAIT_S = 0.5
 
 
 class StoreReaderPolicy:
--- a/tests/sidecar/test_store_reader_policy.py
+++ b/tests/sidecar/test_store_reader_policy.py
@@ -119,13 +119,13 @@
         """Guards against a start of all nodes in which each reads."""
         policy = StoreReaderPolicy(Fleet(host).membership, NOW)
         first = host in HOSTS[:READERS_PER_DOMAIN]
-        assert policy.must_read(NOW + 0.1, True) == first
+        assert policy.must_read(NOW + START_WAIT_S / 2, True) == first
 
     def test_no_node_reads_before_it_knows_the_others(self):
         """Guards against nodes that all take themselves for the first."""
         policy = StoreReaderPolicy(Membership(record(HOSTS[0])), NOW)
-        assert not policy.must_read(NOW + 0.1, False)
-        assert policy.must_read(NOW + 0.1, True)
+        assert not policy.must_read(NOW + START_WAIT_S / 2, False)
+        assert policy.must_read(NOW + START_WAIT_S / 2, True)
 
     def test_a_node_that_hears_of_no_reader_reads(self):
         """Guards against a started node that waits for ever."""
