Check that the store answers before a long poll

A node began to read the store while it was silent: its long poll hung for 29 s, as the connection is monitored only once the store has answered. Both remaining nodes of a failure domain were in that state when the store returned.

Change: a node that is not connected to the store probes it before it polls.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
@@ -141,6 +141,11 @@
         failures = 0
         while True:
             try:
+                if not self.connected:
+                    # A long poll on a silent store would hang, and the
+                    # connection is monitored only while the store answers.
+                    await self.store.probe()
+                    self._set_connected(True, "")
                 if self.state.offset < 0:
                     update = await self.store.read_operator_state()
                     if update.move_specs:
--- a/tests/sidecar/test_operator_state_sync.py
+++ b/tests/sidecar/test_operator_state_sync.py
@@ -1,9 +1,11 @@
 """Tests of the choice of a node to fetch newer operator state from."""
 
+import asyncio
 import os
 from types import SimpleNamespace
 
 import pytest
+from vanillamast_sidecar.errors import StoreUnknownOutcomeError
 from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.messages import FetchOperator
 from vanillamast_sidecar.metrics import Metrics
@@ -25,6 +27,7 @@
     def __init__(self):
         self.membership = membership(5, [1, 2], [])
         self.config_version = 36
+        self.store_contact_at = None
         self.sent = []
 
     def send(self, target, message):
@@ -91,3 +94,49 @@
             sync.handle_versions(peer, 36, 7)
             sync.loop.now += 0.2
         assert sync.mesh.sent == []
+
+
+class SilentStore:
+    """Stands in for a store that answers nothing until it returns.
+
+    Attributes:
+      returned: Whether it answers.
+      polls: Long polls that it answered.
+    """
+
+    def __init__(self):
+        self.returned = False
+        self.polls = 0
+
+    async def probe(self):
+        """Checks whether the store answers."""
+        if not self.returned:
+            raise StoreUnknownOutcomeError("no answer")
+
+    async def poll_operator(self, offset, wait_s):
+        """Hangs if the store was silent when the call was made."""
+        if not self.returned:
+            await asyncio.sleep(wait_s)
+            raise StoreUnknownOutcomeError("no answer")
+        self.polls += 1
+        await asyncio.sleep(wait_s)
+
+    def reset(self):
+        """Closes all connections; there are none."""
+
+
+class TestOutages:
+    """A node that begins to read while the store is silent."""
+
+    async def test_the_return_of_the_store_is_noticed(self, sync):
+        """Guards against a long poll that hangs on a silent store."""
+        sync.loop = asyncio.get_running_loop()
+        sync.store = SilentStore()
+        sync.state.offset = 7
+        sync._start_reading(0.0)
+        await asyncio.sleep(0.05)
+        sync.store.returned = True
+        async with asyncio.timeout(10.0):
+            while not sync.store.polls:
+                await asyncio.sleep(0.01)
+        sync._stop_reading()
