Pass move statuses and own records on only if they are newer

Two drivers announced different shares for a move. A status with the same state counted as a change whatever its age, so hubs that had different ones passed them back and forth without end. In the same way, a late copy of a node's own record made it announce itself again.

Change: a status that is not newer than the known one is ignored unless its state outranks it; only a newer record of a node's own address is replaced.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -244,9 +244,10 @@
 
     def _handle_previous_record(self, record: NodeRecord) -> None:
         own = self.membership.own.record
-        if record.incarnation >= own.incarnation and record != own:
+        if record.is_newer_than(own):
             # The clock was ahead when the previous process started. Only a
-            # higher incarnation replaces that record at the other nodes.
+            # higher incarnation replaces that record at the other nodes. An
+            # older record is a late copy of this process's own.
             replacement = msgspec.structs.replace(
                 own, incarnation=record.incarnation + 1
             )
--- a/packages/sidecar/src/vanillamast_sidecar/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_table.py
@@ -89,7 +89,9 @@
         if move.spec.move_id > status.move_id:
             return False
         move.first_seen_at = min(move.first_seen_at, now - status.elapsed_s)
-        if not status.recorded and _outranks(move, status):
+        if not status.recorded and (
+            _outranks(move, status) or _is_stale(move, status)
+        ):
             return False
         move.status_at = now
         changed = (move.share, move.state) != (status.share, status.state)
@@ -178,6 +180,21 @@
         evidence.add(route, failed, duration_s)
 
 
+def _is_stale(move: Move, status: MoveStatus) -> bool:
+    """Returns whether a status is not newer than the known one.
+
+    Copies arrive through several hubs and in any order. If an old one counted
+    as a change, hubs with different statuses would send them to each other
+    for ever.
+    """
+    known = move.status
+    return (
+        known is not None
+        and status.state is known.state
+        and status.elapsed_s <= known.elapsed_s
+    )
+
+
 def _outranks(move: Move, status: MoveStatus) -> bool:
     """Returns whether the known status overrides an unrecorded one."""
     if move.status is not None and move.status.recorded:
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -187,6 +187,26 @@
             lambda: all(mesh.moves.statuses() == [status] for mesh in others)
         )
 
+    async def test_two_drivers_cause_no_storm(self, fleet):
+        """Guards against statuses that hubs send each other for ever."""
+        sent = []
+        for mesh in fleet:
+            pass_on = mesh.duty.pass_on
+
+            def count(frame, *args, pass_on=pass_on, **fields):
+                sent.append(frame)
+                pass_on(frame, *args, **fields)
+
+            mesh.duty.pass_on = count
+        reports = len(fleet) * 20
+        for share, number in ((0.3, 2), (0.6, 6), (0.3, 10)):
+            status = MoveStatus("browse", 1, "v2", MoveState.ACTIVE, share, 1.0)
+            fleet[number].broadcast(MoveAnnouncement(status))
+        await asyncio.sleep(1.0)
+        assert len(sent) < reports
+        shares = {mesh.moves.by_service["browse"].share for mesh in fleet[:2]}
+        assert shares <= {0.3, 0.6}
+
     async def test_a_node_that_missed_a_record_gets_it(self, fleet):
         """Guards against a lost message that leaves a record out for ever."""
         hidden = fleet[7]
@@ -240,6 +260,16 @@
         peer = second.membership.other_peers()[0]
         await until(lambda: peer.record.instance is not None)
 
+    async def test_a_late_copy_of_the_own_record_changes_nothing(
+        self, make_mesh
+    ):
+        """Guards against a node that announces itself again and again."""
+        mesh = await make_mesh("127.23.0.7", "a")
+        old = mesh.membership.own.record
+        current = mesh.announce(instance("s"), False)
+        mesh.apply_records([old, current])
+        assert mesh.membership.own.record == current
+
     async def test_a_restarted_node_replaces_its_record(self, make_mesh):
         """Guards against a node whose clock was stepped back on a restart."""
         first = await make_mesh("127.23.0.3", "a")
--- a/tests/sidecar/test_moves.py
+++ b/tests/sidecar/test_moves.py
@@ -54,6 +54,18 @@
         assert not table.allows_requests(record("v2"))
         assert table.allows_requests(record("v1"))
 
+    def test_a_late_copy_of_a_status_is_ignored(self):
+        """Guards against shares that go back and forth with late copies."""
+        table = MoveTable(lambda _: None)
+        table.add_spec(SPEC, 0.0)
+        first = status(share=0.07)
+        second = msgspec.structs.replace(status(share=0.3), elapsed_s=1.5)
+        assert table.apply_status(first, 1.0)
+        assert table.apply_status(second, 1.5)
+        assert not table.apply_status(first, 1.6)
+        assert not table.apply_status(second, 1.6)
+        assert table.by_service["browse"].share == 0.3
+
     def test_a_recorded_end_is_final(self):
         """Guards against a late status that changes the end of a move."""
         table = MoveTable(lambda _: None)
