Never pass on a move status that was not accepted

A driver that had not heard of the recorded end of a move announced it as active with a greater age.

Change: a status is passed on only if it was accepted; a recorded end is replaced by nothing that does not outrank it.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -468,11 +468,13 @@
     ) -> None:
         """Applies a move status and passes it on if it is new."""
         status = message.status
-        known = self.moves.known_elapsed_s(status)
+        known_s = self.moves.known_elapsed_s(status)
         changed = self.moves.apply_status(status, self.loop.time())
         if changed:
             self.log.write("move.plan", **status.log_fields())
-        if self.is_hub and (changed or status.elapsed_s > known):
+        # A status that was not accepted would go round for ever.
+        accepted = changed or self.moves.known_elapsed_s(status) > known_s
+        if self.is_hub and accepted:
             self.duty.pass_on(make_frame(message), peer.same_domain, connection)
 
     def _handle_domain_status(self, peer: Peer, status: DomainStatus) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/move_table.py
@@ -89,9 +89,7 @@
         if move.spec.move_id > status.move_id:
             return False
         move.first_seen_at = min(move.first_seen_at, now - status.elapsed_s)
-        if not status.recorded and (
-            _outranks(move, status) or _is_stale(move, status)
-        ):
+        if _outranks(move, status) or _is_stale(move, status):
             return False
         move.status_at = now
         changed = (move.share, move.state) != (status.share, status.state)
@@ -188,15 +186,18 @@
     for ever.
     """
     known = move.status
-    return (
-        known is not None
-        and status.state is known.state
-        and status.elapsed_s <= known.elapsed_s
-    )
+    if known is None or status.state is not known.state:
+        return False
+    if status.recorded != known.recorded:
+        return known.recorded
+    return known.recorded or status.elapsed_s <= known.elapsed_s
 
 
 def _outranks(move: Move, status: MoveStatus) -> bool:
-    """Returns whether the known status overrides an unrecorded one."""
-    if move.status is not None and move.status.recorded:
+    """Returns whether the known status overrides another one."""
+    known = move.status
+    if known is not None and known.recorded and not status.recorded:
         return True
+    if known is not None and status.recorded and not known.recorded:
+        return False
     return _STATE_PRECEDENCE[status.state] < _STATE_PRECEDENCE[move.state]
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -199,13 +199,25 @@
 
             mesh.duty.pass_on = count
         reports = len(fleet) * 20
-        for share, number in ((0.3, 2), (0.6, 6), (0.3, 10)):
-            status = MoveStatus("browse", 1, "v2", MoveState.ACTIVE, share, 1.0)
+
+        def announce(number, state, share, elapsed_s, recorded=False):
+            status = MoveStatus(
+                "browse", 1, "v2", state, share, elapsed_s, recorded
+            )
+            fleet[number].moves.apply_status(status, 0.0)
             fleet[number].broadcast(MoveAnnouncement(status))
-        await asyncio.sleep(1.0)
+
+        announce(2, MoveState.ACTIVE, 0.3, 1.0)
+        announce(6, MoveState.ACTIVE, 0.6, 1.0)
+        announce(10, MoveState.ACTIVE, 0.3, 1.0)
+        await asyncio.sleep(0.5)
+        announce(2, MoveState.REVERTED, 0.0, 1.5, True)
+        await asyncio.sleep(0.3)
+        # A driver that has not heard of the end.
+        announce(6, MoveState.ACTIVE, 0.6, 3.0)
+        await asyncio.sleep(0.7)
         assert len(sent) < reports
-        shares = {mesh.moves.by_service["browse"].share for mesh in fleet[:2]}
-        assert shares <= {0.3, 0.6}
+        assert {mesh.moves.by_service["browse"].share for mesh in fleet} == {0}
 
     async def test_a_node_that_missed_a_record_gets_it(self, fleet):
         """Guards against a lost message that leaves a record out for ever."""
