Log what a server's responses say of it

Cause: the logs could not tell whether a rate limit reaches the node beside the server, nor how many requests a second the server gets.

Change: the adapter names the two fields; the node beside the server logs server.notice when they change, with the rate of the requests that it sends, and counts them (server_requests, server_rate_limit). No decision uses them yet.

Tests of the sidecar, the log catalogue and the request path passed (339).

--- a/packages/sidecar/src/vanillamast_sidecar/errors.py
+++ b/packages/sidecar/src/vanillamast_sidecar/errors.py
@@ -35,6 +35,10 @@
     """A heartbeat lacks a field or has one of the wrong type."""
 
 
+class InvalidRateLimitError(SidecarError):
+    """A response has a rate limit that is not a number of 0 or more."""
+
+
 class InvalidConfigurationError(SidecarError):
     """A published configuration cannot be decoded."""
 
--- a/packages/sidecar/src/vanillamast_sidecar/field_names.py
+++ b/packages/sidecar/src/vanillamast_sidecar/field_names.py
@@ -14,6 +14,9 @@
       caller: Service of the instance from which the request came.
       signature: Proof that the response comes from the server.
       not_executed: Present if the server did not run the request.
+      rate_limit: Requests a second that the server accepts from all nodes
+        together, while its responses have the field.
+      leaving: `1` if the server is about to leave.
     """
 
     request_id: bytes
@@ -22,3 +25,5 @@
     caller: bytes
     signature: bytes
     not_executed: bytes
+    rate_limit: bytes
+    leaving: bytes
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -8,10 +8,12 @@
 from vanillamast_sidecar.call_result import CallResult
 from vanillamast_sidecar.client_connection import ClientConnection
 from vanillamast_sidecar.connection_pool import ConnectionPool
+from vanillamast_sidecar.decaying_rate import DecayingRate
 from vanillamast_sidecar.decaying_share import DecayingShare
 from vanillamast_sidecar.errors import (
     ConnectError,
     ConnectionLostError,
+    InvalidRateLimitError,
     MalformedResponseError,
     ResponseTimeoutError,
     ResponseTooLargeError,
@@ -26,6 +28,7 @@
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.server_call import ServerCall
+from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.settings import SidecarSettings
 
@@ -58,6 +61,9 @@
       failure_share: Recent share of failed requests.
       response_budget: Bytes of responses that are kept at once.
       running_request_ids: Ids of the requests that the server runs.
+      sent: Requests sent to the server.
+      notice: Rate limit that the server's last response named, and whether it
+        said that the server leaves.
     """
 
     def __init__(
@@ -82,6 +88,8 @@
         self.failure_share = DecayingShare()
         self.response_budget = ByteBudget(settings.response_limits.total_bytes)
         self.running_request_ids: set[bytes] = set()
+        self.sent = DecayingRate()
+        self.notice: tuple[float | None, bool] = (None, False)
 
     def get_load(self) -> LoadReport:
         """Returns how busy the server is."""
@@ -136,6 +144,8 @@
         # its own queue.
         self.queue = AdmissionQueue(max(1, current.slots))
         self.incarnation = (current.id, current.born_ms)
+        self.sent = DecayingRate()
+        self.notice = (None, False)
 
     def _refuse_waiting(self, reason: Reason) -> None:
         for future in self.queue.remove_all():
@@ -337,6 +347,8 @@
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
             self.running_request_ids.add(call.request_id)
+        self.sent.add(1.0, self.loop.time())
+        self.metrics.count("server_requests")
         try:
             response = await connection.send_request(
                 data,
@@ -345,7 +357,10 @@
                 call.method == "HEAD",
             )
             pool.release(connection)
-            return self._classify(call, response)
+            result = self._classify(call, response)
+            if result.response is not None:
+                self._apply_notice(call, result.response)
+            return result
         except ResponseTimeoutError:
             outcome, reason = Outcome.EXPIRED, Reason.TIMEOUT
             # The idle connections may be unresponsive for the same reason.
@@ -368,6 +383,37 @@
         )
         return CallResult(outcome, reason, sent_to_server=True)
 
+    def _apply_notice(self, call: ServerCall, response: HttpResponse) -> None:
+        """Takes over what a valid response says about the server's state."""
+        if self.incarnation != (call.instance_id, call.born_ms):
+            return
+        fields = self.settings.fields
+        previous, _ = self.notice
+        try:
+            rate_limit = read_rate_limit(response, fields)
+        except InvalidRateLimitError as error:
+            self.log.write(
+                "server.invalid_notice",
+                instance=call.instance_id,
+                error=str(error),
+            )
+            rate_limit = previous
+        notice = (rate_limit, is_leaving(response, fields))
+        if notice == self.notice:
+            return
+        self.notice = notice
+        self.metrics.set("server_rate_limit", rate_limit or 0.0)
+        self.log.write(
+            "server.notice",
+            instance=call.instance_id,
+            rate_limit=rate_limit,
+            previous=previous,
+            leaving=notice[1],
+            sent_per_s=round(self.sent.value(self.loop.time()), 1),
+            running=self.queue.running,
+            waiting=self.queue.size,
+        )
+
     def _classify(self, call: ServerCall, response: HttpResponse) -> CallResult:
         """Returns whether a response is valid, a refusal or malformed."""
         fields = self.settings.fields
--- a/tests/sidecar/test_gateway.py
+++ b/tests/sidecar/test_gateway.py
@@ -47,7 +47,7 @@
         *[address] * 6,
         1.5,
         Bounds(2.0, 6.0, 2.0, 0.2, 10.0, 60.0, 0.1, 50.0, 5.0),
-        FieldNames(*[b"x"] * 6),
+        FieldNames(*[b"x"] * 8),
     )
     executor = SimpleNamespace(
         is_nested=lambda request_id: request_id.startswith(PARENT + b".")
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -33,7 +33,7 @@
         *[address] * 6,
         1.5,
         Bounds(2.0, 6.0, 2.0, 0.2, 10.0, 60.0, 0.1, 50.0, 5.0),
-        FieldNames(*[b"x"] * 6),
+        FieldNames(*[b"x"] * 8),
     )
 
 
