--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -15,6 +15,8 @@
 CALLER_HEADER = "X-Vanillamast-Caller"
 SIGNATURE_HEADER = "X-Vanillamast-Response-Signature"
 NOT_EXECUTED_HEADER = "X-Vanillamast-Not-Executed"
+RATE_LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 
 
 @dataclasses.dataclass
@@ -57,6 +59,10 @@
       heartbeat_s: Interval of heartbeats.
       fail_every: Every n-th request gets status 500; 0 for none.
       truncate_every: Every n-th answer is cut off in its body; 0 for none.
+      rate_limit: Requests a second that its answers name as its limit, None
+        for no limit. It is not enforced.
+      names_leaving: Whether its answers say that it leaves.
+      arrivals: Monotonic times at which requests arrived.
       runs: Requests that it began to run.
       most_running: Highest number of requests that ran at once.
       leave_acknowledged_at: Monotonic time at which the node acknowledged the
@@ -85,6 +91,9 @@
         self.heartbeat_s = 0.3
         self.fail_every = 0
         self.truncate_every = 0
+        self.rate_limit: float | None = None
+        self.names_leaving = False
+        self.arrivals: list[float] = []
         self.born_ms = int(time.time() * 1000)
         self.heartbeat_numbers = itertools.count(1)
         self.state = "ready"
@@ -166,9 +175,14 @@
             await asyncio.sleep(self.heartbeat_s)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.arrivals.append(time.monotonic())
         headers = {
             REQUEST_ID_HEADER: request.headers.get(REQUEST_ID_HEADER, "")
         }
+        if self.rate_limit is not None:
+            headers[RATE_LIMIT_HEADER] = f"{self.rate_limit:g}"
+        if self.names_leaving:
+            headers[LEAVING_HEADER] = "1"
         expected = request.headers.get(EXPECT_INSTANCE_HEADER)
         if expected is not None and expected != self.id:
             return web.Response(status=421, headers=headers)
