Keep the rate limit that a server names in its responses

Cause: what a server said of itself in a response was forwarded and used by no decision. The node beside the server bounds how many requests run at once, which is no bound on requests a second. Evidence: server.notice has the limit at that node from 6.0 s on, and an unchanged 36 to 41 requests/s sent.

The time until the next request is allowed is in the load report, so that first hops choose another server. The limit is part of the server's record: the other nodes return it to a node that restarts. A token is spent only by a request that is sent, so retries and calls cannot pass it by.

--- a/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
@@ -1,10 +1,11 @@
-"""Slots of a backend server and the requests that wait for one."""
+"""Slots of a backend server and the requests that wait for it."""
 
 import bisect
 import itertools
 from typing import Generic, TypeVar
 
 from vanillamast_sidecar.decaying_rate import DecayingRate
+from vanillamast_sidecar.rate_limiter import RateLimiter
 
 T = TypeVar("T")
 
@@ -15,34 +16,39 @@
 # Mean service time before the first request has ended, as a share of the time
 # that the first request has until its soft deadline.
 INITIAL_DURATION_SHARE = 0.4
-# Largest share of the slots that more urgent requests are expected to take,
-# so that requests of the lowest rank are admitted while none wait before them.
+# Largest share of the slots, and of the rate limit, that more urgent requests
+# are expected to take, so that requests of the lowest rank are admitted while
+# none wait before them.
 MAX_OVERTAKEN_SHARE = 0.8
 
 
 class AdmissionQueue(Generic[T]):
-    """Grants slots by rank, then by soft deadline.
+    """Grants slots by rank, then by soft deadline, within the rate limit.
 
     The queue only decides; its owner runs the granted requests.
 
     Attributes:
       slots: Requests that the server runs at once.
+      limiter: Rate limit of the server.
       running: Requests that hold a slot.
       mean_service_s: Mean time that a request holds a slot, in seconds.
       mean_service_s_by_route: The same by route.
       recorded: Number of durations that the mean is made of.
       slot_use: Mean number of slots that each rank used recently.
+      request_rates: Requests of each rank that ended recently, a second.
       waiting: Sorted (rank, soft_deadline, sequence) of the waiting requests.
       items: Item and expected duration of each, by sequence number.
     """
 
     def __init__(self, slots: int):
         self.slots = slots
+        self.limiter = RateLimiter()
         self.running = 0
         self.mean_service_s = INITIAL_MEAN_SERVICE_S
         self.mean_service_s_by_route: dict[str, float] = {}
         self.recorded = 0
         self.slot_use: dict[int, DecayingRate] = {}
+        self.request_rates: dict[int, DecayingRate] = {}
         self.waiting: list[tuple[int, float, int]] = []
         self.items: dict[int, tuple[T, float]] = {}
         self.sequence_numbers = itertools.count()
@@ -52,10 +58,12 @@
         """Returns the number of waiting requests."""
         return len(self.waiting)
 
-    def try_acquire_slot(self) -> bool:
-        """Takes a slot if one is free and no request waits."""
+    def try_acquire_slot(self, now: float) -> bool:
+        """Takes a slot if a request may be sent now and no request waits."""
         if self.running >= self.slots or self.waiting:
             return False
+        if not self.limiter.try_acquire(now):
+            return False
         self.running += 1
         return True
 
@@ -76,27 +84,52 @@
     def expected_wait_s(
         self, rank: int, soft_deadline: float, now: float
     ) -> float:
-        """Returns how long a request is expected to wait for a slot.
+        """Returns how long a request is expected to wait until it is sent.
 
         More urgent requests that arrive meanwhile overtake it; they are
-        expected to use as many slots as they recently did.
+        expected to use as many slots, and as much of the rate limit, as they
+        recently did.
         """
         if self.running < self.slots and not self.waiting:
-            return 0.0
-        work_ahead_s = sum(
+            return self.limiter.delay_s(now)
+        durations_ahead = [
             self.items[sequence][1]
             for other_rank, other_deadline, sequence in self.waiting
             if (other_rank, other_deadline) <= (rank, soft_deadline)
+        ]
+        return max(
+            self._wait_for_slot_s(durations_ahead, rank, now),
+            self._wait_for_rate_s(len(durations_ahead), rank, now),
         )
+
+    def _wait_for_slot_s(
+        self, durations_ahead: list[float], rank: int, now: float
+    ) -> float:
+        if self.running + len(durations_ahead) < self.slots:
+            return 0.0
         slots = max(1, self.slots)
-        overtaking_slots = sum(
-            rate.value(now)
-            for other_rank, rate in self.slot_use.items()
-            if other_rank < rank
-        )
+        overtaking_slots = _sum_more_urgent(self.slot_use, rank, now)
         free_share = 1.0 - min(MAX_OVERTAKEN_SHARE, overtaking_slots / slots)
+        work_ahead_s = sum(durations_ahead)
         return (work_ahead_s + self.mean_service_s) / (slots * free_share)
 
+    def _wait_for_rate_s(self, ahead: int, rank: int, now: float) -> float:
+        limit = self.limiter.limit_per_s
+        if limit is None:
+            return 0.0
+        overtaking = _sum_more_urgent(self.request_rates, rank, now)
+        free_share = 1.0 - min(MAX_OVERTAKEN_SHARE, overtaking / limit)
+        return self.limiter.delay_s(now, ahead) / free_share
+
+    def next_grant_s(self, now: float) -> float | None:
+        """Returns in how many seconds the rate limit allows the next grant.
+
+        Returns None if no request waits, or if it waits for a slot.
+        """
+        if not self.waiting or self.running >= self.slots:
+            return None
+        return self.limiter.delay_s(now)
+
     def expected_duration_s(self, route: str) -> float:
         """Returns how long a request of a route is expected to hold a slot."""
         return self.mean_service_s_by_route.get(route, self.mean_service_s)
@@ -115,10 +148,12 @@
         if self.items.pop(sequence, None) is not None:
             self.waiting = [e for e in self.waiting if e[2] != sequence]
 
-    def grant_next(self) -> T | None:
-        """Grants a free slot to the next item; None if either is missing."""
+    def grant_next(self, now: float) -> T | None:
+        """Grants a slot to the next item; None if none may be sent now."""
         if not self.waiting or self.running >= self.slots:
             return None
+        if not self.limiter.try_acquire(now):
+            return None
         _, _, sequence = self.waiting.pop(0)
         self.running += 1
         return self.items.pop(sequence)[0]
@@ -130,17 +165,20 @@
         self.items.clear()
         return items
 
-    def release_slot(self) -> None:
-        """Returns a slot."""
+    def release_slot(self, sent: bool = True) -> None:
+        """Returns a slot.
+
+        Args:
+          sent: Whether the request was sent to the server.
+        """
         self.running -= 1
+        if not sent:
+            self.limiter.give_back()
 
     def record_slot_use(self, rank: int, held_s: float, now: float) -> None:
         """Counts how long any ended request, also a failed one, held a slot."""
-        rate = self.slot_use.get(rank)
-        if rate is None:
-            rate = DecayingRate()
-            self.slot_use[rank] = rate
-        rate.add(held_s, now)
+        self.slot_use.setdefault(rank, DecayingRate()).add(held_s, now)
+        self.request_rates.setdefault(rank, DecayingRate()).add(1.0, now)
 
     def record_duration(self, route: str, held_s: float) -> None:
         """Updates the mean service times with an ended request."""
@@ -154,3 +192,10 @@
             self.mean_service_s_by_route[route] = (
                 mean_s + (held_s - mean_s) * NEWEST_DURATION_WEIGHT
             )
+
+
+def _sum_more_urgent(
+    rates: dict[int, DecayingRate], rank: int, now: float
+) -> float:
+    """Returns the sum of the rates of the ranks before a rank."""
+    return sum(rate.value(now) for other, rate in rates.items() if other < rank)
--- a/packages/sidecar/src/vanillamast_sidecar/instance_record.py
+++ b/packages/sidecar/src/vanillamast_sidecar/instance_record.py
@@ -18,6 +18,8 @@
         incarnation.
       cold_s: Time from the record's arrival until it has warmed up.
       address: host:port at which its node reaches it.
+      rate_limit: Requests a second that it accepts from all nodes together,
+        roughly; None without a limit.
     """
 
     id: str
@@ -30,3 +32,4 @@
     leaving: bool
     cold_s: float
     address: str
+    rate_limit: float | None = None
--- a/packages/sidecar/src/vanillamast_sidecar/load_report.py
+++ b/packages/sidecar/src/vanillamast_sidecar/load_report.py
@@ -11,9 +11,11 @@
       waiting: Number of requests that wait at the node for a slot.
       mean_service_s: Mean time that a request holds a slot.
       failure_share: Share of recent requests that failed at the server.
+      rate_wait_s: Time until the server's rate limit allows another request.
     """
 
     running: int
     waiting: int
     mean_service_s: float
     failure_share: float
+    rate_wait_s: float = 0.0
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -115,6 +115,7 @@
             log,
             self.metrics,
             self._handle_server_unreachable,
+            lambda: self._handle_server_change("response"),
         )
         record = NodeRecord(
             str(settings.peer_listener),
@@ -269,6 +270,7 @@
             version=current.version if current is not None else None,
             ready=current.ready if current is not None else False,
             leaving=current.leaving if current is not None else False,
+            rate_limit=current.rate_limit if current is not None else None,
         )
 
     # Handlers of the other listeners.
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -112,7 +112,7 @@
         self.other_load = max(0.0, float(busy - self.outstanding))
 
     def expected_times_s(self, now: float) -> tuple[float, float]:
-        """Returns the expected wait for a slot and the service time."""
+        """Returns the expected wait until it is sent and the service time."""
         instance = self.record.instance
         slots = max(1, instance.slots if instance is not None else 1)
         mean = self.load.mean_service_s or DEFAULT_MEAN_S
@@ -120,4 +120,5 @@
         others = self.other_load * math.exp2(-age / LOAD_HALF_LIFE_S)
         excess = others + self.outstanding + 1 - slots
         wait = max(0.0, excess) * mean / slots
+        wait = max(wait, self.load.rate_wait_s - age)
         return wait, mean * COLD_FACTOR if now < self.cold_until else mean
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -28,7 +28,7 @@
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
+from vanillamast_sidecar.server_notice import read_rate_limit
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.settings import SidecarSettings
 
@@ -40,6 +40,8 @@
 # A request whose deadline is nearer than this is not sent: no server answers
 # faster.
 MIN_ATTEMPT_S = 0.005
+# A timer that fires a little early does not find the next request allowed.
+MIN_GRANT_DELAY_S = 0.001
 
 
 class ServerExecutor:
@@ -55,6 +57,7 @@
       log: Event logger.
       metrics: Metrics.
       on_unreachable: Called when the server refused a connection.
+      on_response: Called when a response has changed the server's state.
       queue: Slots and waiting requests.
       pool: Idle connections; None before the first heartbeat.
       incarnation: Id and start time of the server of the queue and the pool.
@@ -62,8 +65,8 @@
       response_budget: Bytes of responses that are kept at once.
       running_request_ids: Ids of the requests that the server runs.
       sent: Requests sent to the server.
-      notice: Rate limit that the server's last response named, and whether it
-        said that the server leaves.
+      grant_timer: Grants slots when the rate limit allows the next request;
+        None while no request waits for that.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         log: EventLogger,
         metrics: Metrics,
         on_unreachable: Callable[[], None],
+        on_response: Callable[[], None],
     ):
         self.settings = settings
         self.registry = registry
@@ -81,6 +85,7 @@
         self.log = log
         self.metrics = metrics
         self.on_unreachable = on_unreachable
+        self.on_response = on_response
         self.loop = asyncio.get_running_loop()
         self.queue: AdmissionQueue[asyncio.Future[Reason]] = AdmissionQueue(1)
         self.pool: ConnectionPool | None = None
@@ -89,16 +94,18 @@
         self.response_budget = ByteBudget(settings.response_limits.total_bytes)
         self.running_request_ids: set[bytes] = set()
         self.sent = DecayingRate()
-        self.notice: tuple[float | None, bool] = (None, False)
+        self.grant_timer: asyncio.TimerHandle | None = None
 
     def get_load(self) -> LoadReport:
         """Returns how busy the server is."""
         queue = self.queue
+        now = self.loop.time()
         return LoadReport(
             queue.running,
             queue.size,
             round(queue.mean_service_s, 4),
-            round(self.failure_share.value(self.loop.time()), 3),
+            round(self.failure_share.value(now), 3),
+            round(queue.limiter.delay_s(now, queue.size), 3),
         )
 
     def is_nested(self, request_id: bytes) -> bool:
@@ -120,6 +127,8 @@
         if self.incarnation != (current.id, current.born_ms):
             self._switch_instance(current)
         self.queue.slots = max(1, current.slots)
+        if current.rate_limit is not None:
+            self._restore_rate_limit(current.rate_limit)
         if not current.ready:
             self._refuse_waiting(
                 Reason.LEAVING if current.leaving else Reason.NO_SERVER
@@ -145,7 +154,12 @@
         self.queue = AdmissionQueue(max(1, current.slots))
         self.incarnation = (current.id, current.born_ms)
         self.sent = DecayingRate()
-        self.notice = (None, False)
+
+    def _restore_rate_limit(self, limit: float) -> None:
+        """Applies a limit that the server named before this node restarted."""
+        limiter = self.queue.limiter
+        if limiter.limit_per_s is None:
+            limiter.apply_limit(limit, self.loop.time())
 
     def _refuse_waiting(self, reason: Reason) -> None:
         for future in self.queue.remove_all():
@@ -167,8 +181,8 @@
             return self._refuse(call, reason)
         queue = self.queue
         queue.assume_duration(call.soft_deadline - self.loop.time())
-        if not queue.try_acquire_slot():
-            now = self.loop.time()
+        now = self.loop.time()
+        if not queue.try_acquire_slot(now):
             wait_s = queue.expected_wait_s(call.rank, call.soft_deadline, now)
             duration_s = queue.expected_duration_s(call.route)
             if now + wait_s + duration_s > call.soft_deadline:
@@ -228,6 +242,7 @@
         sequence = queue.enqueue(
             call.rank, call.soft_deadline, duration_s, future
         )
+        self._schedule_grant()
         latest_start = call.deadline - duration_s
         timer = self.loop.call_at(latest_start, _refuse_overloaded, future)
         try:
@@ -235,7 +250,7 @@
         except asyncio.CancelledError:
             queue.remove(sequence)
             if future.done() and not future.cancelled() and not future.result():
-                queue.release_slot()
+                queue.release_slot(sent=False)
                 self._grant_slots()
             raise
         finally:
@@ -246,13 +261,25 @@
 
     def _grant_slots(self) -> None:
         while True:
-            future = self.queue.grant_next()
+            future = self.queue.grant_next(self.loop.time())
             if future is None:
-                return
+                break
             if future.done():
-                self.queue.release_slot()
+                self.queue.release_slot(sent=False)
                 continue
             future.set_result(Reason.NONE)
+        self._schedule_grant()
+
+    def _schedule_grant(self) -> None:
+        """Grants slots again when the rate limit allows the next request."""
+        if self.grant_timer is not None:
+            self.grant_timer.cancel()
+            self.grant_timer = None
+        delay_s = self.queue.next_grant_s(self.loop.time())
+        if delay_s is not None:
+            self.grant_timer = self.loop.call_later(
+                max(MIN_GRANT_DELAY_S, delay_s), self._grant_slots
+            )
 
     async def _run_in_slot(
         self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
@@ -263,7 +290,7 @@
             result = await self._attempt(call)
             return result
         finally:
-            queue.release_slot()
+            queue.release_slot(result is None or result.sent_to_server)
             self._grant_slots()
             ended = self.loop.time()
             queue.record_slot_use(call.rank, ended - started, ended)
@@ -384,35 +411,41 @@
         return CallResult(outcome, reason, sent_to_server=True)
 
     def _apply_notice(self, call: ServerCall, response: HttpResponse) -> None:
-        """Takes over what a valid response says about the server's state."""
-        if self.incarnation != (call.instance_id, call.born_ms):
+        """Applies what a valid response says about the server's state."""
+        key = (call.instance_id, call.born_ms)
+        if self.incarnation != key:
             return
-        fields = self.settings.fields
-        previous, _ = self.notice
         try:
-            rate_limit = read_rate_limit(response, fields)
+            limit = read_rate_limit(response, self.settings.fields)
         except InvalidRateLimitError as error:
             self.log.write(
                 "server.invalid_notice",
                 instance=call.instance_id,
                 error=str(error),
             )
-            rate_limit = previous
-        notice = (rate_limit, is_leaving(response, fields))
-        if notice == self.notice:
+        else:
+            self._apply_rate_limit(call.instance_id, limit)
+            limit = self.queue.limiter.limit_per_s
+            if self.registry.apply_rate_limit(*key, limit):
+                self.on_response()
+
+    def _apply_rate_limit(self, instance_id: str, limit: float | None) -> None:
+        now = self.loop.time()
+        limiter = self.queue.limiter
+        previous = limiter.limit_per_s
+        if not limiter.apply_limit(limit, now):
             return
-        self.notice = notice
-        self.metrics.set("server_rate_limit", rate_limit or 0.0)
+        self.metrics.set("server_rate_limit", limiter.limit_per_s or 0.0)
         self.log.write(
             "server.notice",
-            instance=call.instance_id,
-            rate_limit=rate_limit,
+            instance=instance_id,
+            rate_limit=limiter.limit_per_s,
             previous=previous,
-            leaving=notice[1],
-            sent_per_s=round(self.sent.value(self.loop.time()), 1),
+            sent_per_s=round(self.sent.value(now), 1),
             running=self.queue.running,
             waiting=self.queue.size,
         )
+        self._grant_slots()
 
     def _classify(self, call: ServerCall, response: HttpResponse) -> CallResult:
         """Returns whether a response is valid, a refusal or malformed."""
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -8,6 +8,9 @@
 # Missing heartbeats after which the server counts as down; a single one may
 # arrive seconds late.
 MISSED_HEARTBEATS = 4.0
+# A rate limit is announced again when it has changed by this share. The other
+# nodes keep it for a restart of this one; they need no exact value.
+ANNOUNCED_LIMIT_CHANGE = 0.2
 
 
 class ServerRegistry:
@@ -27,6 +30,9 @@
       leaving_before: Ids that have deregistered without an incarnation, by
         when, in Unix milliseconds; incarnations that started later are not
         affected.
+      rate_limit: Rate limit to announce, None without one.
+      limited: Incarnation that it belongs to.
+      responded: Newest incarnation that has sent a response to this process.
     """
 
     def __init__(self, heartbeat_s: float):
@@ -37,6 +43,9 @@
         self.down = False
         self.leaving: set[tuple[str, int]] = set()
         self.leaving_before: dict[str, int] = {}
+        self.rate_limit: float | None = None
+        self.limited: tuple[str, int] | None = None
+        self.responded: tuple[str, int] | None = None
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Applies a heartbeat; returns whether the server's state changed."""
@@ -81,11 +90,32 @@
     def apply_peer_record(self, record: InstanceRecord) -> bool:
         """Applies another node's record; returns whether the state changed.
 
-        Only leaving is taken over: heartbeats bring everything else.
+        Leaving is taken over, and the rate limit until the server responds
+        to this process: heartbeats bring everything else.
         """
-        if not record.leaving:
+        key = (record.id, record.born_ms)
+        if record.leaving:
+            self.leaving.add(key)
+        if record.rate_limit is not None and self.responded != key:
+            self.rate_limit = record.rate_limit
+            self.limited = key
+        return self._update_flags()
+
+    def apply_rate_limit(
+        self, instance_id: str, born_ms: int, limit: float | None
+    ) -> bool:
+        """Applies the rate limit that the server's response names.
+
+        Returns:
+          Whether it has changed so much that it is announced.
+        """
+        key = (instance_id, born_ms)
+        self.responded = key
+        known = self.rate_limit if self.limited == key else None
+        if not _differ(limit, known):
             return False
-        self.leaving.add((record.id, record.born_ms))
+        self.rate_limit = limit
+        self.limited = key
         return self._update_flags()
 
     def mark_unreachable(self) -> bool:
@@ -125,19 +155,26 @@
         )
 
     def _update_flags(self) -> bool:
-        """Updates ready and leaving; returns whether one of them changed."""
+        """Updates what heartbeats do not bring; returns whether it changed."""
         current = self.current
         if current is None:
             return False
         leaving = self._is_leaving(current.id, current.born_ms)
         ready = not leaving and not self.down
-        if (current.leaving, current.ready) == (leaving, ready):
-            return False
-        self.current = msgspec.structs.replace(
-            current, ready=ready, leaving=leaving
+        rate_limit = self._get_rate_limit(current.id, current.born_ms)
+        updated = msgspec.structs.replace(
+            current, ready=ready, leaving=leaving, rate_limit=rate_limit
         )
+        if updated == current:
+            return False
+        self.current = updated
         return True
 
+    def _get_rate_limit(self, instance_id: str, born_ms: int) -> float | None:
+        if self.limited != (instance_id, born_ms):
+            return None
+        return self.rate_limit
+
     def _build_record(self, heartbeat: Heartbeat) -> InstanceRecord:
         leaving = self._is_leaving(heartbeat.id, heartbeat.born_ms)
         return InstanceRecord(
@@ -151,9 +188,17 @@
             leaving,
             heartbeat.cold_s,
             heartbeat.address,
+            self._get_rate_limit(heartbeat.id, heartbeat.born_ms),
         )
 
 
+def _differ(limit: float | None, known: float | None) -> bool:
+    """Returns whether a rate limit differs enough to be announced."""
+    if limit is None or known is None:
+        return limit != known
+    return abs(limit - known) > ANNOUNCED_LIMIT_CHANGE * max(limit, known)
+
+
 def _announced_fields(record: InstanceRecord) -> tuple[object, ...]:
     """Returns the fields whose change is announced at once."""
     return (
@@ -165,4 +210,5 @@
         record.ready,
         record.leaving,
         record.address,
+        record.rate_limit,
     )
--- a/tests/sidecar/test_server_registry.py
+++ b/tests/sidecar/test_server_registry.py
@@ -97,3 +97,54 @@
         after.apply_peer_record(before.current)
         after.handle_heartbeat(make_heartbeat(3), 1.0)
         assert after.current.leaving
+
+
+class TestResponses:
+    """What responses of the server say of it."""
+
+    def registry(self):
+        """Returns a registry with a server that is ready."""
+        registry = ServerRegistry(1.5)
+        registry.handle_heartbeat(make_heartbeat(1), 0.0)
+        return registry
+
+    def test_another_incarnation_is_not_affected(self):
+        """Guards against a late response that takes out the next server."""
+        registry = self.registry()
+        assert not registry.apply_rate_limit("i-1", 99, 5.0)
+        assert registry.current.ready
+        assert registry.current.rate_limit is None
+
+    def test_heartbeats_keep_the_limit(self):
+        """Guards against a limit that only lasts until the next heartbeat."""
+        registry = self.registry()
+        assert registry.apply_rate_limit("i-1", 100, 20.0)
+        assert not registry.handle_heartbeat(make_heartbeat(2), 1.0)
+        assert registry.current.rate_limit == 20.0
+        assert registry.apply_rate_limit("i-1", 100, None)
+        assert registry.current.rate_limit is None
+
+    def test_small_changes_are_not_announced(self):
+        """Guards against an announcement for each response."""
+        registry = self.registry()
+        registry.apply_rate_limit("i-1", 100, 20.0)
+        assert not registry.apply_rate_limit("i-1", 100, 21.0)
+        assert registry.apply_rate_limit("i-1", 100, 10.0)
+
+    def test_a_peer_restores_the_limit_to_a_restarted_node(self):
+        """Guards against a limit that is forgotten in a restart."""
+        before = self.registry()
+        before.apply_rate_limit("i-1", 100, 20.0)
+        after = ServerRegistry(1.5)
+        after.apply_peer_record(before.current)
+        after.handle_heartbeat(make_heartbeat(3), 1.0)
+        assert after.current.rate_limit == 20.0
+
+    def test_the_server_knows_better_than_a_peer(self):
+        """Guards against an old limit from a node that was cut off."""
+        before = self.registry()
+        before.apply_rate_limit("i-1", 100, 20.0)
+        after = self.registry()
+        after.apply_rate_limit("i-1", 100, None)
+        assert not after.apply_peer_record(before.current)
+        assert after.current.rate_limit is None
