Take a server out of use whose responses say that it leaves

Callers' requests went on to a server that had said in its responses that it leaves, later than drain_s after it.

Cause: the same as for the rate limit: only heartbeats and deregistrations, which may be late or missing, told that a server leaves. A restarted node could also bring such a server back: its first record replaced what the other nodes knew.

Change: the response counts like a deregistration at the node beside the server, which announces it. Each first hop notes it too, for when that node fails before it has. Every node keeps that an incarnation leaves, whatever a later record of its node says (bounded memory).

--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -23,6 +23,7 @@
 from vanillamast_sidecar.route_table import RouteTable
 from vanillamast_sidecar.server_call import ServerCall
 from vanillamast_sidecar.server_executor import ServerExecutor
+from vanillamast_sidecar.server_notice import is_leaving
 from vanillamast_sidecar.server_selector import ServerSelector
 from vanillamast_sidecar.settings import SidecarSettings
 from vanillamast_sidecar.snapshot import Snapshot
@@ -307,6 +308,9 @@
                 route.name, exchange.service, ended - now, mean_s
             )
         self._record_attempt(exchange, peer, result, ended)
+        response = result.response
+        if response is not None and is_leaving(response, self.settings.fields):
+            self.mesh.membership.mark_leaving(peer, instance)
         return result
 
     def _record_attempt(
--- a/packages/sidecar/src/vanillamast_sidecar/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership.py
@@ -2,23 +2,35 @@
 
 import zlib
 
+import msgspec
+
+from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.node_record import NodeRecord
 from vanillamast_sidecar.peer import Peer
 
+# Incarnations that are remembered as leaving: more than leave while one of
+# them still runs.
+MAX_LEAVING = 4096
+
 
 class Membership:
     """Keeps the newest record of each node.
 
+    Leaving is final for an incarnation of a server, also if its node has
+    restarted and announces it as ready.
+
     Attributes:
       own: This node.
       peers: All nodes by address, including this one.
       removed: Incarnation and revision of the removed nodes, by address.
+      leaving: Id and start of incarnations that leave, oldest first.
     """
 
     def __init__(self, own: NodeRecord):
         self.own = Peer(own, same_domain=True, is_self=True)
         self.peers: dict[str, Peer] = {own.address: self.own}
         self.removed: dict[str, tuple[int, int]] = {}
+        self.leaving: dict[tuple[str, int], None] = {}
         self._changed = True
         self._by_service: dict[str, list[Peer]] = {}
         self._by_domain: dict[str, list[Peer]] = {}
@@ -43,6 +55,7 @@
         """
         if record.address == self.own.record.address:
             return None
+        record = self._keep_leaving(record)
         peer = self.peers.get(record.address)
         if peer is None:
             removed = self.removed.get(record.address)
@@ -65,6 +78,40 @@
         self._changed = True
         return peer
 
+    def mark_leaving(self, peer: Peer, instance: InstanceRecord) -> None:
+        """Takes a server of another node out of use that says that it leaves.
+
+        Args:
+          peer: The node.
+          instance: The server; its node may have another one by now.
+        """
+        if peer.is_self:
+            return
+        self._remember_leaving((instance.id, instance.born_ms))
+        peer.record = self._keep_leaving(peer.record)
+
+    def _keep_leaving(self, record: NodeRecord) -> NodeRecord:
+        """Returns the record with a server that leaves marked as such."""
+        instance = record.instance
+        if instance is None:
+            return record
+        key = (instance.id, instance.born_ms)
+        if instance.leaving:
+            self._remember_leaving(key)
+        elif key in self.leaving:
+            return msgspec.structs.replace(
+                record,
+                instance=msgspec.structs.replace(
+                    instance, ready=False, leaving=True
+                ),
+            )
+        return record
+
+    def _remember_leaving(self, key: tuple[str, int]) -> None:
+        self.leaving[key] = None
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+
     def remove(self, address: str) -> None:
         """Removes a node until it announces itself again."""
         peer = self.peers.pop(address, None)
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -28,7 +28,7 @@
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.server_notice import read_rate_limit
+from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.settings import SidecarSettings
 
@@ -415,6 +415,9 @@
         key = (call.instance_id, call.born_ms)
         if self.incarnation != key:
             return
+        changed = False
+        if is_leaving(response, self.settings.fields):
+            changed = self.registry.mark_leaving(*key)
         try:
             limit = read_rate_limit(response, self.settings.fields)
         except InvalidRateLimitError as error:
@@ -426,8 +429,9 @@
         else:
             self._apply_rate_limit(call.instance_id, limit)
             limit = self.queue.limiter.limit_per_s
-            if self.registry.apply_rate_limit(*key, limit):
-                self.on_response()
+            changed = self.registry.apply_rate_limit(*key, limit) or changed
+        if changed:
+            self.on_response()
 
     def _apply_rate_limit(self, instance_id: str, limit: float | None) -> None:
         now = self.loop.time()
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -26,7 +26,8 @@
       cold_until: When it has warmed up, in loop time.
       down: Whether it refused a connection or missed heartbeats since its
         last heartbeat.
-      leaving: Incarnations that drain or have deregistered.
+      leaving: Incarnations that drain, have deregistered or say in their
+        responses that they leave.
       leaving_before: Ids that have deregistered without an incarnation, by
         when, in Unix milliseconds; incarnations that started later are not
         affected.
@@ -101,6 +102,15 @@
             self.limited = key
         return self._update_flags()
 
+    def mark_leaving(self, instance_id: str, born_ms: int) -> bool:
+        """Applies a response that says that the server leaves.
+
+        Returns:
+          Whether the state changed.
+        """
+        self.leaving.add((instance_id, born_ms))
+        return self._update_flags()
+
     def apply_rate_limit(
         self, instance_id: str, born_ms: int, limit: float | None
     ) -> bool:
--- /dev/null
+++ b/tests/sidecar/test_membership.py
@@ -0,0 +1,84 @@
+"""Tests of what a node remembers of the others."""
+
+import pytest
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.membership import MAX_LEAVING, Membership
+from vanillamast_sidecar.node_record import NodeRecord
+
+ADDRESS = "127.0.0.2:1"
+
+
+def server(born_ms=1, leaving=False):
+    """Returns the record of a server."""
+    return InstanceRecord(
+        "i-1",
+        born_ms,
+        1,
+        "browse",
+        "v1",
+        4,
+        not leaving,
+        leaving,
+        0.0,
+        "127.0.0.2:2",
+    )
+
+
+def node(instance, incarnation=1, revision=0):
+    """Returns the record of the node beside the server."""
+    return NodeRecord(ADDRESS, "a", incarnation, revision, False, instance)
+
+
+@pytest.fixture
+def membership():
+    """Returns what a node knows that knows one other node."""
+    own = NodeRecord("127.0.0.1:1", "a", 1, 0, False, None)
+    membership = Membership(own)
+    membership.apply_record(node(server()), True, 0.0)
+    return membership
+
+
+class TestLeaving:
+    """Leaving is final for an incarnation of a server."""
+
+    def is_usable(self, membership):
+        """Returns whether requests may go to the server."""
+        return membership.peers[ADDRESS].usable
+
+    @pytest.mark.parametrize("direct", [True, False])
+    def test_a_restarted_node_cannot_bring_it_back(self, membership, direct):
+        """Guards against a server that left and is in use again."""
+        membership.apply_record(node(server(leaving=True), 1, 1), True, 0.0)
+        membership.apply_record(node(server(), 2, 0), direct, 0.0)
+        assert not self.is_usable(membership)
+        assert membership.peers[ADDRESS].record.instance.leaving
+
+    def test_a_response_counts_although_its_node_says_nothing(self, membership):
+        """Guards against a node that fails before it passes the news on."""
+        peer = membership.peers[ADDRESS]
+        membership.mark_leaving(peer, peer.record.instance)
+        assert not self.is_usable(membership)
+        membership.apply_record(node(server(), 2, 0), True, 0.0)
+        assert not self.is_usable(membership)
+
+    def test_it_counts_after_the_node_was_removed(self, membership):
+        """Guards against a server in use again after its node was silent."""
+        peer = membership.peers[ADDRESS]
+        membership.mark_leaving(peer, peer.record.instance)
+        membership.remove(ADDRESS)
+        membership.apply_record(node(server(), 2, 0), True, 0.0)
+        assert not self.is_usable(membership)
+
+    def test_the_next_server_of_the_node_is_used(self, membership):
+        """Guards against a late response that takes its successor out."""
+        old = membership.peers[ADDRESS].record.instance
+        membership.apply_record(node(server(born_ms=2), 1, 1), True, 0.0)
+        membership.mark_leaving(membership.peers[ADDRESS], old)
+        assert self.is_usable(membership)
+
+    def test_memory_is_bounded(self, membership):
+        """Guards against a set that grows with each release for ever."""
+        for born_ms in range(2, 2 * MAX_LEAVING):
+            record = node(server(born_ms, leaving=True), 1, born_ms)
+            membership.apply_record(record, True, 0.0)
+        assert len(membership.leaving) == MAX_LEAVING
--- a/tests/sidecar/test_server_registry.py
+++ b/tests/sidecar/test_server_registry.py
@@ -108,9 +108,18 @@
         registry.handle_heartbeat(make_heartbeat(1), 0.0)
         return registry
 
+    def test_leaving_is_final(self):
+        """Guards against a heartbeat that undoes what a response said."""
+        registry = self.registry()
+        assert registry.mark_leaving("i-1", 100)
+        assert not registry.mark_leaving("i-1", 100)
+        registry.handle_heartbeat(make_heartbeat(2), 1.0)
+        assert not registry.current.ready
+
     def test_another_incarnation_is_not_affected(self):
         """Guards against a late response that takes out the next server."""
         registry = self.registry()
+        assert not registry.mark_leaving("i-1", 99)
         assert not registry.apply_rate_limit("i-1", 99, 5.0)
         assert registry.current.ready
         assert registry.current.rate_limit is None
