Never reuse a connection for a request without an id

Cause: a late second response is told from the right one by the request's id that it echoes. For a request without an id any response was accepted, so the copy of an earlier refusal on a kept connection would have been its response.

Change: a request without an id gets a connection of its own, which is closed after it.

Measured: the test fails before (the connection is kept) and passes now.

--- a/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
@@ -64,8 +64,16 @@
                 self.idle.pop().close()
                 continue
             break
+        return await self.connect(connect_timeout_s)
+
+    async def connect(self, timeout_s: float) -> ClientConnection:
+        """Returns a new connection.
+
+        Raises:
+          ConnectError: The server cannot be reached.
+        """
         connection = ClientConnection(self.id_field, self.limits, self.budget)
-        await connection.open(self.host, self.port, connect_timeout_s)
+        await connection.open(self.host, self.port, timeout_s)
         return connection
 
     def release(self, connection: ClientConnection) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -342,9 +342,15 @@
             return self._refuse(call, Reason.NO_SERVER)
         now = self.loop.time()
         try:
-            connection = await pool.acquire(
-                now, call.idempotent, CONNECT_TIMEOUT_S
-            )
+            if call.request_id:
+                connection = await pool.acquire(
+                    now, call.idempotent, CONNECT_TIMEOUT_S
+                )
+            else:
+                connection = await pool.connect(CONNECT_TIMEOUT_S)
+                # Without an id, nothing would tell a late second response
+                # from the response to the next request.
+                connection.reusable = False
         except ConnectError as error:
             self.log.write("server.unreachable", error=str(error))
             self.on_unreachable()
--- a/tests/sidecar/test_server_executor.py
+++ b/tests/sidecar/test_server_executor.py
@@ -160,6 +160,22 @@
         second = await run(backend, b"2", timeout_s=0.2)
         assert second.outcome is Outcome.EXPIRED
 
+    async def test_requests_without_an_id_share_no_connection(self, backend):
+        """Guards against a copy that nothing tells from the response."""
+
+        def script(number, request_id):
+            del number
+            return refusal(request_id) if not request_id else answer(request_id)
+
+        backend.script = script
+        await run(backend, b"")
+        pool = backend.executor.pool
+        assert pool.idle == []
+        await run(backend, b"1")
+        (idle,) = pool.idle
+        await run(backend, b"")
+        assert pool.idle == [idle]
+
 
 class TestStopping:
     """A stopping node runs what can end before its exit."""
