Say what a change of the limit keeps

Cause: the comment named only the start of a limit. Change: it says what happens to the tokens earned so far. Not measured: no code changed; the limiter's 11 tests passed.

--- a/packages/sidecar/src/vanillamast_sidecar/rate_limiter.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rate_limiter.py
@@ -44,7 +44,7 @@
             return False
         if limit_per_s == self.limit_per_s:
             return False
-        # A new limit starts with an empty bucket.
+        # What the old limit has earned is kept; without one that is nothing.
         self.tokens = self._tokens_at(now)
         self.updated_at = now
         self.limit_per_s = limit_per_s
