--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -240,6 +240,7 @@
             waiting=self.queue.size,
             wait_s=round(wait_s, 3),
             due_s=round(call.soft_deadline - self.loop.time(), 3),
+            rate_limit=self.queue.limiter.limit_per_s,
         )
         return CallResult(Outcome.NOT_RUN, reason, retry_after_s=wait_s)
 
