Keep the number of connections that a server accepts

Cause: the configuration's limit on connections was decoded and used by nothing. Slots bound the connections in use, but idle ones that are too old for a request that may run once only came on top.

Change: the pool closes its oldest idle connections before it opens one beyond the limit; a limit below the concurrency limit bounds the slots.

--- a/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
@@ -1,5 +1,7 @@
 """Idle connections to the local backend server."""
 
+import asyncio
+
 from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.client_connection import ClientConnection
 from vanillamast_sidecar.response_limits import ResponseLimits
@@ -23,6 +25,8 @@
       id_field: Header field in which responses echo the request's id.
       limits: Limits on responses.
       budget: Body bytes that all connections of the process may keep.
+      max_connections: Connections that the server accepts; None for any
+        number.
       idle: Idle connections, oldest first.
     """
 
@@ -39,13 +43,24 @@
         self.id_field = id_field
         self.limits = limits
         self.budget = budget
+        self.max_connections: int | None = None
         self.idle: list[ClientConnection] = []
 
     async def acquire(
-        self, now: float, idempotent: bool, connect_timeout_s: float
+        self,
+        now: float,
+        idempotent: bool,
+        connect_timeout_s: float,
+        in_use: int = 1,
     ) -> ClientConnection:
         """Returns an idle connection or a new one.
 
+        Args:
+          now: Loop time, in seconds.
+          idempotent: Whether the request may run more than once.
+          connect_timeout_s: Longest wait for a new connection, in seconds.
+          in_use: Connections in use, including the returned one.
+
         Raises:
           ConnectError: The server cannot be reached.
         """
@@ -64,18 +79,45 @@
                 self.idle.pop().close()
                 continue
             break
-        return await self.connect(connect_timeout_s)
+        return await self.connect(connect_timeout_s, in_use)
 
-    async def connect(self, timeout_s: float) -> ClientConnection:
+    async def connect(
+        self, timeout_s: float, in_use: int = 1
+    ) -> ClientConnection:
         """Returns a new connection.
 
+        Idle connections are closed first if the server would not accept
+        another one beside them.
+
+        Args:
+          timeout_s: Longest wait, in seconds.
+          in_use: Connections in use, including the new one.
+
         Raises:
           ConnectError: The server cannot be reached.
         """
+        if self._close_excess(in_use):
+            # The transports close in the next iteration of the loop.
+            await asyncio.sleep(0)
         connection = ClientConnection(self.id_field, self.limits, self.budget)
         await connection.open(self.host, self.port, timeout_s)
         return connection
 
+    def _close_excess(self, in_use: int) -> int:
+        """Closes the oldest idle connections beyond the server's limit.
+
+        Returns:
+          How many were closed.
+        """
+        if self.max_connections is None:
+            return 0
+        excess = len(self.idle) + in_use - self.max_connections
+        closed = self.idle[: max(0, excess)]
+        del self.idle[: len(closed)]
+        for connection in closed:
+            connection.close()
+        return len(closed)
+
     def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool; closes it if not reusable."""
         if connection.reusable and connection.transport is not None:
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -240,6 +240,9 @@
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         self.gateway.apply_snapshot(snapshot)
         self.callers.limits = snapshot.limits
+        self.executor.apply_connection_limit(
+            snapshot.connection_limits.get(self.settings.service)
+        )
 
     def _handle_version_change(self, service: str) -> None:
         del service  # The executor checks the service of its own server.
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -63,6 +63,8 @@
       incarnation: Id and start time of the server of the queue and the pool.
       failure_share: Recent share of failed requests.
       response_budget: Bytes of responses that are kept at once.
+      connection_limit: Connections that a server of this service accepts;
+        None for any number.
       running_request_ids: Ids of the requests that the server runs.
       sent: Requests sent to the server.
       last_deadline: Latest deadline of a request that is accepted, in loop
@@ -94,6 +96,7 @@
         self.incarnation: tuple[str, int] = ("", 0)
         self.failure_share = DecayingShare()
         self.response_budget = ByteBudget(settings.response_limits.total_bytes)
+        self.connection_limit: int | None = None
         self.running_request_ids: set[bytes] = set()
         self.sent = DecayingRate()
         self.last_deadline = float("inf")
@@ -133,7 +136,7 @@
             return
         if self.incarnation != (current.id, current.born_ms):
             self._switch_instance(current)
-        self.queue.slots = max(1, current.slots)
+        self._apply_limits(current)
         if current.rate_limit is not None:
             self._restore_rate_limit(current.rate_limit)
         if not current.ready:
@@ -144,6 +147,25 @@
                 self.pool.drop_idle()
         self._grant_slots()
 
+    def apply_connection_limit(self, limit: int | None) -> None:
+        """Applies how many connections a server of this service accepts."""
+        self.connection_limit = limit
+        if self.registry.current is not None:
+            self._apply_limits(self.registry.current)
+            self._grant_slots()
+
+    def _apply_limits(self, current: InstanceRecord) -> None:
+        """Applies the limits on requests that run and on connections.
+
+        A server runs one request at a time on a connection.
+        """
+        slots = current.slots
+        if self.connection_limit is not None:
+            slots = min(slots, self.connection_limit)
+        self.queue.slots = max(1, slots)
+        if self.pool is not None:
+            self.pool.max_connections = self.connection_limit
+
     def _switch_instance(self, current: InstanceRecord) -> None:
         self._refuse_waiting(Reason.WRONG_INSTANCE)
         if self.pool is not None:
@@ -158,7 +180,7 @@
         )
         # Requests that the old incarnation still runs release their slots to
         # its own queue.
-        self.queue = AdmissionQueue(max(1, current.slots))
+        self.queue = AdmissionQueue(1)
         self.incarnation = (current.id, current.born_ms)
         self.sent = DecayingRate()
 
@@ -298,7 +320,7 @@
         started = self.loop.time()
         result: CallResult | None = None
         try:
-            result = await self._attempt(call)
+            result = await self._attempt(call, queue)
             return result
         finally:
             queue.release_slot(result is None or result.sent_to_server)
@@ -337,7 +359,9 @@
                 current, call.route, failed, held_s, warming_up
             )
 
-    async def _attempt(self, call: ServerCall) -> CallResult:
+    async def _attempt(
+        self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
+    ) -> CallResult:
         pool = self.pool
         if pool is None:
             return self._refuse(call, Reason.NO_SERVER)
@@ -345,10 +369,12 @@
         try:
             if call.request_id:
                 connection = await pool.acquire(
-                    now, call.idempotent, CONNECT_TIMEOUT_S
+                    now, call.idempotent, CONNECT_TIMEOUT_S, queue.running
                 )
             else:
-                connection = await pool.connect(CONNECT_TIMEOUT_S)
+                connection = await pool.connect(
+                    CONNECT_TIMEOUT_S, queue.running
+                )
                 # Without an id, nothing would tell a late second response
                 # from the response to the next request.
                 connection.reusable = False
--- a/tests/sidecar/test_server_executor.py
+++ b/tests/sidecar/test_server_executor.py
@@ -34,21 +34,32 @@
 
     Attributes:
       requests: Heads of the requests that arrived.
+      connections: Number of open connections.
+      most_connections: Most open connections when a request arrived.
       script: Returns the bytes that answer the nth request on a connection,
         from its number and its id.
+      answers_after_s: Time until it answers.
     """
 
     def __init__(self):
         self.requests = []
+        self.connections = 0
+        self.most_connections = 0
+        self.answers_after_s = 0.0
         self.script = lambda number, request_id: answer(request_id)
 
     async def serve(self, reader, writer):
         """Answers the requests of one connection."""
         number = 0
+        self.connections += 1
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.requests.append(head)
+                self.most_connections = max(
+                    self.most_connections, self.connections
+                )
+                await asyncio.sleep(self.answers_after_s)
                 fields = dict(
                     line.split(b": ", 1)
                     for line in head.split(b"\r\n")[1:]
@@ -60,6 +71,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections -= 1
             writer.close()
 
 
@@ -239,3 +251,31 @@
         )
         assert (await run(backend, b"1")).outcome is Outcome.ANSWERED
         assert (await run(backend, b"2")).reason is Reason.LEAVING
+
+
+class TestConnectionLimit:
+    """A server has no more connections than its service's limit."""
+
+    async def test_requests_beyond_it_wait(self, backend):
+        """Guards against connections that the server resets."""
+        backend.executor.apply_connection_limit(2)
+        backend.answers_after_s = 0.02
+        results = await asyncio.gather(
+            *(run(backend, b"%d" % number) for number in range(4))
+        )
+        assert {result.outcome for result in results} == {Outcome.ANSWERED}
+        assert backend.most_connections == 2
+
+    async def test_idle_connections_make_room(self, backend):
+        """Guards against a limit that idle connections use up."""
+        backend.executor.apply_connection_limit(2)
+        backend.answers_after_s = 0.02
+        await asyncio.gather(*(run(backend, b"%d" % n) for n in range(2)))
+        for connection in backend.executor.pool.idle:
+            # Too old for requests that may run only once.
+            connection.idle_since -= 1.5
+        results = await asyncio.gather(
+            *(run(backend, b"%d" % number) for number in range(2, 4))
+        )
+        assert {result.outcome for result in results} == {Outcome.ANSWERED}
+        assert backend.most_connections == 2
