Let other nodes use the server of a stopping node

Cause: a node that stops announced at once that it takes no calls of other nodes, and then had to wait until its callers had noticed the stop by two readiness checks. Its server is reached through it only.

Change: the stop has two announcements. The first hands over the node's duties (hub, store reader, driver of moves); the second, when callers have noticed, takes the server out of use. It comes earlier if a request with the longest timeout of the service's routes could not end before the exit. What still arrives after it is refused as not run. Nodes of the build before take the first announcement for the second, as they did.

--- a/packages/cli/src/vanillamast_cli/log_verbs.py
+++ b/packages/cli/src/vanillamast_cli/log_verbs.py
@@ -23,6 +23,7 @@
         "log.suppressed",
         "node.started",
         "node.stopping",
+        "node.withdrawn",
         "node.suspended",
         "peer.lost",
         "peer.silent",
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -156,7 +156,10 @@
     # This node's own record.
 
     def announce(
-        self, instance: InstanceRecord | None, stopping: bool
+        self,
+        instance: InstanceRecord | None,
+        stopping: bool,
+        serves_while_stopping: bool = False,
     ) -> NodeRecord:
         """Announces a change of this node or its server to all nodes."""
         own = self.membership.own.record
@@ -165,6 +168,7 @@
             revision=own.revision + 1,
             stopping=stopping,
             instance=instance,
+            serves_while_stopping=serves_while_stopping,
         )
         self.membership.set_own(record)
         self.broadcast(Records([record]))
@@ -237,6 +241,7 @@
             peer=record.address,
             revision=record.revision,
             stopping=record.stopping,
+            accepts_calls=record.accepts_calls,
             instance=instance.id if instance is not None else None,
             ready=instance.ready if instance is not None else False,
             version=instance.version if instance is not None else None,
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -81,6 +81,7 @@
       stop_requested: Set by SIGTERM.
       reload_requested: Set by SIGHUP: the settings may have changed.
       stopping: Whether the node shuts down.
+      serves_while_stopping: Whether other nodes use the server meanwhile.
       readiness_refusals: Failed readiness checks since the stop signal.
       suspended_s: Total time that the machine was suspended, at the last
         check.
@@ -159,6 +160,7 @@
         self.stop_requested = asyncio.Event()
         self.reload_requested = asyncio.Event()
         self.stopping = False
+        self.serves_while_stopping = False
         self.readiness_refusals = 0
         self.suspended_s = _total_suspended_s()
 
@@ -259,7 +261,7 @@
     def _handle_server_change(self, cause: str) -> None:
         self.executor.handle_server_change()
         current = self.registry.current
-        self.mesh.announce(current, self.stopping)
+        self._announce()
         self.log.write(
             "server.changed",
             cause=cause,
@@ -425,17 +427,27 @@
 
     async def _stop(self) -> None:
         """Waits until requests have ended and callers send no new ones."""
-        policy = ShutdownPolicy(self.settings.bounds.grace_s, self.loop.time())
+        snapshot = self.gateway.snapshot
+        service = self.settings.service
+        policy = ShutdownPolicy(
+            self.settings.bounds.grace_s,
+            snapshot.get_longest_timeout_s(service) if snapshot else 0.0,
+            self.loop.time(),
+        )
         self.stopping = True
+        self.serves_while_stopping = True
         self.callers.closing = True
-        self.mesh.announce(self.registry.current, stopping=True)
+        self._announce()
         self.log.write("node.stopping", active=self.callers.active_requests)
         self.gateway.last_deadline = policy.last_deadline
         self.executor.last_deadline = policy.last_deadline
         while not policy.may_close(
             self._is_busy(), self.readiness_refusals, self.loop.time()
         ):
+            self._withdraw_if_due(policy)
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        # What still arrives is refused, and runs elsewhere.
+        self.executor.last_deadline = 0.0
         self.servers["caller"].close()
         self.callers.close_idle()
         # Requests that were read meanwhile get their responses.
@@ -443,6 +455,23 @@
         while not policy.may_exit(self._is_busy(), self.loop.time()):
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
+    def _withdraw_if_due(self, policy: ShutdownPolicy) -> None:
+        """Tells the other nodes at the end of a stop to use other servers."""
+        if self.serves_while_stopping and policy.must_withdraw(
+            self.readiness_refusals, self.loop.time()
+        ):
+            self.serves_while_stopping = False
+            self._announce()
+            self.log.write(
+                "node.withdrawn", running=self.executor.get_load().running
+            )
+
+    def _announce(self) -> None:
+        """Announces the state of this node and its server."""
+        self.mesh.announce(
+            self.registry.current, self.stopping, self.serves_while_stopping
+        )
+
     def _is_busy(self) -> bool:
         """Returns whether a request is in progress on this node."""
         return self.callers.is_busy() or self.executor.is_busy()
--- a/packages/sidecar/src/vanillamast_sidecar/node_record.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node_record.py
@@ -14,8 +14,10 @@
       incarnation: Start of the process in Unix milliseconds; higher ones
         replace lower ones.
       revision: Counter of changes within the incarnation.
-      stopping: Whether the node accepts no new requests from other nodes.
+      stopping: Whether the node shuts down; others take over its duties.
       instance: The node's backend server, None while none is known.
+      serves_while_stopping: Whether a stopping node still accepts requests
+        from other nodes.
     """
 
     address: str
@@ -24,6 +26,12 @@
     revision: int
     stopping: bool
     instance: InstanceRecord | None
+    serves_while_stopping: bool = False
+
+    @property
+    def accepts_calls(self) -> bool:
+        """Returns whether the node accepts requests from other nodes."""
+        return not self.stopping or self.serves_while_stopping
 
     def is_newer_than(self, other: "NodeRecord") -> bool:
         """Returns whether this record replaces another of the same node."""
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer.py
@@ -89,7 +89,7 @@
         return (
             instance is not None
             and instance.ready
-            and not self.record.stopping
+            and self.record.accepts_calls
             and self.reachable
         )
 
--- a/packages/sidecar/src/vanillamast_sidecar/snapshot.py
+++ b/packages/sidecar/src/vanillamast_sidecar/snapshot.py
@@ -23,3 +23,14 @@
     connection_limits: dict[str, int]
     limits: CallerLimits
     raw: bytes
+
+    def get_longest_timeout_s(self, service: str) -> float:
+        """Returns the longest timeout of a service's routes, 0 without one."""
+        return max(
+            (
+                route.timeout_s
+                for route in self.routes
+                if any(name == service for name, _ in route.split)
+            ),
+            default=0.0,
+        )
--- a/tests/platform_path/test_planned_stop.py
+++ b/tests/platform_path/test_planned_stop.py
@@ -7,6 +7,8 @@
 import pytest
 from vanillamast_testing.emulator import EmulatedPlatform
 
+from tests.platform_path.fleet_checks import until
+
 GRACE_S = 6.0  # Of the emulated machines' settings.
 # Callers send for this long after the stop signal: until the process is gone.
 LOAD_S = GRACE_S + 1.0
@@ -97,3 +99,48 @@
             )
         )
         assert {answer.status for answer in answers} == {503, 504}
+
+
+class TestServerOfAStoppingNode:
+    """Other nodes use the server as long as the node needs to stop anyway."""
+
+    async def send_from(self, machine, fleet, sends):
+        """Starts to send requests from a machine for ever."""
+        while True:
+            sends.append(
+                asyncio.create_task(
+                    fleet.caller.send(machine, "/view/1", deadline_ms=1000)
+                )
+            )
+            await asyncio.sleep(0.02)
+
+    async def test_it_is_in_use_until_callers_have_gone(self, fleet):
+        """Guards against a server that is out of reach during a stop."""
+        fleet.operator.set_route("view", "reader", timeout_s=1.0)
+        await fleet.operator.publish()
+        stopped = await fleet.add_machine(0, "reader")
+        await fleet.wait_until_ready()
+        fleet.backends[stopped.name].work_s = 0.1
+        other = fleet.machines["m2"]
+
+        async def served():
+            return (await fleet.caller.send(other, "/view/1")).status == 200
+
+        await until(served)
+        stopped.process.send_signal(signal.SIGTERM)
+        sends = []
+        load = asyncio.create_task(self.send_from(other, fleet, sends))
+        await asyncio.sleep(2.0)
+        before = len(sends)
+        for _ in range(2):
+            assert not await fleet.is_ready(stopped)
+
+        async def ended():
+            return not stopped.process.running
+
+        await until(ended, GRACE_S)
+        load.cancel()
+        answers = await asyncio.gather(*sends)
+        assert {answer.status for answer in answers[:before]} == {200}
+        # No answer is lost on the way out either.
+        assert {answer.status for answer in answers} == {200, 503}
