Match responses of backend servers to requests by an id on the standalone mesh

Cause: a connection was used again although a complete response had arrived on it while it was idle, and nothing told a copy that arrived later from the right response.

Change: each request to a server has an id. A response that repeats another one is discarded, with an unclear outcome. A connection is used again only if its last response repeated the id and no bytes arrived since; servers that repeat none get a connection for each request. The test servers repeat it; two tests that count connections with raw responses do so too, their expectations unchanged.

The time of a request on the standalone mesh was not measured again.

--- a/packages/node/src/vanillamast_node/header_fields.py
+++ b/packages/node/src/vanillamast_node/header_fields.py
@@ -20,12 +20,16 @@
 )
 DEADLINE_FIELD = b"vanillamast-deadline-ms"
 ATTEMPT_FIELD = b"vanillamast-attempt"
+# Identifies a request to a backend server; its response repeats it.
+REQUEST_ID_FIELD = "vanillamast-request-id"
 NOT_RUN_FIELD = "vanillamast-not-run"
 LOAD_FIELD = "vanillamast-load"
 REFUSAL_FIELD = b"vanillamast-refusal"
 KEY_FIELD = b"idempotency-key"
 # Request fields that the node sets itself or, like `expect`, answers itself.
-_REPLACED_FIELDS = frozenset({DEADLINE_FIELD, ATTEMPT_FIELD, b"expect"})
+_REPLACED_FIELDS = frozenset(
+    {DEADLINE_FIELD, ATTEMPT_FIELD, REQUEST_ID_FIELD.encode(), b"expect"}
+)
 
 
 def end_to_end_fields(
--- a/packages/node/src/vanillamast_node/upstream_pool.py
+++ b/packages/node/src/vanillamast_node/upstream_pool.py
@@ -1,6 +1,8 @@
 """Connections from this node to backend servers."""
 
 import asyncio
+import itertools
+import weakref
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import Any
@@ -9,6 +11,7 @@
 import multidict
 import yarl
 
+from vanillamast_node import header_fields
 from vanillamast_node.forwarding_settings import ForwardingSettings
 from vanillamast_node.proxy_errors import (
     UpstreamConnectError,
@@ -20,12 +23,19 @@
 
 
 class _Connector(aiohttp.TCPConnector):
-    """Reports when a request has a connection.
+    """Reports when a request has a connection, and which one it is.
 
     Until then no byte of the request has been sent, so that any request may
     be retried, and a refusal may state that it was not run.
 
+    A connection is used again only if the last response repeated the id of its
+    request: on other connections, nothing tells a late second copy of a
+    response from the response to the next request.
+
     Attributes:
+      reusable: Whether a connection may be used again, by connection.
+      acquired: Connection of each task's request, and whether it was used
+        before.
       connected_callbacks: Callback by task, called once the task's request
         has a connection. Not a context variable, because every timer that a
         request starts would keep it alive.
@@ -36,14 +46,30 @@
         self.connected_callbacks: dict[
             asyncio.Task[Any], Callable[[], None]
         ] = {}
+        self.reusable: weakref.WeakKeyDictionary[Any, bool] = (
+            weakref.WeakKeyDictionary()
+        )
+        self.acquired: dict[asyncio.Task[Any], tuple[Any, bool]] = {}
 
     async def connect(
         self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout
     ) -> Any:
         """Returns a pooled or a new connection."""
-        connection = await super().connect(req, traces, timeout)
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            assert protocol is not None
+            used = protocol in self.reusable
+            # Bytes that arrived while it was idle belong to no request.
+            if not used or (
+                self.reusable[protocol] and not protocol.should_close
+            ):
+                break
+            connection.close()
+        self.reusable[protocol] = False
         task = asyncio.current_task()
         assert task is not None
+        self.acquired[task] = (protocol, used)
         self.connected_callbacks.pop(task)()
         return connection
 
@@ -55,12 +81,14 @@
       settings: Settings of the HTTP path.
       session: The client session, open within `async with`.
       connector: Its connections.
+      request_numbers: Source of request ids.
     """
 
     def __init__(self, settings: ForwardingSettings):
         self.settings = settings
         self.session: aiohttp.ClientSession
         self.connector: _Connector
+        self.request_numbers = itertools.count(1)
 
     async def __aenter__(self) -> "UpstreamPool":
         self.connector = _Connector(
@@ -117,16 +145,21 @@
 
         Raises:
           UpstreamConnectError: No byte reached the backend server.
-          UpstreamLostError: The backend server may have received the request.
+          UpstreamLostError: The backend server may have received the request,
+            or sent a response that may be that to another request.
         """
         url = yarl.URL(f"http://{address}{target}", encoded=True)
         task = asyncio.current_task()
         assert task is not None
         self.connector.connected_callbacks[task] = on_connected
+        request_id = f"{next(self.request_numbers):x}"
+        fields[header_fields.REQUEST_ID_FIELD] = request_id
         try:
-            return await self.session.request(
+            response = await self.session.request(
                 method, url, headers=fields, data=body, allow_redirects=False
             )
+            self._check_request_id(response, request_id, task)
+            return response
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -136,3 +169,23 @@
             raise UpstreamLostError(str(error)) from error
         finally:
             self.connector.connected_callbacks.pop(task, None)
+            self.connector.acquired.pop(task, None)
+
+    def _check_request_id(
+        self,
+        response: aiohttp.ClientResponse,
+        request_id: str,
+        task: "asyncio.Task[Any]",
+    ) -> None:
+        """Checks whether a response answers the request.
+
+        Raises:
+          UpstreamLostError: It may be the response to an earlier request.
+        """
+        protocol, used = self.connector.acquired[task]
+        repeated = response.headers.get(header_fields.REQUEST_ID_FIELD)
+        if repeated == request_id:
+            self.connector.reusable[protocol] = True
+        elif used or repeated is not None:
+            response.close()
+            raise UpstreamLostError("response to another request")
--- a/packages/testing/src/vanillamast_testing/backend_app.py
+++ b/packages/testing/src/vanillamast_testing/backend_app.py
@@ -33,6 +33,7 @@
 DEADLINE_HEADER = "vanillamast-deadline-ms"
 NOT_RUN_HEADER = "vanillamast-not-run"
 LOAD_HEADER = "vanillamast-load"
+NODE_REQUEST_ID_HEADER = "vanillamast-request-id"
 REQUEST_ID_HEADER = "x-request-id"
 DEFAULT_DEADLINE_MS = 30_000
 DEFAULT_BYTES = 64
@@ -120,6 +121,9 @@
         loop = asyncio.get_running_loop()
         body = await req.stream.read()
         resp.set_header("x-body-bytes", str(len(body)))
+        node_request_id = req.get_header(NODE_REQUEST_ID_HEADER)
+        if node_request_id is not None:
+            resp.set_header(NODE_REQUEST_ID_HEADER, node_request_id)
         resp.set_header(LOAD_HEADER, f"{self.gauge.report(loop.time()):.3f}")
         deadline = loop.time() + _header_ms(req, DEADLINE_HEADER) / 1000
         if self.state.violates_drain(loop.time()):
--- a/packages/testing/src/vanillamast_testing/bench_requests/timed_backend.py
+++ b/packages/testing/src/vanillamast_testing/bench_requests/timed_backend.py
@@ -6,13 +6,12 @@
 REPLY_BYTES = 1024  # Size of a small page fragment.
 _HEAD_END = b"\r\n\r\n"
 _BODY = b"x" * REPLY_BYTES
+_REQUEST_ID_FIELD = b"vanillamast-request-id: "
 _OK = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
-    b"content-length: %d\r\n\r\n%b" % (REPLY_BYTES, _BODY)
-)
-_SHED = (
-    b"HTTP/1.1 503 Busy\r\nvanillamast-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+    b"content-length: %d\r\n" % REPLY_BYTES
 )
+_SHED = b"HTTP/1.1 503 Busy\r\nvanillamast-not-run: 1\r\ncontent-length: 0\r\n"
 
 
 @dataclasses.dataclass
@@ -61,23 +60,34 @@
     def data_received(self, data: bytes) -> None:
         self.buffer += data
         while _HEAD_END in self.buffer:
-            _, _, self.buffer = self.buffer.partition(_HEAD_END)
-            self._answer()
+            head, _, self.buffer = self.buffer.partition(_HEAD_END)
+            self._answer(_find_request_id(head))
 
-    def _answer(self) -> None:
+    def _answer(self, request_id: bytes) -> None:
         backend = self.backend
         if not backend.service_s:
             backend.served += 1
-            self.transport.write(_OK)
+            self._send(_OK, request_id, _BODY)
         elif backend.running >= backend.slots:
             backend.shed += 1
-            self.transport.write(_SHED)
+            self._send(_SHED, request_id, b"")
         else:
             backend.running += 1
-            self.loop.call_later(backend.service_s, self._finish)
+            self.loop.call_later(backend.service_s, self._finish, request_id)
 
-    def _finish(self) -> None:
+    def _finish(self, request_id: bytes) -> None:
         self.backend.running -= 1
         self.backend.served += 1
         if not self.transport.is_closing():
-            self.transport.write(_OK)
+            self._send(_OK, request_id, _BODY)
+
+    def _send(self, head: bytes, request_id: bytes, body: bytes) -> None:
+        self.transport.write(
+            b"%b%b%b\r\n\r\n%b" % (head, _REQUEST_ID_FIELD, request_id, body)
+        )
+
+
+def _find_request_id(head: bytes) -> bytes:
+    """Returns the id that a node gave a request."""
+    _, _, rest = head.partition(_REQUEST_ID_FIELD)
+    return rest.partition(b"\r\n")[0]
--- a/tests/node/proxy/scripted_backend.py
+++ b/tests/node/proxy/scripted_backend.py
@@ -4,6 +4,8 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+from vanillamast_node.header_fields import REQUEST_ID_FIELD
+
 
 @dataclasses.dataclass
 class ReceivedRequest:
@@ -43,6 +45,12 @@
         self.connection = connection
         self.head = b""
 
+    @property
+    def id_line(self) -> bytes:
+        """Header line that repeats the request's id."""
+        request_id = ReceivedRequest(self.head, b"", 0).field(REQUEST_ID_FIELD)
+        return f"{REQUEST_ID_FIELD}: {request_id}\r\n".encode()
+
     async def read_body(self) -> bytes:
         """Reads the body and records the request as run."""
         length = ReceivedRequest(self.head, b"", 0).field("content-length")
@@ -67,9 +75,11 @@
     async def send_response(
         self, body: bytes = b"ok", status: int = 200, extra: str = ""
     ) -> None:
-        """Sends a complete response."""
+        """Sends a complete response that repeats the request's id."""
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
-        await self.send(f"{head}{extra}\r\n".encode() + body)
+        await self.send(
+            head.encode() + self.id_line + f"{extra}\r\n".encode() + body
+        )
 
     async def send(self, data: bytes) -> None:
         """Sends raw bytes."""
--- a/tests/node/proxy/test_caller_connections.py
+++ b/tests/node/proxy/test_caller_connections.py
@@ -287,20 +287,24 @@
 
         async def bodiless(exchange: ScriptedExchange) -> None:
             await exchange.read_body()
+            id_line = exchange.id_line
             if exchange.head.startswith(b"HEAD"):
                 await exchange.send(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n"
+                    b"HTTP/1.1 200 OK\r\n%bContent-Length: 1234\r\n\r\n"
+                    % id_line
                 )
             elif b"/304" in exchange.head:
                 await exchange.send(
-                    b"HTTP/1.1 304 X\r\nETag: e\r\nContent-Length: 9\r\n\r\n"
+                    b"HTTP/1.1 304 X\r\n%bETag: e\r\nContent-Length: 9\r\n\r\n"
+                    % id_line
                 )
             elif b"/204" in exchange.head:
-                await exchange.send(b"HTTP/1.1 204 X\r\n\r\n")
+                await exchange.send(b"HTTP/1.1 204 X\r\n%b\r\n" % id_line)
             else:
                 await exchange.send(
                     b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                    b"HTTP/1.1 200 OK\r\n%bContent-Length: 2\r\n\r\nok"
+                    % id_line
                 )
 
         async with (
--- a/tests/node/proxy/test_streaming.py
+++ b/tests/node/proxy/test_streaming.py
@@ -86,7 +86,8 @@
         async def pieces(exchange: ScriptedExchange) -> None:
             await exchange.read_body()
             await exchange.send(
-                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n"
+                % exchange.id_line
             )
             await exchange.send(b"3\r\nabc\r\n")
             await release.wait()
--- a/tests/node/proxy/test_upstream_failures.py
+++ b/tests/node/proxy/test_upstream_failures.py
@@ -305,6 +305,85 @@
                 assert answer.status == 504
 
 
+async def respond_twice(exchange: ScriptedExchange) -> None:
+    """Sends each response once more while the connection is idle."""
+    await exchange.read_body()
+    target = exchange.head.split(b" ", 2)[1]
+    await exchange.send_response(target)
+    await asyncio.sleep(0.02)
+    await exchange.send_response(target)
+
+
+class TestSecondCopies:
+    """A response counts for the request that it answers, once."""
+
+    async def test_on_an_idle_connection(self) -> None:
+        """Guards against the response to the request before."""
+        async with (
+            ScriptedBackend(respond_twice) as backend,
+            run_proxy(backend) as proxy,
+        ):
+            caller = await proxy.connect_caller()
+            for number in range(6):
+                answer = await caller.call("GET", f"/{number}")
+                assert answer.body == b"/%d" % number
+                await asyncio.sleep(0.05)
+
+    @pytest.mark.parametrize("repeats_id", [True, False])
+    async def test_on_a_connection_in_use(self, repeats_id: bool) -> None:
+        """Guards against a copy that arrives when the next request runs."""
+        copies: dict[int, bytes] = {}
+
+        async def copy_late(exchange: ScriptedExchange) -> None:
+            await exchange.read_body()
+            earlier = copies.pop(exchange.connection, b"")
+            if earlier:
+                await exchange.send(earlier)
+                await asyncio.sleep(0.05)
+            target = exchange.head.split(b" ", 2)[1]
+            data = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n" % len(target)
+            data += exchange.id_line if repeats_id else b""
+            data += b"\r\n" + target
+            copies[exchange.connection] = data
+            await exchange.send(data)
+
+        async with (
+            ScriptedBackend(copy_late) as backend,
+            run_proxy(backend) as proxy,
+        ):
+            caller = await proxy.connect_caller()
+            for number in range(6):
+                target = f"/{number}"
+                answer = await caller.call("POST", target, body=b"x")
+                assert answer.status in (200, 502)
+                assert answer.status == 502 or answer.body == target.encode()
+            # A server that repeats no id gets a connection for each request.
+            assert repeats_id or backend.connections == 6
+
+    async def test_of_a_refusal(self) -> None:
+        """Guards against 'not run' for a request that has run."""
+
+        async def shed_late(exchange: ScriptedExchange) -> None:
+            if len(backend.request_heads) == 1:
+                await exchange.send(SHED.encode())
+                return
+            await exchange.read_body()
+            if exchange.connection == 1:
+                await exchange.send(SHED.encode())
+            await asyncio.sleep(0.05)
+            await exchange.send_response()
+
+        async with (
+            ScriptedBackend(shed_late) as backend,
+            run_proxy(backend) as proxy,
+        ):
+            caller = await proxy.connect_caller()
+            first = await caller.call("POST", "/", body=b"x")
+            assert json.loads(first.body)["not_run"]
+            second = await caller.call("POST", "/", body=b"x")
+            assert (second.status, second.body) == (200, b"ok")
+
+
 class TestCut:
     """Responses that end early."""
 
