Refuse requests that could outlive a planned stop of the standalone node

Callers' requests that came late in a planned stop were passed on and cut without an answer at its end, among them requests that may run once only (operators' reports).

Cause: the stop had a limit on how long requests in flight may take, and no limit on what it accepted: with a deadline beyond that, a request was started all the same.

Change: a stopping node knows the latest deadline that ends before its exit; later requests are refused at once with the new kind `stopping`, as not run.

--- a/packages/core/src/vanillamast_core/requests/refusal.py
+++ b/packages/core/src/vanillamast_core/requests/refusal.py
@@ -84,6 +84,7 @@
 _register("no_server", 503, "no backend server is usable", retry_after_s=1.0)
 _register("overloaded", 503, "the request cannot start in time", True, 1.0)
 _register("queue_timeout", 503, "the request waited too long", True, 1.0)
+_register("stopping", 503, "the node stops before the deadline", True, 1.0)
 _register("shed", 503, "the backend server shed the request", True, 1.0)
 _register("connect_failed", 502, "no connection to a backend server", True, 1.0)
 _register("deadline_exceeded", 504, "the deadline passed before the start")
--- a/packages/node/src/vanillamast_node/caller_listener.py
+++ b/packages/node/src/vanillamast_node/caller_listener.py
@@ -14,6 +14,8 @@
 from vanillamast_node.listening_socket import BACKLOG, open_socket
 
 POLL_S = 0.005
+# The response to a request may be sent this much later than its deadline.
+RESPONSE_MARGIN_S = 0.1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -101,6 +103,8 @@
     ) -> list[InterruptedRequest]:
         """Stops accepting connections and waits for the requests in flight.
 
+        A request that could outlive the limit is refused.
+
         During the delay responses carry "connection: close", so that few
         callers send a request on a connection that the node is closing.
 
@@ -116,15 +120,15 @@
         assert self.server is not None
         assert self.serve_task is not None
         settings = self.context.settings
-        self.app.draining = True
-        await asyncio.sleep(
-            settings.drain_delay_s if delay_s is None else delay_s
-        )
+        delay = settings.drain_delay_s if delay_s is None else delay_s
         limit = settings.drain_limit_s if limit_s is None else limit_s
+        exit_at = asyncio.get_running_loop().time() + delay + limit
+        self.app.draining = True
+        self.context.last_deadline = exit_at - RESPONSE_MARGIN_S
+        await asyncio.sleep(delay)
         self.server.should_exit = True
-        deadline = asyncio.get_running_loop().time() + limit
         while self.app.calls or not self.serve_task.done():
-            if asyncio.get_running_loop().time() >= deadline:
+            if asyncio.get_running_loop().time() >= exit_at:
                 break
             await asyncio.sleep(POLL_S)
         interrupted = [
--- a/packages/node/src/vanillamast_node/forwarded_call.py
+++ b/packages/node/src/vanillamast_node/forwarded_call.py
@@ -177,9 +177,15 @@
             return make_refusal("version_not_supported")
         if header.body_length and header.body_length > self.body.limit_bytes:
             return make_refusal("body_too_large")
-        return self.context.router.route(
+        routed = self.context.router.route(
             scope["method"], scope["path"], header.inputs, self.loop.time()
         )
+        if (
+            isinstance(routed, Exchange)
+            and routed.deadline.at > self.context.last_deadline
+        ):
+            return make_refusal("stopping")
+        return routed
 
     def _start_exchange(self, exchange: Exchange) -> None:
         self.exchange = exchange
--- a/packages/node/src/vanillamast_node/forwarding_context.py
+++ b/packages/node/src/vanillamast_node/forwarding_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable
 
 from vanillamast_core.peers import ClaimKey, KeyAnswer, SettleKey
@@ -37,6 +38,8 @@
         from its arrival to the start of the response, without its last
         attempt. Queueing and earlier attempts count; the client library's
         own work does not.
+      last_deadline: Latest deadline of a request that is accepted, in
+        monotonic time; earlier than the exit of a stopping node.
       settlement_tasks: Running tasks that send settlements.
     """
 
@@ -48,6 +51,7 @@
     claim_key: Callable[[ClaimKey], Awaitable[KeyAnswer]]
     settle_key: Callable[[SettleKey], Awaitable[None]]
     record_added_time: Callable[[float], None] = _ignore
+    last_deadline: float = math.inf
     settlement_tasks: set[asyncio.Task[None]] = dataclasses.field(
         default_factory=set
     )
--- a/tests/node/proxy/test_streaming.py
+++ b/tests/node/proxy/test_streaming.py
@@ -260,6 +260,34 @@
             assert (await late.call("GET", "/")).status == 200
             drain.cancel()
 
+    async def test_requests_that_cannot_end_do_not_start(self) -> None:
+        """Guards against late requests that are cut at the end of a stop."""
+
+        async def freeze(exchange: ScriptedExchange) -> None:
+            await exchange.closed_by_peer()
+
+        async with (
+            ScriptedBackend(freeze) as backend,
+            run_proxy(backend) as proxy,
+        ):
+            late = await proxy.connect_caller()
+            early = await proxy.connect_caller()
+            drain = asyncio.create_task(proxy.listener.drain(0.6, 0.4))
+            await asyncio.sleep(0)
+            refused = await late.call(
+                "POST", "/", "vanillamast-deadline-ms: 1500\r\n"
+            )
+            assert (refused.status, refused.field("vanillamast-refusal")) == (
+                503,
+                "stopping",
+            )
+            assert not backend.request_heads
+            accepted = await early.call(
+                "POST", "/", "vanillamast-deadline-ms: 500\r\n"
+            )
+            assert accepted.status == 504
+            assert await drain == []
+
     async def test_interrupted_requests_are_reported(self) -> None:
         """Guards against a stop that hides what it interrupted."""
 
