Disturb an emulated fleet in overlapping series and check what must hold

Cause: tests bring about one fault at a time, and the emulated servers did not say what the real ones say. The rate limit incident was of that kind: no test had a server that names a limit.

Change: `make soak` (package soak of the tests' tools) runs six real nodes; stops, kills, pauses, rate limits, leaving servers, cut answers, publishes and store outages come in five overlapping series while callers use their connections until a process is gone. It checks: at most once, truthful refusals, own whole answers, rate limits, leaving servers, planned stops, recovery. Actions and checks are registries.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # several work trees.
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src))
 
-.PHONY: setup demo demo-standalone test lint format bench fuzz generate clean
+.PHONY: setup demo demo-standalone test lint format bench fuzz soak generate clean
 
 setup: $(VENV)/.installed
 
@@ -43,6 +43,10 @@
 fuzz: setup
 	VANILLAMAST_FUZZ=1 $(PY) -m pytest tests -k fuzz --timeout=0
 
+SEEDS ?= 50
+soak: setup
+	$(PY) -m vanillamast_testing.soak --seeds=$(SEEDS)
+
 # Needs grpcio-tools, which is not among the pinned requirements because the
 # generated code is committed.
 generate:
--- a/packages/testing/src/vanillamast_testing/emulator/caller.py
+++ b/packages/testing/src/vanillamast_testing/emulator/caller.py
@@ -8,6 +8,7 @@
 
 from vanillamast_testing.emulator.backend import (
     DEADLINE_HEADER,
+    LEAVING_HEADER,
     REQUEST_ID_HEADER,
     SIGNATURE_HEADER,
 )
@@ -29,6 +30,7 @@
       signature: The server's signature, "" without one.
       echoed_id: Request id in the answer.
       retry_after_s: Value of Retry-After, None without one.
+      leaving: Whether the answer says that the server leaves.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     signature: str = ""
     echoed_id: str = ""
     retry_after_s: float | None = None
+    leaving: bool = False
 
 
 class Caller:
@@ -92,6 +95,7 @@
                     answer.headers.get(SIGNATURE_HEADER, ""),
                     answer.headers.get(REQUEST_ID_HEADER, ""),
                     float(after) if after is not None else None,
+                    answer.headers.get(LEAVING_HEADER) == "1",
                 )
         except (OSError, aiohttp.ClientError, TimeoutError):
             return CallerAnswer(request_id, NO_ANSWER_STATUS)
