Excuse a cut request in a soak only by what was done on its way

Cause: a kill or a pause of any machine within three seconds excused a request that a planned stop had cut; with five series that was nearly always the case.

Change: only the machine where the request began and the one where it ran count.

--- a/packages/testing/src/vanillamast_testing/soak/soak.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak.py
@@ -97,6 +97,8 @@
                 await self.platform.add_machine(zone, service)
         for backend in self.platform.backends.values():
             self._configure(backend)
+        for machine in self.platform.machines.values():
+            self.record.machines[machine.host] = machine.name
         await self.platform.wait_until_ready()
 
     def _configure(self, backend: Backend) -> None:
@@ -205,11 +207,7 @@
 
     async def replace_backend(self, backend: Backend) -> None:
         """Ends a server and starts another one on its machine."""
-        name = next(
-            name
-            for name, machine in self.platform.machines.items()
-            if machine.host == backend.host
-        )
+        name = self.record.machines[backend.host]
         await backend.kill()
         successor = Backend(
             f"i-{name}-{next(self.numbers)}",
--- a/packages/testing/src/vanillamast_testing/soak/soak_checks.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak_checks.py
@@ -163,9 +163,19 @@
 
 
 def _is_excused(record: SoakRecord, request: SentRequest) -> bool:
-    """Returns whether anything but a planned stop may have cut a request."""
+    """Returns whether anything but a planned stop may have cut a request.
+
+    That has to be on its way: on the machine where it began, or where it ran.
+    """
+    request_id = request.answer.request_id
+    machines = {request.machine} | {
+        record.machines[backend.host]
+        for backend in record.backends
+        if any(run.request_id == request_id for run in backend.runs)
+    }
     return any(
         disturbance.kind in UNPLANNED
+        and disturbance.target in machines
         and disturbance.overlaps(
             request.started_at - STABLE_WINDOW_S, request.ended_at
         )
--- a/packages/testing/src/vanillamast_testing/soak/soak_record.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak_record.py
@@ -15,6 +15,7 @@
     Attributes:
       requests: Requests of callers that have ended.
       backends: All incarnations of backend servers.
+      machines: Names of machines, by their host.
       disturbances: What was done, in order.
       limits: Times in which servers named a rate limit.
       unserved: Paths that were not served after the end of all disturbances.
@@ -22,6 +23,7 @@
 
     requests: list[SentRequest] = dataclasses.field(default_factory=list)
     backends: list[Backend] = dataclasses.field(default_factory=list)
+    machines: dict[str, str] = dataclasses.field(default_factory=dict)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     limits: list[LimitPeriod] = dataclasses.field(default_factory=list)
     unserved: list[str] = dataclasses.field(default_factory=list)
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -31,7 +31,9 @@
         started_at + 0.5,
         dataclasses.replace(ANSWER, status=status, **answer),
     )
-    return SoakRecord(requests=[request], backends=[backend])
+    return SoakRecord(
+        requests=[request], backends=[backend], machines={backend.host: "m2"}
+    )
 
 
 def names(found):
@@ -74,12 +76,27 @@
         assert names(record(status=0)) == ["planned_stop"]
 
     @pytest.mark.parametrize("ended_at", [97.1, 100.2])
-    def test_a_request_that_a_kill_cut(self, ended_at):
+    @pytest.mark.parametrize("target", ["m1", "m2"])
+    def test_a_request_that_a_kill_cut(self, target, ended_at):
         """Guards against faults that count as planned stops."""
         found = record(status=0)
-        found.disturbances = [Disturbance("kill", "m2", 97.0, ended_at)]
+        found.disturbances = [Disturbance("kill", target, 97.0, ended_at)]
         assert names(found) == []
 
+    @pytest.mark.parametrize(
+        "disturbance",
+        [
+            Disturbance("kill", "m3", 97.0, 102.0),
+            Disturbance("kill", "m1", 90.0, 96.9),
+            Disturbance("planned_stop", "m1", 97.0, 102.0),
+        ],
+    )
+    def test_a_request_that_nothing_else_cut(self, disturbance):
+        """Guards against stops that any fault elsewhere excuses."""
+        found = record(status=0)
+        found.disturbances = [disturbance]
+        assert names(found) == ["planned_stop"]
+
     @pytest.mark.parametrize(("arrivals", "broken"), [(53, False), (54, True)])
     def test_requests_beyond_a_limit(self, arrivals, broken):
         """Guards against a check of limits that counts wrongly."""
