Keep store readers that the store refuses apart from nodes that do not read

Cause: a node forgot after 2 s without a contact with the store that another one tries to read it. That one then counted as a node that could read if it had to. With two such nodes before it in the order of addresses, every node that read the store with success stopped as soon as it heard of another one that did, and then all of them began again; each time the transfer under way was cancelled.

Change: a reader counts as one until hubs have not reported it as one for 2 s, however long ago its last contact was.

Measured: the test fails before (a node after two refused ones stops reading) and passes now; tests/sidecar: 380 passed.

--- a/packages/sidecar/src/vanillamast_sidecar/hub_view.py
+++ b/packages/sidecar/src/vanillamast_sidecar/hub_view.py
@@ -43,13 +43,14 @@
     Attributes:
       membership: Known nodes.
       hubs: State of each hub, by address.
-      readers: Addresses of the store readers that hubs have reported.
+      readers: When hubs last reported a node as a store reader, in loop time,
+        by address.
     """
 
     def __init__(self, membership: Membership):
         self.membership = membership
         self.hubs: dict[str, HubState] = {}
-        self.readers: set[str] = set()
+        self.readers: dict[str, float] = {}
 
     def apply_report(self, address: str, report: HubReport, now: float) -> None:
         """Applies loads, silent nodes and store readers."""
@@ -76,12 +77,11 @@
             peer.store_contact_at = (
                 contact_at if known_at is None else max(known_at, contact_at)
             )
-            self.readers.add(version.address)
-        for address in list(self.readers):
-            peer = peers.get(address)
-            last_at = None if peer is None else peer.store_contact_at
-            if last_at is None or now - last_at > READER_LIFETIME_S:
-                self.readers.discard(address)
+            self.readers[version.address] = now
+        for address, reported_at in list(self.readers.items()):
+            if now - reported_at >= READER_LIFETIME_S:
+                del self.readers[address]
+                peer = peers.get(address)
                 if peer is not None:
                     peer.store_contact_at = None
 
--- a/tests/sidecar/test_hub_view.py
+++ b/tests/sidecar/test_hub_view.py
@@ -7,6 +7,10 @@
     HubView,
 )
 from vanillamast_sidecar.messages import HubReport, VersionReport
+from vanillamast_sidecar.store_reader_policy import (
+    READER_FRESHNESS_S,
+    StoreReaderPolicy,
+)
 
 from tests.sidecar.hub_fixture import BUSY, address, membership, record
 
@@ -73,6 +77,18 @@
         """Guards against an error on a report that outran its names."""
         make_view().apply_report(HUB, report(loads=[(99, BUSY)]), 1.0)
 
+    def test_readers_that_the_store_refuses_do_not_stop_another(self):
+        """Guards against nodes that take turns in reading and never finish."""
+        view = HubView(membership(3, [1, 2, 4], [8]))
+        policy = StoreReaderPolicy(view.membership, 0.0)
+        for tick in range(1, 50):
+            now = tick * 0.2
+            refused = [VersionReport(address(n), 1, 1, now) for n in (1, 2)]
+            reading = VersionReport(address(4), 1, 1, 0.1)
+            view.apply_report(HUB, report(versions=[*refused, reading]), now)
+            if now > READER_FRESHNESS_S:
+                assert policy.must_read(now, True)
+
     def test_a_reader_that_is_no_longer_reported_is_none(self):
         """Guards against a node that waits for a reader that stopped."""
         view = make_view()
