Collect response bodies in one buffer

Cause: ClientConnection kept each piece of a body as an object of its own, some 43 bytes for a chunk of two; the limits count the bytes of the pieces.

Change: a body is collected in one buffer, whose cost is that of its bytes.

--- a/packages/sidecar/src/vanillamast_sidecar/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/client_connection.py
@@ -92,7 +92,8 @@
         self._expected_id = b""
         self._head_only = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # Each piece kept as an object would cost far more than a tiny chunk.
+        self._body = bytearray()
         self._reason_phrase = b""
         self._ends_at_close = False
         self._in_response = False
@@ -229,7 +230,7 @@
         """Frees the bytes of the response being received."""
         self.budget.release(self._body_bytes)
         self._body_bytes = 0
-        self._body = []
+        self._body = bytearray()
 
     def eof_received(self) -> bool:
         """Ends a response that is delimited by the end of the connection."""
@@ -294,7 +295,7 @@
             self._reject("sum of all bodies")
         else:
             self._body_bytes += len(data)
-            self._body.append(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Delivers the response."""
@@ -314,7 +315,7 @@
         response = HttpResponse(
             status,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._reason_phrase,
             keep_alive,
         )
--- a/tests/sidecar/test_client_connection.py
+++ b/tests/sidecar/test_client_connection.py
@@ -38,6 +38,10 @@
         HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"10000\r\n" + b"x" * PIECE_BYTES + b"\r\n",
     ),
+    "tiny chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\ny\n\r\n" * 10_000,
+    ),
     "chunk extension": (
         HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
         b"x" * PIECE_BYTES,
@@ -135,13 +139,21 @@
         assert not connection.reusable
         assert connection.budget.used == 0
 
-    async def test_memory_is_flat_at_all_slots(self, serve):
-        """Guards against a server that takes down the process beside it."""
+    @pytest.mark.parametrize(
+        "names",
+        [("chunks", "body to the end"), ("tiny chunks",)],
+        ids=["large_pieces", "tiny_chunks"],
+    )
+    async def test_memory_is_flat_at_all_slots(self, serve, names):
+        """Guards against a server that takes down the process beside it.
+
+        A chunk of two bytes must not cost an object of its own.
+        """
         limits = ResponseLimits(body_bytes=1_048_576, total_bytes=4_194_304)
         budget = ByteBudget(limits.total_bytes)
-        parts = [FLOODS[name] for name in ("chunks", "body to the end")]
+        parts = [FLOODS[name] for name in names]
         connections = [
-            await serve(flood(*parts[n % 2]), limits, budget)
+            await serve(flood(*parts[n % len(parts)]), limits, budget)
             for n in range(SLOTS)
         ]
         gc.collect()
@@ -155,7 +167,7 @@
         finally:
             tracemalloc.stop()
         assert {type(result) for result in results} == {ResponseTooLargeError}
-        # Twice the budget: chunks, and one joined copy of each at most.
+        # Twice the budget: the received bytes and one copy at most.
         assert peak < 2 * limits.total_bytes + SLOTS * SLACK_BYTES
         assert budget.used == 0
 
