Collect request bodies in one buffer

HttpConnection kept each piece of a body as an object of its own, so a body in tiny chunks cost many times the limit on its bytes.

Change: a body is collected in one buffer.

--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -111,7 +111,7 @@
         self._headers: Headers = []
         self._header_bytes = 0
         self._unparsed_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._in_message = False
@@ -168,7 +168,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._in_message = True
         self._in_head = True
@@ -205,7 +205,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
-        self._body.append(data)
+        self._body += data
         self._body_bytes += len(data)
         if self._body_bytes > self.listener.limits.body_bytes:
             self._reject(413)
@@ -219,7 +219,7 @@
             self.parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
         )
         keep_alive = self.parser.should_keep_alive()
         self._add_pending(
--- a/tests/sidecar/test_http_listener.py
+++ b/tests/sidecar/test_http_listener.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 
 import pytest
 from vanillamast_sidecar.caller_limits import CallerLimits
@@ -13,6 +15,9 @@
 from vanillamast_sidecar.http_message import HttpResponse
 
 HOST = "127.27.0.1"
+BODY_BYTES = 262_144
+# Reads of the event loop and the framing of what they contain.
+READ_SLACK_BYTES = 4 * READ_BYTES
 
 
 class Caller:
@@ -29,7 +34,7 @@
         self.cancelled = []
         self.release = {}
         self.listener = HttpListener(
-            self.handle, CallerLimits(header_bytes=512)
+            self.handle, CallerLimits(header_bytes=512, body_bytes=BODY_BYTES)
         )
 
     async def handle(self, request, arrived_at):
@@ -185,6 +190,27 @@
             await asyncio.sleep(0)
         assert caller.started == []
 
+    async def test_a_body_in_tiny_chunks_costs_its_bytes(self, caller):
+        """Guards against small pieces that each cost an object of their own."""
+        caller.finish("/")
+        gc.collect()
+        tracemalloc.start()
+        try:
+            caller.writer.write(
+                b"POST / HTTP/1.1\r\nHost: x\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            for _ in range(BODY_BYTES // 1024):
+                caller.writer.write(b"1\r\nx\r\n" * 1024)
+                await caller.writer.drain()
+            caller.writer.write(b"0\r\n\r\n")
+            assert (await caller.read())[0] == 200
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        # The received bytes and the copy that the handler gets.
+        assert peak < 2 * BODY_BYTES + READ_SLACK_BYTES
+
 
 class TestPlannedStop:
     """Requests that were accepted are answered before the connection ends."""
