Refuse heartbeats with numbers that no server has

Cause: the border checked no ranges; Mesh.announce kept the record before it failed to encode it, so every later message with it failed as well; and Node.run did not expect its stop to fail. Evidence: OverflowError from Mesh.announce in the log at the heartbeat and again at the signal (docs/incidents/unreadable-heartbeat.md).

Change: numbers out of range are an InvalidHeartbeatError; a record is encoded before it is kept, with FrameError for what messages cannot carry; announcements that fail are logged; a stop goes on after an error.

--- a/packages/sidecar/src/vanillamast_sidecar/errors.py
+++ b/packages/sidecar/src/vanillamast_sidecar/errors.py
@@ -28,7 +28,7 @@
 
 
 class FrameError(SidecarError):
-    """Bytes from another node cannot be decoded to a message."""
+    """A message cannot be encoded, or bytes cannot be decoded to one."""
 
 
 class InvalidHeartbeatError(SidecarError):
--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -28,8 +28,16 @@
 
 
 def make_frame(message: Message) -> bytes:
-    """Returns the frame of a message, which suits every connection."""
-    payload = _encoder.encode(message)
+    """Returns the frame of a message, which suits every connection.
+
+    Raises:
+      FrameError: The message has a value that frames cannot carry, such as an
+        integer of more than 64 bits.
+    """
+    try:
+        payload = _encoder.encode(message)
+    except (OverflowError, TypeError, ValueError) as error:
+        raise FrameError(str(error)) from error
     return LENGTH.pack(len(payload)) + payload
 
 
--- a/packages/sidecar/src/vanillamast_sidecar/heartbeat.py
+++ b/packages/sidecar/src/vanillamast_sidecar/heartbeat.py
@@ -2,6 +2,11 @@
 
 import dataclasses
 
+# Values beyond these belong to no server.
+MAX_BORN_MS = 253_402_300_799_999  # End of the year 9999.
+MAX_SEQUENCE = 2**53 - 1  # The largest integer that all JSON decoders keep.
+MAX_SLOTS = 65_535  # Ports from which one node can connect to a server.
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -161,7 +161,11 @@
         stopping: bool,
         serves_while_stopping: bool = False,
     ) -> NodeRecord:
-        """Announces a change of this node or its server to all nodes."""
+        """Announces a change of this node or its server to all nodes.
+
+        Raises:
+          FrameError: The record cannot be encoded; the last one stays.
+        """
         own = self.membership.own.record
         record = msgspec.structs.replace(
             own,
@@ -170,13 +174,20 @@
             instance=instance,
             serves_while_stopping=serves_while_stopping,
         )
-        self.membership.set_own(record)
-        self.broadcast(Records([record]))
+        self._replace_own(record)
         return record
 
+    def _replace_own(self, record: NodeRecord) -> None:
+        # A record that cannot be sent must not become part of later messages.
+        frame = make_frame(Records([record]))
+        self.membership.set_own(record)
+        self._broadcast_frame(frame)
+
     def broadcast(self, message: Message) -> None:
         """Sends a message to all nodes, through the hubs."""
-        frame = make_frame(message)
+        self._broadcast_frame(make_frame(message))
+
+    def _broadcast_frame(self, frame: bytes) -> None:
         for hub in self.hubs:
             if hub.link is not None:
                 hub.link.send_frame(frame)
@@ -253,11 +264,9 @@
             # The clock was ahead when the previous process started. Only a
             # higher incarnation replaces that record at the other nodes. An
             # older record is a late copy of this process's own.
-            replacement = msgspec.structs.replace(
-                own, incarnation=record.incarnation + 1
+            self._replace_own(
+                msgspec.structs.replace(own, incarnation=record.incarnation + 1)
             )
-            self.membership.set_own(replacement)
-            self.broadcast(Records([replacement]))
         if record.instance is not None:
             self.on_previous_record(record.instance)
 
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -9,6 +9,7 @@
 
 from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
 from vanillamast_sidecar.errors import (
+    FrameError,
     InvalidHeartbeatError,
     InvalidSettingsError,
     StoreError,
@@ -81,6 +82,7 @@
       stop_requested: Set by SIGTERM.
       reload_requested: Set by SIGHUP: the settings may have changed.
       stopping: Whether the node shuts down.
+      shutdown_policy: When a shutdown may close and exit; None before it.
       serves_while_stopping: Whether other nodes use the server meanwhile.
       readiness_refusals: Failed readiness checks since the stop signal.
       suspended_s: Total time that the machine was suspended, at the last
@@ -160,6 +162,7 @@
         self.stop_requested = asyncio.Event()
         self.reload_requested = asyncio.Event()
         self.stopping = False
+        self.shutdown_policy: ShutdownPolicy | None = None
         self.serves_while_stopping = False
         self.readiness_refusals = 0
         self.suspended_s = _total_suspended_s()
@@ -187,7 +190,7 @@
             )
         ]
         await self.stop_requested.wait()
-        await self._stop()
+        await self._complete(self._stop)
         for task in tasks:
             task.cancel()
         for server in self.servers.values():
@@ -205,13 +208,28 @@
             try:
                 await work()
             except Exception as error:
-                self.log.write(
-                    "node.task_failed",
-                    task=getattr(work, "__qualname__", repr(work)),
-                    error=repr(error),
-                )
+                self._log_failed_task(work, error)
             await asyncio.sleep(TASK_RESTART_DELAY_S)
 
+    async def _complete(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a task to its end; starts it again after an unexpected error."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                self._log_failed_task(work, error)
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
+    def _log_failed_task(
+        self, work: Callable[[], Awaitable[None]], error: Exception
+    ) -> None:
+        self.log.write(
+            "node.task_failed",
+            task=getattr(work, "__qualname__", repr(work)),
+            error=repr(error),
+        )
+
     async def _listen(self, settings: SidecarSettings) -> None:
         """Opens the listeners whose address has changed or is new."""
         handlers: dict[str, tuple[Address, Handler]] = {
@@ -427,20 +445,7 @@
 
     async def _stop(self) -> None:
         """Waits until requests have ended and callers send no new ones."""
-        snapshot = self.gateway.snapshot
-        service = self.settings.service
-        policy = ShutdownPolicy(
-            self.settings.bounds.grace_s,
-            snapshot.get_longest_timeout_s(service) if snapshot else 0.0,
-            self.loop.time(),
-        )
-        self.stopping = True
-        self.serves_while_stopping = True
-        self.callers.closing = True
-        self._announce()
-        self.log.write("node.stopping", active=self.callers.active_requests)
-        self.gateway.last_deadline = policy.last_deadline
-        self.executor.last_deadline = policy.last_deadline
+        policy = self.shutdown_policy or self._begin_stop()
         while not policy.may_close(
             self._is_busy(), self.readiness_refusals, self.loop.time()
         ):
@@ -455,6 +460,24 @@
         while not policy.may_exit(self._is_busy(), self.loop.time()):
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
+    def _begin_stop(self) -> ShutdownPolicy:
+        snapshot = self.gateway.snapshot
+        service = self.settings.service
+        policy = ShutdownPolicy(
+            self.settings.bounds.grace_s,
+            snapshot.get_longest_timeout_s(service) if snapshot else 0.0,
+            self.loop.time(),
+        )
+        self.shutdown_policy = policy
+        self.stopping = True
+        self.serves_while_stopping = True
+        self.callers.closing = True
+        self.gateway.last_deadline = policy.last_deadline
+        self.executor.last_deadline = policy.last_deadline
+        self._announce()
+        self.log.write("node.stopping", active=self.callers.active_requests)
+        return policy
+
     def _withdraw_if_due(self, policy: ShutdownPolicy) -> None:
         """Tells the other nodes at the end of a stop to use other servers."""
         if self.serves_while_stopping and policy.must_withdraw(
@@ -468,9 +491,13 @@
 
     def _announce(self) -> None:
         """Announces the state of this node and its server."""
-        self.mesh.announce(
-            self.registry.current, self.stopping, self.serves_while_stopping
-        )
+        try:
+            self.mesh.announce(
+                self.registry.current, self.stopping, self.serves_while_stopping
+            )
+        except FrameError as error:
+            # Requests in progress and a planned stop go on without it.
+            self.log.write("node.not_announced", error=str(error))
 
     def _is_busy(self) -> bool:
         """Returns whether a request is in progress on this node."""
--- a/packages/sidecar/src/vanillamast_sidecar/server_api.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_api.py
@@ -27,6 +27,7 @@
         """Returns the decoded call, None if there is no such call.
 
         Raises:
-          InvalidHeartbeatError: The body cannot be decoded.
+          InvalidHeartbeatError: The body cannot be decoded, or has a value that
+            no server has.
         """
         ...
--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -130,8 +130,15 @@
             return True
         return False
 
-    async def heartbeat(self, sequence: int | None = None) -> bool:
-        """Sends a heartbeat; returns whether the node acknowledged it."""
+    async def heartbeat(
+        self, sequence: int | None = None, **changes: object
+    ) -> bool:
+        """Sends a heartbeat; returns whether the node acknowledged it.
+
+        Args:
+          sequence: Its sequence number, None for the next one.
+          **changes: Fields whose values differ from the server's own.
+        """
         body = {
             "service": self.service,
             "addr": f"{self.host}:{self.port}",
@@ -144,6 +151,7 @@
             if sequence is None
             else sequence,
             "born": self.born_ms,
+            **changes,
         }
         return await self._post("heartbeat", body)
 
--- a/tests/platform_adapter/test_decoder_fuzz.py
+++ b/tests/platform_adapter/test_decoder_fuzz.py
@@ -19,8 +19,13 @@
     InvalidHeartbeatError,
     InvalidSettingsError,
 )
+from vanillamast_sidecar.frame_codec import make_frame
 from vanillamast_sidecar.heartbeat import Heartbeat
 from vanillamast_sidecar.http_message import HttpRequest
+from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.messages import Records
+from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.server_registry import ServerRegistry
 
 FIELDS = [
     "service",
@@ -79,6 +84,14 @@
 configs = st.fixed_dictionaries({"version": scalars, "resources": resources})
 
 
+def record_of(heartbeat: Heartbeat) -> InstanceRecord:
+    """Returns the record that a heartbeat leads to."""
+    registry = ServerRegistry(1.0)
+    registry.handle_heartbeat(heartbeat, 0.0)
+    assert registry.current is not None
+    return registry.current
+
+
 def as_json(value: object) -> bytes:
     """Encodes a value, also one that JSON does not allow."""
     return json.dumps(value).encode()
@@ -100,6 +113,10 @@
         assert call.slots >= 1
         assert 0.0 <= call.cold_s < math.inf
         assert call.service
+        # Messages between nodes must be able to carry the values.
+        make_frame(
+            Records([NodeRecord("a", "d", 1, 1, False, record_of(call))])
+        )
 
     @given(heartbeats)
     def test_heartbeats_with_other_values(self, heartbeat):
--- a/tests/platform_adapter/test_server_calls.py
+++ b/tests/platform_adapter/test_server_calls.py
@@ -55,6 +55,10 @@
             {"sequence": None},
             {"addr": 5},
             {"born": 1.5},
+            {"born": 10**26},
+            {"born": -1},
+            {"sequence": 2**64},
+            {"max_concurrency": 10**26},
         ],
     )
     def test_an_invalid_heartbeat_is_a_typed_error(self, change):
@@ -64,6 +68,13 @@
                 post("/api/instances/i-1/heartbeat", {**HEARTBEAT, **change})
             )
 
+    def test_a_deregistration_with_a_number_too_large_is_a_typed_error(self):
+        """Guards against values that no message between nodes can carry."""
+        with pytest.raises(InvalidHeartbeatError):
+            ServerCalls().decode(
+                post("/api/instances/i-1/deregister", {"born": 10**26})
+            )
+
     def test_undecodable_bytes_are_a_typed_error(self):
         """Guards against a listener that fails on undecodable bytes."""
         with pytest.raises(InvalidHeartbeatError):
--- a/tests/platform_path/test_planned_stop.py
+++ b/tests/platform_path/test_planned_stop.py
@@ -80,6 +80,25 @@
             if answer.status in (429, 503)
         )
 
+    async def test_a_malformed_heartbeat_before_it_cuts_no_request(self, fleet):
+        """Guards against a stop that ends at a value it can't announce."""
+        backend = fleet.backends["m1"]
+        backend.work_s = 1.0
+        assert not await backend.heartbeat(born=10**26)
+        stopped = fleet.machines["m1"]
+        sends = [
+            asyncio.create_task(
+                fleet.caller.send(stopped, "/post/1", "POST", b"x")
+            )
+            for _ in range(2 * backend.slots)
+        ]
+        await asyncio.sleep(0.2)
+        stopped.process.send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(*sends)
+        # The heartbeats of the real server count after it, too.
+        assert {answer.status for answer in answers} <= {200, 503}
+        assert sum(answer.status == 200 for answer in answers) >= backend.slots
+
     async def test_a_server_that_never_answers_is_reported(self, fleet):
         """Guards against a request whose last moments the process misses.
 
--- a/tests/sidecar/test_frame_codec.py
+++ b/tests/sidecar/test_frame_codec.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.frame_codec import FrameCodec
+from vanillamast_sidecar.frame_codec import FrameCodec, make_frame
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.messages import Call, Cancel, Ping, Reply
 from vanillamast_sidecar.outcome import Outcome
@@ -55,6 +55,11 @@
             step += 1
         assert received == sent
 
+    def test_a_value_that_cannot_be_carried_is_a_typed_error(self):
+        """Guards against a message whose encoding ends its sender."""
+        with pytest.raises(FrameError):
+            make_frame(Cancel(2**70))
+
     def test_repeated_fields_cost_little_between_domains(self):
         """Guards against transferring equal header fields each time."""
         codec = FrameCodec()
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.field_names import FieldNames
 from vanillamast_sidecar.instance_record import InstanceRecord
@@ -108,6 +109,20 @@
     }
 
 
+class TestOwnRecord:
+    """What a node announces of itself."""
+
+    async def test_a_record_that_cannot_be_sent_is_not_kept(self, make_mesh):
+        """Guards against a value that spoils every later message."""
+        mesh = await make_mesh("127.24.9.1", "a")
+        mesh.announce(instance("127.24.9.1"), False)
+        before = mesh.membership.own.record
+        wild = msgspec.structs.replace(instance("127.24.9.1"), born_ms=10**26)
+        with pytest.raises(FrameError):
+            mesh.announce(wild, False)
+        assert mesh.membership.own.record == before
+
+
 class TestHubs:
     """What a fleet of four nodes in each of three failure domains does."""
 
--- a/tests/sidecar/test_node_tasks.py
+++ b/tests/sidecar/test_node_tasks.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.node import Node
 
 
@@ -30,3 +31,38 @@
                 await asyncio.sleep(0.01)
         task.cancel()
         assert lines == [("node.task_failed", "KeyError('unexpected')")] * 2
+
+    async def test_a_failed_shutdown_is_continued(self):
+        """Guards against an error that cuts off the requests in progress."""
+        lines = []
+        node = Node.__new__(Node)
+        node.log = SimpleNamespace(
+            write=lambda kind, **fields: lines.append(kind)
+        )
+        starts = []
+
+        async def stop():
+            starts.append(len(starts))
+            if len(starts) < 3:
+                raise KeyError("unexpected")
+
+        await asyncio.wait_for(node._complete(stop), 5.0)
+        assert len(starts) == 3
+        assert lines == ["node.task_failed"] * 2
+
+    def test_a_record_that_cannot_be_sent_is_logged(self):
+        """Guards against a request or a stop that ends with an announcement."""
+        lines = []
+        node = Node.__new__(Node)
+        node.log = SimpleNamespace(
+            write=lambda kind, **fields: lines.append(kind)
+        )
+        node.registry = SimpleNamespace(current=None)
+        node.stopping = node.serves_while_stopping = False
+
+        def announce(*_):
+            raise FrameError("integer of more than 64 bits")
+
+        node.mesh = SimpleNamespace(announce=announce)
+        node._announce()
+        assert lines == ["node.not_announced"]
