Record departures of servers in the store

What callers saw: after a kill of all nodes, a heartbeat that a server had sent before it deregistered brought it back.

Cause: acknowledged departures were only in the memory of the processes.

Change: DepartureRecorder writes the newest departure into the node's record in the store before it is acknowledged, for 0.5 s at most, and goes on until the store has it. A starting node reads that record already, so a start costs no further call. Servers whose responses say that they leave are recorded as well.

--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -7,7 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
+
 from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
+from vanillamast_sidecar.departure_recorder import DepartureRecorder
 from vanillamast_sidecar.errors import (
     FrameError,
     InvalidHeartbeatError,
@@ -42,6 +45,9 @@
 # monotonic clock between two checks.
 MIN_SUSPENSION_S = 0.3
 NODES_RETRY_DELAY_S = 0.5
+# Longest wait for the store before a departure is acknowledged; a server waits
+# a second for the acknowledgement.
+DEPARTURE_WAIT_S = 0.5
 # Delay before a task that failed with an unexpected error is started again.
 TASK_RESTART_DELAY_S = 0.1
 # A node without a connection reads the list again after this time: the nodes
@@ -71,6 +77,7 @@
       log: Event logger.
       metrics: Metrics.
       registry: State of the local server.
+      departures: Records in the store that the local server leaves.
       moves: Moves of traffic between server versions.
       executor: Runs requests on the local server.
       mesh: Connections to the other nodes.
@@ -107,6 +114,9 @@
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.registry = ServerRegistry(settings.heartbeat_s)
+        self.departures = DepartureRecorder(
+            store, self._make_stored_record, log
+        )
         self.moves = MoveTable(self._handle_version_change)
         self.executor = ServerExecutor(
             settings,
@@ -280,6 +290,7 @@
         self.executor.handle_server_change()
         current = self.registry.current
         self._announce()
+        self._record_departure()
         self.log.write(
             "server.changed",
             cause=cause,
@@ -293,6 +304,16 @@
             rate_limit=current.rate_limit if current is not None else None,
         )
 
+    def _record_departure(self) -> None:
+        if self.registry.departed is not None:
+            self.departures.start(self.registry.departed)
+
+    def _make_stored_record(self, departed: InstanceRecord) -> NodeRecord:
+        """Returns this node's record in the store after a departure."""
+        return msgspec.structs.replace(
+            self.mesh.membership.own.record, instance=departed
+        )
+
     # Handlers of the other listeners.
 
     async def _handle_server_call(
@@ -314,6 +335,9 @@
                 self._handle_server_change("deregistered")
         else:
             self._handle_heartbeat(call, arrived)
+        if isinstance(call, Deregistration) or call.draining:
+            self._record_departure()
+            await self.departures.wait(DEPARTURE_WAIT_S)
         return HttpResponse(OK, [(b"Content-Type", b"application/json")], b"{}")
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, arrived: float) -> None:
@@ -389,7 +413,10 @@
         own = self.mesh.membership.own.record
         if any(record.address == own.address for record in records):
             return records
-        await self.store.put_node(own)
+        departed = self.registry.departed
+        await self.store.put_node(
+            own if departed is None else self._make_stored_record(departed)
+        )
         if any(
             record.failure_domain == own.failure_domain for record in records
         ):
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_registry.py
@@ -31,6 +31,8 @@
       leaving_before: Ids that have deregistered without an incarnation, by
         when, in Unix milliseconds; incarnations that started later are not
         affected.
+      departed: The newest incarnation that drains, has deregistered or says
+        in its responses that it leaves; None without one.
       rate_limit: Rate limit to announce, None without one.
       limited: Incarnation that it belongs to.
       responded: Newest incarnation that has sent a response to this process.
@@ -44,6 +46,7 @@
         self.down = False
         self.leaving: set[tuple[str, int]] = set()
         self.leaving_before: dict[str, int] = {}
+        self.departed: InstanceRecord | None = None
         self.rate_limit: float | None = None
         self.limited: tuple[str, int] | None = None
         self.responded: tuple[str, int] | None = None
@@ -52,6 +55,7 @@
         """Applies a heartbeat; returns whether the server's state changed."""
         if heartbeat.draining:
             self.leaving.add((heartbeat.id, heartbeat.born_ms))
+            self._set_departed(self._build_record(heartbeat))
         previous = self.current
         if previous is not None and heartbeat.born_ms < previous.born_ms:
             return False
@@ -86,6 +90,7 @@
         if born_ms == 0:
             self.leaving_before[instance_id] = wall_ms
         self.leaving.add((instance_id, born_ms))
+        self._set_departed(self._build_departed(instance_id, born_ms))
         return self._update_flags()
 
     def apply_peer_record(self, record: InstanceRecord) -> bool:
@@ -109,6 +114,7 @@
           Whether the state changed.
         """
         self.leaving.add((instance_id, born_ms))
+        self._set_departed(self._build_departed(instance_id, born_ms))
         return self._update_flags()
 
     def apply_rate_limit(
@@ -185,6 +191,22 @@
             return None
         return self.rate_limit
 
+    def _set_departed(self, record: InstanceRecord) -> None:
+        """Keeps a departure; one without an incarnation can't be told apart."""
+        known = self.departed
+        if record.born_ms and (
+            known is None or record.born_ms >= known.born_ms
+        ):
+            self.departed = record
+
+    def _build_departed(self, instance_id: str, born_ms: int) -> InstanceRecord:
+        current = self.current
+        if current is not None and self._is_current(instance_id, born_ms):
+            return msgspec.structs.replace(current, ready=False, leaving=True)
+        return InstanceRecord(
+            instance_id, born_ms, 0, "", "", 1, False, True, 0.0, ""
+        )
+
     def _build_record(self, heartbeat: Heartbeat) -> InstanceRecord:
         leaving = self._is_leaving(heartbeat.id, heartbeat.born_ms)
         return InstanceRecord(
