Leave out odd entries of the store instead of failing on them

Cause: the borders expected malformed bytes, but neither values that decode and are out of range nor the decoder's RecursionError.

Change: nesting that is too deep is a DecodeError, records of the list are checked by find_defect, numbers have ranges, an address that cannot be connected to is a failed connection, and an empty record is passed over.

--- a/packages/core/src/vanillamast_core/peers/instance_directory.py
+++ b/packages/core/src/vanillamast_core/peers/instance_directory.py
@@ -34,7 +34,11 @@
     """
     try:
         return _decoder.decode(packed)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise CodecError(f"announcement: {error}") from error
 
 
--- a/packages/node/src/vanillamast_node/server_listener.py
+++ b/packages/node/src/vanillamast_node/server_listener.py
@@ -34,7 +34,7 @@
                 await req.stream.read(), type=ServerReport
             )
             report.server_state()
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (msgspec.MsgspecError, KeyError, RecursionError) as error:
             raise falcon.HTTPBadRequest(
                 title="invalid_announcement",
                 description=f"{error}; states: {state_names()}",
--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -101,7 +101,7 @@
             payload = bytes(buffer[start + LENGTH.size : end])
             try:
                 messages.append(_decoder.decode(payload))
-            except msgspec.DecodeError as error:
+            except (msgspec.DecodeError, RecursionError) as error:
                 raise FrameError(str(error)) from error
             start = end
         del buffer[:start]
--- a/packages/sidecar/src/vanillamast_sidecar/link_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/link_pool.py
@@ -78,6 +78,9 @@
         hello = self.make_hello(peer)
         try:
             connected = await link.open(host, int(port), hello)
+        except (ValueError, OverflowError):
+            # The address in the record is not one.
+            connected = False
         finally:
             peer.connecting = None
         now = self.loop.time()
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -28,6 +28,7 @@
 from vanillamast_sidecar.move_controller import MoveController
 from vanillamast_sidecar.move_table import MoveTable
 from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.node_record_check import find_defect
 from vanillamast_sidecar.operator_state_sync import OperatorStateSync
 from vanillamast_sidecar.server_api import Deregistration, ServerApi
 from vanillamast_sidecar.server_executor import ServerExecutor
@@ -384,7 +385,7 @@
         registered = False
         while True:
             try:
-                records = await self.store.list_nodes()
+                records = await self._list_nodes()
                 if not registered:
                     records = await self._register(records)
                     registered = True
@@ -421,7 +422,25 @@
             record.failure_domain == own.failure_domain for record in records
         ):
             return records
-        return await self.store.list_nodes()
+        return await self._list_nodes()
+
+    async def _list_nodes(self) -> list[NodeRecord]:
+        """Returns the records in the store that may name a node.
+
+        Raises:
+          StoreError: The list could not be read.
+        """
+        now_ms = int(time.time() * 1000)
+        records = []
+        for record in await self.store.list_nodes():
+            defect = find_defect(record, now_ms)
+            if defect:
+                self.log.write(
+                    "nodes.invalid", address=record.address, error=defect
+                )
+            else:
+                records.append(record)
+        return records
 
     async def _run_checks(self) -> None:
         while True:
--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -3,10 +3,10 @@
 import asyncio
 import dataclasses
 import itertools
-import json
 import time
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 REQUEST_ID_HEADER = "X-Vanillamast-Request-Id"
@@ -171,7 +171,7 @@
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.post(url, data=json.dumps(body)) as answer,
+                session.post(url, data=msgspec.json.encode(body)) as answer,
             ):
                 return answer.status == 200
         except (OSError, aiohttp.ClientError, TimeoutError):
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -169,6 +169,11 @@
             [("config", b"\x00value"), ("k", b"")],
         )
 
+    def test_an_empty_record_hides_no_others(self):
+        """Guards against a reader that never gets past a record."""
+        body = bytes(16) + bytes(4) + encode_keyed_record("k", b"v")
+        assert parse_read_answer(body)[1] == [("", b""), ("k", b"v")]
+
     @pytest.mark.parametrize("cut", [1, 7, 17, 21, 25])
     def test_a_truncated_answer_is_an_error(self, cut):
         """Guards against truncated records that are accepted."""
--- a/tests/platform_adapter/test_server_calls.py
+++ b/tests/platform_adapter/test_server_calls.py
@@ -54,6 +54,8 @@
             {"max_concurrency": "many"},
             {"sequence": None},
             {"addr": 5},
+            {"addr": "10.0.0.1:65536"},
+            {"addr": "10.0.0.1:" + "9" * 5000},
             {"born": 1.5},
             {"born": 10**26},
             {"born": -1},
@@ -75,6 +77,13 @@
                 post("/api/instances/i-1/deregister", {"born": 10**26})
             )
 
+    @pytest.mark.parametrize("action", ["heartbeat", "deregister"])
+    def test_a_deeply_nested_body_is_a_typed_error(self, action):
+        """Guards against a listener that fails on an unexpected error."""
+        body = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        with pytest.raises(InvalidHeartbeatError):
+            ServerCalls().decode(post(f"/api/instances/i-1/{action}", body))
+
     def test_undecodable_bytes_are_a_typed_error(self):
         """Guards against a listener that fails on undecodable bytes."""
         with pytest.raises(InvalidHeartbeatError):
--- a/tests/sidecar/test_frame_codec.py
+++ b/tests/sidecar/test_frame_codec.py
@@ -60,6 +60,13 @@
         with pytest.raises(FrameError):
             make_frame(Cancel(2**70))
 
+    def test_a_deeply_nested_frame_is_a_typed_error(self):
+        """Guards against a foreign message that ends a task."""
+        # A ping with one more element than it has.
+        payload = b"\x92\x08" + b"\x91" * 100_000 + b"\x01"
+        with pytest.raises(FrameError):
+            FrameCodec().feed(len(payload).to_bytes(4, "big") + payload)
+
     def test_repeated_fields_cost_little_between_domains(self):
         """Guards against transferring equal header fields each time."""
         codec = FrameCodec()
