Store large frames in compressed streams

Cause: FrameCodec compressed the whole frame in the event loop.

Change: frames above 64 KiB become stored blocks after a full flush. The receiver is unchanged.

--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -21,6 +21,11 @@
 MEMORY_LEVEL = 5
 COMPRESSION_LEVEL = 6
 
+# Compressing a larger frame would hold the event loop for milliseconds.
+MAX_COMPRESSED_BYTES = 65_536
+MAX_STORED_BYTES = 65_535  # Largest stored block of a deflate stream.
+STORED_BLOCK = struct.Struct("<BHH")
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(
     AnyMessage
@@ -74,6 +79,10 @@
         compressor = self.compressor
         if compressor is None:
             return frame
+        if len(frame) > MAX_COMPRESSED_BYTES:
+            # The compressor never sees these bytes, so it must not refer to
+            # what was sent before them either.
+            return compressor.flush(zlib.Z_FULL_FLUSH) + _store(frame)
         return compressor.compress(frame) + compressor.flush(zlib.Z_SYNC_FLUSH)
 
     def feed(self, data: bytes) -> list[AnyMessage]:
@@ -106,3 +115,15 @@
             start = end
         del buffer[:start]
         return messages
+
+
+def _store(data: bytes) -> bytes:
+    """Returns data as stored blocks, which follow a flush of the stream."""
+    view = memoryview(data)
+    parts: list[bytes | memoryview] = []
+    for start in range(0, len(data), MAX_STORED_BYTES):
+        block = view[start : start + MAX_STORED_BYTES]
+        size = len(block)
+        parts.append(STORED_BLOCK.pack(0, size, size ^ 0xFFFF))
+        parts.append(block)
+    return b"".join(parts)
--- a/tests/sidecar/test_frame_codec.py
+++ b/tests/sidecar/test_frame_codec.py
@@ -1,5 +1,7 @@
 """Tests of frames between nodes."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -7,7 +9,13 @@
 from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.frame_codec import FrameCodec, make_frame
 from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.messages import Call, Cancel, Ping, Reply
+from vanillamast_sidecar.messages import (
+    Call,
+    Cancel,
+    Confirm,
+    Ping,
+    Reply,
+)
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
 
@@ -55,6 +63,39 @@
             step += 1
         assert received == sent
 
+    @given(
+        st.lists(
+            st.one_of(
+                st.integers(1, 500),
+                st.sampled_from([65_000, 65_536, 70_000, 131_070, 200_000]),
+            ),
+            max_size=8,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_large_frames_between_small_ones(self, sizes, rng):
+        """Guards against references to bytes that were not compressed."""
+        sender, receiver = FrameCodec(), FrameCodec()
+        sender.enable_compression()
+        receiver.enable_compression()
+        text = rng.randbytes(400)
+        for size in sizes:
+            message = Confirm(1, (text * (size // 400 + 1))[:size])
+            assert receiver.feed(sender.encode(message)) == [message]
+
+    def test_a_large_frame_is_not_compressed(self):
+        """Guards against an event loop that a large body stops for seconds."""
+        codec = FrameCodec()
+        codec.enable_compression()
+        calls = []
+        compressor = codec.compressor
+        codec.compressor = SimpleNamespace(
+            compress=lambda data: calls.append(len(data)) or b"",
+            flush=compressor.flush,
+        )
+        codec.encode(Confirm(1, b"x" * 8_000_000))
+        assert calls == []
+
     def test_a_value_that_cannot_be_carried_is_a_typed_error(self):
         """Guards against a message whose encoding ends its sender."""
         with pytest.raises(FrameError):
