Wait for a confirmation while its body arrives

What callers saw: a request that may run only once, with a body that needs over 0.3 s to the node of a server, was refused each time as not confirmed.

Cause: the wait for a confirmation, which has the body, did not depend on whether the body was on its way.

Change: the wait goes on while bytes of a message arrive, until the call's deadline.

--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -54,6 +54,7 @@
       peer_address: Address of the node, empty before its hello.
       transport: The connection; None while there is none.
       tasks: Tasks of the calls, by id.
+      last_received_at: When bytes last arrived, in loop time.
       confirmations: Resolved with the body when the sender confirms the call,
         by id.
     """
@@ -76,6 +77,7 @@
         self.confirmations: dict[int, asyncio.Future[bytes]] = {}
         self.clock = ClockOffset()
         self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.last_received_at = 0.0
 
     def send(self, message: Message) -> None:
         """Sends a message if the connection is open, else drops it."""
@@ -100,6 +102,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Starts calls and passes on the other messages."""
+        self.last_received_at = self.loop.time()
         try:
             messages = self.codec.feed(data)
         except FrameError:
@@ -137,7 +140,9 @@
         now = self.loop.time()
 
         async def confirm() -> bytes | None:
-            return await self._request_confirmation(call.id)
+            return await self._request_confirmation(
+                call.id, sent_at + call.remaining_s
+            )
 
         try:
             result = await self.run_call(
@@ -167,23 +172,34 @@
             self.tasks.pop(call.id, None)
         self._send_reply(call.id, result)
 
-    async def _request_confirmation(self, call_id: int) -> bytes | None:
+    async def _request_confirmation(
+        self, call_id: int, deadline: float
+    ) -> bytes | None:
         """Asks the sender for confirmation; returns the request's body.
 
-        Returns None if no confirmation arrives in time.
+        Returns None if no confirmation arrives in time, or if a long one is
+        still arriving at the deadline, in loop time.
         """
         confirmation: asyncio.Future[bytes] = self.loop.create_future()
         self.confirmations[call_id] = confirmation
         self.send(SlotGranted(call_id))
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                return await confirmation
-        except TimeoutError:
-            # The sender is unreachable or has given the call up.
-            return None
+            while True:
+                await asyncio.wait({confirmation}, timeout=CONFIRM_TIMEOUT_S)
+                if confirmation.done():
+                    return confirmation.result()
+                if self.loop.time() >= deadline or not self._is_receiving():
+                    # The sender is unreachable or has given the call up.
+                    return None
         finally:
+            confirmation.cancel()
             del self.confirmations[call_id]
 
+    def _is_receiving(self) -> bool:
+        """Returns whether a message is arriving, which may be a long one."""
+        quiet_s = self.loop.time() - self.last_received_at
+        return bool(self.codec.buffer) and quiet_s < CONFIRM_TIMEOUT_S
+
     def _send_reply(self, call_id: int, result: CallResult) -> None:
         response = result.response or NO_RESPONSE
         self.send(
--- a/tests/sidecar/test_calls_between_nodes.py
+++ b/tests/sidecar/test_calls_between_nodes.py
@@ -84,6 +84,13 @@
     server.close()
 
 
+async def until(check):
+    """Waits until a check holds; a timeout fails the test."""
+    async with asyncio.timeout(5.0):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
 async def send(pair, idempotent, body=b"body", timeout_s=5.0):
     """Sends a call over the link."""
 
@@ -108,6 +115,77 @@
     return await pair.link.send_call(make, body, idempotent, timeout_s)
 
 
+class SlowTransport:
+    """Sends long messages in pieces, as a slow link does.
+
+    Attributes:
+      transport: The transport.
+      pieces: Pieces of a long message; the last ones are never sent if
+        `sent_pieces` is lower.
+      sent_pieces: Pieces that are sent.
+    """
+
+    INTERVAL_S = 0.15
+
+    def __init__(self, transport, pieces, sent_pieces):
+        self.transport = transport
+        self.pieces = pieces
+        self.sent_pieces = sent_pieces
+
+    def __getattr__(self, name):
+        return getattr(self.transport, name)
+
+    def write(self, data):
+        """Sends data, in pieces if it is long."""
+        if len(data) < 1000:
+            self.transport.write(data)
+            return
+        size = len(data) // self.pieces + 1
+        loop = asyncio.get_running_loop()
+        for number in range(self.sent_pieces):
+            piece = data[number * size : (number + 1) * size]
+            loop.call_later(
+                number * self.INTERVAL_S, self.transport.write, piece
+            )
+
+
+class TestLongBodies:
+    """A body that takes long to arrive runs, and one that stops does not."""
+
+    BODY = bytes(10_000)
+    PIECES = 6  # Together three times the wait for a confirmation.
+
+    async def test_a_body_on_a_slow_link_runs(self, pair):
+        """Guards against an upload that no server can ever run."""
+        pair.link.transport = SlowTransport(
+            pair.link.transport, self.PIECES, self.PIECES
+        )
+        reply = await send(pair, False, self.BODY)
+        assert reply.outcome is Outcome.ANSWERED
+        assert pair.ran == [self.BODY]
+
+    async def test_a_body_that_stops_arriving_gives_its_slot_back(self, pair):
+        """Guards against a slot that a lost sender holds."""
+        pair.link.transport = SlowTransport(
+            pair.link.transport, self.PIECES, self.PIECES - 1
+        )
+        task = asyncio.create_task(send(pair, False, self.BODY, 60.0))
+        await asyncio.sleep(self.PIECES * SlowTransport.INTERVAL_S)
+        await until(lambda: not pair.server_side.confirmations)
+        assert pair.ran == []
+        pair.link.close()
+        await task
+
+    async def test_a_body_does_not_arrive_past_the_deadline(self, pair):
+        """Guards against a slot that is held for a caller that has gone."""
+        pair.link.transport = SlowTransport(
+            pair.link.transport, self.PIECES, self.PIECES
+        )
+        await send(pair, False, self.BODY, 0.2)
+        await until(lambda: not pair.server_side.confirmations)
+        assert pair.ran == []
+
+
 class TestCallsBetweenNodes:
     """What the first hop reports when a connection breaks."""
 
