Count the newline of a log line in the buffer's limit

The check left out the newline that is added to the count, so one byte too many was kept when a line fitted exactly; whether one does depends on the digits of its time.

Change: the check counts the newline.

Measured: test_the_buffer_is_bounded_to_the_byte failed before and passes.

--- a/packages/sidecar/src/vanillamast_sidecar/event_logger.py
+++ b/packages/sidecar/src/vanillamast_sidecar/event_logger.py
@@ -91,7 +91,7 @@
         line = self.encoder.encode(
             {"t": round(now, 4), "node": self.node, "kind": kind, **fields}
         )
-        if self.pending_bytes + len(line) > BUFFER_BYTES:
+        if self.pending_bytes + len(line) + 1 > BUFFER_BYTES:
             self.dropped += 1
             return
         self.pending.append(line)
--- a/tests/sidecar/test_logbook.py
+++ b/tests/sidecar/test_logbook.py
@@ -26,6 +26,19 @@
         os.close(reader)
         os.close(writer)
 
+    def test_the_buffer_is_bounded_to_the_byte(self):
+        """Guards against a line whose newline exceeds the limit."""
+        reader, writer = os.pipe()
+        log = EventLogger("n", writer)
+        for free_bytes in range(200):
+            log.pending_bytes = BUFFER_BYTES - free_bytes
+            log.counts.clear()
+            log.flush = lambda: None
+            log.write("request.attempt", text="x" * 50)
+            assert log.pending_bytes <= BUFFER_BYTES
+        os.close(reader)
+        os.close(writer)
+
     def test_lines_are_whole_after_a_partial_write(self):
         """Guards against lines that are cut or joined."""
         reader, writer = os.pipe()
