Pass long request bodies on without holding copies of them

Change: a long body is read into one buffer of its length, frames are encoded and decoded in place, TransportWriter gives a transport pieces as the peer takes them, and a budget from the process's memory refuses at once what finds no room.

--- a/packages/sidecar/src/vanillamast_sidecar/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/client_connection.py
@@ -15,8 +15,9 @@
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
-from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.http_message import Body, HttpResponse
 from vanillamast_sidecar.response_limits import ResponseLimits
+from vanillamast_sidecar.transport_writer import TransportWriter
 
 # Unacknowledged data or unanswered probes end a connection after this time,
 # which is below the 1 s after which callers give up.
@@ -65,6 +66,7 @@
       limits: Limits on responses.
       budget: Body bytes that all connections of the process may keep.
       transport: The connection; None while it is not open.
+      writer: Writes long bodies to the transport.
       idle_since: When the last response ended, in loop time.
       idle_limit_s: Idle timeout that the peer announced, in seconds; 0 if it
         announced none.
@@ -87,6 +89,7 @@
         self.reusable = True
         self.requests_sent = 0
         self.loop = asyncio.get_running_loop()
+        self.writer = TransportWriter()
         self.parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[HttpResponse] | None = None
         self._expected_id = b""
@@ -123,14 +126,16 @@
         timeout_s: float,
         expected_id: bytes = b"",
         head_only: bool = False,
+        body: Body = b"",
     ) -> HttpResponse:
         """Sends a request and returns the whole response.
 
         Args:
-          data: The encoded request.
+          data: The encoded request, or its head if `body` follows.
           timeout_s: Longest wait for the end of the response, in seconds.
           expected_id: Id that the response must echo; others are discarded.
           head_only: Whether the response has no body (HEAD).
+          body: Long body that follows `data`.
 
         Raises:
           ConnectionLostError: The connection ended first.
@@ -150,7 +155,9 @@
         self._interim_responses = 0
         self.requests_sent += 1
         timer = self.loop.call_later(timeout_s, self._expire)
-        transport.write(data)
+        self.writer.write(data)
+        if body:
+            self.writer.write(body)
         try:
             return await waiter
         except BaseException:
@@ -189,8 +196,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores and configures the transport."""
         self.transport = transport  # type: ignore[assignment]
+        self.writer.transport = self.transport
         configure_socket(transport)
 
+    def pause_writing(self) -> None:
+        """Stops writing while the transport's buffer is full."""
+        self.writer.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on writing."""
+        self.writer.resume()
+
     def data_received(self, data: bytes) -> None:
         """Passes the bytes to the parser within the limits."""
         waiter = self._waiter
@@ -242,6 +258,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the waiting request."""
         self.transport = None
+        self.writer.close()
         self._fail(ConnectionLostError(repr(error)))
 
     # Callbacks of the parser.
--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
@@ -32,18 +32,20 @@
 )
 
 
-def make_frame(message: Message) -> bytes:
+def make_frame(message: Message) -> bytearray:
     """Returns the frame of a message, which suits every connection.
 
     Raises:
       FrameError: The message has a value that frames cannot carry, such as an
         integer of more than 64 bits.
     """
+    frame = bytearray(LENGTH.size)
     try:
-        payload = _encoder.encode(message)
+        _encoder.encode_into(message, frame, LENGTH.size)
     except (OverflowError, TypeError, ValueError) as error:
         raise FrameError(str(error)) from error
-    return LENGTH.pack(len(payload)) + payload
+    LENGTH.pack_into(frame, 0, len(frame) - LENGTH.size)
+    return frame
 
 
 class FrameCodec:
@@ -70,11 +72,11 @@
         )
         self.decompressor = zlib.decompressobj(-WINDOW_BITS)
 
-    def encode(self, message: Message) -> bytes:
+    def encode(self, message: Message) -> bytes | bytearray:
         """Encodes a message as the next bytes of the stream."""
         return self.encode_frame(make_frame(message))
 
-    def encode_frame(self, frame: bytes) -> bytes:
+    def encode_frame(self, frame: bytearray) -> bytes | bytearray:
         """Returns a frame as the next bytes of the stream."""
         compressor = self.compressor
         if compressor is None:
@@ -107,17 +109,25 @@
             end = start + LENGTH.size + length
             if len(buffer) < end:
                 break
-            payload = bytes(buffer[start + LENGTH.size : end])
-            try:
-                messages.append(_decoder.decode(payload))
-            except (msgspec.DecodeError, RecursionError) as error:
-                raise FrameError(str(error)) from error
+            # A body may be long: its frame is not copied.
+            with (
+                memoryview(buffer) as view,
+                view[start + LENGTH.size : end] as payload,
+            ):
+                messages.append(_decode(payload))
             start = end
         del buffer[:start]
         return messages
 
 
-def _store(data: bytes) -> bytes:
+def _decode(payload: memoryview) -> AnyMessage:
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FrameError(str(error)) from error
+
+
+def _store(data: bytearray) -> bytes:
     """Returns data as stored blocks, which follow a flush of the stream."""
     view = memoryview(data)
     parts: list[bytes | memoryview] = []
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from typing import cast
 
 from vanillamast_sidecar.call_result import CallResult
 from vanillamast_sidecar.crash_suspects import (
@@ -12,6 +13,7 @@
 from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.exchange import Exchange
 from vanillamast_sidecar.http_message import (
+    Body,
     Headers,
     HttpRequest,
     HttpResponse,
@@ -420,7 +422,7 @@
         route = exchange.route
         remaining_s = exchange.deadline - now
 
-        def make_call(number: int, body: bytes) -> Call:
+        def make_call(number: int, body: Body) -> Call:
             return Call(
                 number,
                 now,
@@ -435,7 +437,7 @@
                 request.method,
                 request.target,
                 exchange.headers,
-                body,
+                cast(bytes, body),
             )
 
         reply = await link.send_call(
--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import dataclasses
+import sys
 from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
 
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.caller_limits import CallerLimits
-from vanillamast_sidecar.http_message import Headers, HttpRequest, HttpResponse
+from vanillamast_sidecar.http_message import (
+    Body,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+)
 from vanillamast_sidecar.http_writer import encode_response
+from vanillamast_sidecar.transport_writer import LARGE_BYTES
 
 Handler = Callable[[HttpRequest, float], Awaitable[HttpResponse]]
 
@@ -21,6 +29,9 @@
 # request behind a response that closes its connection is sent again, whatever
 # its kind, so no other one may have run.
 CONCURRENT_METHODS = frozenset(("GET", "HEAD"))
+# Retry-After of a request whose body finds no room, in seconds: about the time
+# in which a long body is passed on.
+BODY_RETRY_AFTER = b"1"
 # Bytes that arrive with the last byte of a header section.
 READ_BYTES = 262_144
 
@@ -32,14 +43,22 @@
       handler: Returns the response to a request that arrived at a given time.
       limits: Limits on what callers may send; replaced with each version of
         the configuration.
+      body_budget: Bytes of request bodies that are held at once; a request
+        beyond it is refused.
       closing: Whether connections are closed after their next response.
       connections: Open connections.
       active_requests: Number of requests that the handler runs.
       accepted: Number of connections accepted so far.
     """
 
-    def __init__(self, handler: Handler, limits: CallerLimits | None = None):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: CallerLimits | None = None,
+        body_budget: ByteBudget | None = None,
+    ):
         self.handler = handler
+        self.body_budget = body_budget or ByteBudget(sys.maxsize)
         self.limits = limits or CallerLimits()
         self.closing = False
         self.connections: set[HttpConnection] = set()
@@ -74,6 +93,7 @@
       rejection: Response to a rejected request.
       arrived_at: When the whole request had arrived, in loop time.
       keep_alive: Whether the connection stays open after it.
+      held_bytes: Bytes of the budget that its body takes.
       task: Runs the request; None before it has started.
     """
 
@@ -81,6 +101,7 @@
     rejection: HttpResponse | None
     arrived_at: float
     keep_alive: bool
+    held_bytes: int = 0
     task: asyncio.Task[HttpResponse] | None = None
 
     @property
@@ -112,7 +133,9 @@
         self._header_bytes = 0
         self._unparsed_bytes = 0
         self._body = bytearray()
+        self._body_is_reserved = False
         self._body_bytes = 0
+        self._held_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._in_message = False
         self._in_head = False
@@ -157,7 +180,9 @@
         for entry in self.pending:
             if entry.task is not None:
                 entry.task.cancel()
+            self._release(entry)
         self.pending.clear()
+        self._drop_body()
         if self.task is not None:
             self.task.cancel()
 
@@ -169,6 +194,7 @@
         self._headers = []
         self._header_bytes = 0
         self._body = bytearray()
+        self._body_is_reserved = False
         self._body_bytes = 0
         self._in_message = True
         self._in_head = True
@@ -202,11 +228,30 @@
             # Behind other requests, it would precede their responses.
             if expected and not self.pending:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if name == b"content-length":
+                self._reserve_body(int(value))
+
+    def _reserve_body(self, size: int) -> None:
+        """Reserves a long body at once: a growing buffer is copied often.
+
+        The pages count as memory only once bytes have arrived in them.
+        """
+        if not LARGE_BYTES < size <= self.listener.limits.body_bytes:
+            return
+        if self._hold(size):
+            self._body = bytearray(size)
+            self._body_is_reserved = True
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
-        self._body += data
+        if self._rejected:
+            return
+        start = self._body_bytes
         self._body_bytes += len(data)
+        if self._body_is_reserved:
+            self._body[start : self._body_bytes] = data
+        elif self._hold(len(data)):
+            self._body += data
         if self._body_bytes > self.listener.limits.body_bytes:
             self._reject(413)
 
@@ -219,13 +264,40 @@
             self.parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
-            bytes(self._body),
+            self._take_body(),
         )
         keep_alive = self.parser.should_keep_alive()
+        held_bytes, self._held_bytes = self._held_bytes, 0
         self._add_pending(
-            PendingRequest(request, None, self.loop.time(), keep_alive)
+            PendingRequest(
+                request, None, self.loop.time(), keep_alive, held_bytes
+            )
         )
 
+    def _hold(self, size: int) -> bool:
+        """Takes bytes of the budget; rejects the request without enough."""
+        if self.listener.body_budget.try_acquire(size):
+            self._held_bytes += size
+            return True
+        self._reject(503, [(b"Retry-After", BODY_RETRY_AFTER)])
+        return False
+
+    def _drop_body(self) -> None:
+        self.listener.body_budget.release(self._held_bytes)
+        self._held_bytes = 0
+        self._body = bytearray()
+        self._body_is_reserved = False
+
+    def _release(self, entry: PendingRequest) -> None:
+        self.listener.body_budget.release(entry.held_bytes)
+        entry.held_bytes = 0
+
+    def _take_body(self) -> Body:
+        """Returns the body; a long one is not copied."""
+        body = self._body
+        self._body = bytearray()
+        return body if len(body) > LARGE_BYTES else bytes(body)
+
     # Responses.
 
     def _add_pending(self, entry: PendingRequest) -> None:
@@ -279,7 +351,7 @@
                     raise
                 if not self._write(entry, response, entry.keep_alive):
                     return
-                self.pending.popleft()
+                self._release(self.pending.popleft())
         finally:
             self.task = None
         if self.transport is not None:
@@ -319,7 +391,7 @@
             or self.pending[1].rejection is not None
         )
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: Headers | None = None) -> None:
         """Rejects a request that violates the protocol or a limit.
 
         Its response follows those to the earlier requests.
@@ -328,10 +400,14 @@
             return
         self._rejected = True
         self._stop_timer()
+        self._drop_body()
         if self.transport is not None:
             self._add_pending(
                 PendingRequest(
-                    None, HttpResponse(status, []), self.loop.time(), False
+                    None,
+                    HttpResponse(status, headers or []),
+                    self.loop.time(),
+                    False,
                 )
             )
 
--- a/packages/sidecar/src/vanillamast_sidecar/http_message.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_message.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 Headers = list[tuple[bytes, bytes]]
+Body = bytes | bytearray
 
 # Header fields that apply to one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -36,7 +37,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes = b""
+    body: Body = b""
 
     def get_header(self, name: bytes) -> bytes | None:
         """Returns the first value of a field, given in lower case."""
--- a/packages/sidecar/src/vanillamast_sidecar/http_writer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_writer.py
@@ -16,11 +16,18 @@
     method: str, target: str, headers: Headers, body: bytes
 ) -> bytes:
     """Returns an encoded request with a Content-Length field."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: Headers, body_bytes: int
+) -> bytes:
+    """Returns the encoded request line and header section."""
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines.extend(name + b": " + value for name, value in headers)
-    if body or method not in BODILESS_METHODS:
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes or method not in BODILESS_METHODS:
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_response(
--- a/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
@@ -160,7 +160,10 @@
         return True
 
     def pass_on(
-        self, frame: bytes, to_domains: bool, sender: PeerServer | None = None
+        self,
+        frame: bytearray,
+        to_domains: bool,
+        sender: PeerServer | None = None,
     ) -> None:
         """Sends a frame to the nodes that use this hub, and to other hubs.
 
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh.py
@@ -190,7 +190,7 @@
         """Sends a message to all nodes, through the hubs."""
         self._broadcast_frame(make_frame(message))
 
-    def _broadcast_frame(self, frame: bytes) -> None:
+    def _broadcast_frame(self, frame: bytearray) -> None:
         for hub in self.hubs:
             if hub.link is not None:
                 hub.link.send_frame(frame)
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.crash_suspects import CrashSuspects
 from vanillamast_sidecar.departure_recorder import DepartureRecorder
 from vanillamast_sidecar.errors import (
@@ -163,7 +164,10 @@
             log,
             self.metrics,
         )
-        self.callers = HttpListener(self.gateway.handle_request)
+        self.callers = HttpListener(
+            self.gateway.handle_request,
+            body_budget=ByteBudget(settings.held_body_bytes),
+        )
         operator_state = AppliedOperatorState(
             self.mesh,
             self.moves,
--- a/packages/sidecar/src/vanillamast_sidecar/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import cast
 
 from vanillamast_sidecar.client_connection import (
     close_with_reset,
@@ -10,6 +11,7 @@
 )
 from vanillamast_sidecar.errors import FrameError
 from vanillamast_sidecar.frame_codec import FrameCodec
+from vanillamast_sidecar.http_message import Body
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.messages import (
     AnyMessage,
@@ -24,6 +26,7 @@
 )
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.transport_writer import TransportWriter
 
 CONNECT_TIMEOUT_S = 0.6  # Above two round trips between failure domains.
 NO_LOAD = LoadReport(0, 0, 0.0, 0.0)
@@ -42,7 +45,7 @@
 
     future: asyncio.Future[Reply]
     idempotent: bool
-    body: bytes
+    body: Body
     confirmed: bool = False
 
     def fail(self, call_id: int, outcome: Outcome, reason: Reason) -> None:
@@ -72,6 +75,7 @@
       on_message: Handles every message, after replies resolved their calls.
       on_lost: Called when the connection has ended.
       transport: The connection; None while there is none.
+      writer: Writes to the transport.
       welcomed: Whether the peer has answered the hello.
       pending: Calls that wait for a reply, by id.
       last_received_at: When the last message arrived, in loop time.
@@ -94,6 +98,7 @@
         self.on_lost = on_lost
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.writer = TransportWriter()
         self.codec = FrameCodec()
         self.welcomed = False
         self.pending: dict[int, PendingCall] = {}
@@ -131,19 +136,19 @@
         if self.up:
             self._write(message)
 
-    def send_frame(self, frame: bytes) -> None:
+    def send_frame(self, frame: bytearray) -> None:
         """Sends an encoded message if the connection is open."""
         if self.up and self.transport is not None:
-            self.transport.write(self.codec.encode_frame(frame))
+            self.writer.write(self.codec.encode_frame(frame))
 
     def _write(self, message: Message) -> None:
         if self.transport is not None:
-            self.transport.write(self.codec.encode(message))
+            self.writer.write(self.codec.encode(message))
 
     async def send_call(
         self,
-        make_call: Callable[[int, bytes], Call],
-        body: bytes,
+        make_call: Callable[[int, Body], Call],
+        body: Body,
         idempotent: bool,
         timeout_s: float,
     ) -> Reply:
@@ -213,9 +218,18 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores and configures the transport."""
         self.transport = transport  # type: ignore[assignment]
+        self.writer.transport = self.transport
         configure_socket(transport)
         self.last_received_at = self.loop.time()
 
+    def pause_writing(self) -> None:
+        """Stops writing while the transport's buffer is full."""
+        self.writer.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on writing."""
+        self.writer.resume()
+
     def data_received(self, data: bytes) -> None:
         """Resolves calls with their replies and passes on all messages."""
         self.last_received_at = self.loop.time()
@@ -248,11 +262,13 @@
         pending = self.pending.get(call_id)
         if pending is not None and not pending.future.done():
             pending.confirmed = True
-            self.send(Confirm(call_id, pending.body))
+            # A bytearray is encoded like bytes.
+            self.send(Confirm(call_id, cast(bytes, pending.body)))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the pending calls and informs the owner."""
         self.transport = None
+        self.writer.close()
         if not self._welcome_received.done():
             self._welcome_received.set_exception(ConnectionResetError())
             # Marks the exception as retrieved if no one awaits it.
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/peer_server.py
@@ -28,6 +28,7 @@
 from vanillamast_sidecar.outcome import Outcome
 from vanillamast_sidecar.reason import Reason
 from vanillamast_sidecar.server_call import ServerCall
+from vanillamast_sidecar.transport_writer import TransportWriter
 
 # A call that took this much longer than the fastest one to arrive is refused:
 # its sender may have given it up during a network partition.
@@ -53,6 +54,7 @@
       on_closed: Called when the connection has ended.
       peer_address: Address of the node, empty before its hello.
       transport: The connection; None while there is none.
+      writer: Writes to the transport.
       tasks: Tasks of the calls, by id.
       last_received_at: When bytes last arrived, in loop time.
       confirmations: Resolved with the body when the sender confirms the call,
@@ -73,6 +75,7 @@
         self.loop = asyncio.get_running_loop()
         self.peer_address = ""
         self.transport: asyncio.Transport | None = None
+        self.writer = TransportWriter()
         self.codec = FrameCodec()
         self.confirmations: dict[int, asyncio.Future[bytes]] = {}
         self.clock = ClockOffset()
@@ -83,13 +86,13 @@
         """Sends a message if the connection is open, else drops it."""
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write(self.codec.encode(message))
+            self.writer.write(self.codec.encode(message))
 
-    def send_frame(self, frame: bytes) -> None:
+    def send_frame(self, frame: bytearray) -> None:
         """Sends an encoded message if the connection is open."""
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write(self.codec.encode_frame(frame))
+            self.writer.write(self.codec.encode_frame(frame))
 
     def close(self) -> None:
         """Closes the connection with a reset."""
@@ -98,8 +101,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores and configures the transport."""
         self.transport = transport  # type: ignore[assignment]
+        self.writer.transport = self.transport
         configure_socket(transport)
 
+    def pause_writing(self) -> None:
+        """Stops writing while the transport's buffer is full."""
+        self.writer.pause()
+
+    def resume_writing(self) -> None:
+        """Goes on writing."""
+        self.writer.resume()
+
     def data_received(self, data: bytes) -> None:
         """Starts calls and passes on the other messages."""
         self.last_received_at = self.loop.time()
@@ -224,6 +236,7 @@
         idempotent continue to their end.
         """
         self.transport = None
+        self.writer.close()
         for task in list(self.tasks.values()):
             task.cancel()
         self.on_closed(self)
--- a/packages/sidecar/src/vanillamast_sidecar/request_digest.py
+++ b/packages/sidecar/src/vanillamast_sidecar/request_digest.py
@@ -2,11 +2,13 @@
 
 import hashlib
 
+from vanillamast_sidecar.http_message import Body
+
 # Bodies that are equal up to here and of equal length count as the same.
 MAX_HASHED_BYTES = 65_536
 
 
-def digest_request(method: str, host: bytes, target: str, body: bytes) -> int:
+def digest_request(method: str, host: bytes, target: str, body: Body) -> int:
     """Returns a hash of 64 bits of what a caller repeats in a retry.
 
     Args:
--- a/packages/sidecar/src/vanillamast_sidecar/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_call.py
@@ -3,9 +3,9 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
-from vanillamast_sidecar.http_message import Headers
+from vanillamast_sidecar.http_message import Body, Headers
 
-Confirm = Callable[[], Awaitable[bytes | None]]
+Confirm = Callable[[], Awaitable[Body | None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +41,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: Body
     confirm: Confirm | None = None
 
     @property
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -21,8 +21,8 @@
     ResponseTooLargeError,
 )
 from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.http_writer import encode_request
+from vanillamast_sidecar.http_message import Body, HttpResponse
+from vanillamast_sidecar.http_writer import encode_request_head
 from vanillamast_sidecar.instance_record import InstanceRecord
 from vanillamast_sidecar.load_report import LoadReport
 from vanillamast_sidecar.metrics import Metrics
@@ -35,6 +35,7 @@
 from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.settings import SidecarSettings
+from vanillamast_sidecar.transport_writer import LARGE_BYTES
 
 CONNECT_TIMEOUT_S = 0.5  # The server is on the same machine.
 # The server itself answers when the deadline of a request has passed; that
@@ -404,7 +405,7 @@
             return self._refuse(call, Reason.CONNECT_FAILED)
         # While the connection was opened, the server may have deregistered and
         # the node that sent the request may have become unreachable.
-        body: bytes | None = call.body
+        body: Body | None = call.body
         if call.confirm is not None:
             body = await call.confirm()
         reason = self._find_refusal_reason(call)
@@ -452,14 +453,14 @@
     async def _send_request(
         self,
         call: ServerCall,
-        body: bytes,
+        body: Body,
         digest: int,
         pool: ConnectionPool,
         connection: ClientConnection,
     ) -> CallResult:
         remaining_s = call.deadline - self.loop.time()
         fields = self.settings.fields
-        data = encode_request(
+        data = encode_request_head(
             call.method,
             call.target,
             [
@@ -467,8 +468,10 @@
                 (fields.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
                 (fields.expected_instance, call.instance_id.encode()),
             ],
-            body,
+            len(body),
         )
+        if len(body) <= LARGE_BYTES:
+            data, body = data + body, b""
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
             self.running_request_ids.add(call.request_id)
@@ -480,6 +483,7 @@
                 remaining_s + RESPONSE_GRACE_S,
                 call.request_id,
                 call.method == "HEAD",
+                body,
             )
             pool.release(connection)
             result = self._classify(call, response)
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -1,6 +1,7 @@
 """Settings of a sidecar node."""
 
 import dataclasses
+import sys
 
 from vanillamast_sidecar.crash_settings import CrashSettings
 from vanillamast_sidecar.field_names import FieldNames
@@ -70,6 +71,7 @@
       bounds: Guarantees of the deployment.
       fields: Names of the deployment's header fields.
       response_limits: Limits on the responses of the local server.
+      held_body_bytes: Bytes of callers' request bodies held at once.
       crashes: Protection against requests that end their servers.
     """
 
@@ -88,4 +90,5 @@
     response_limits: ResponseLimits = dataclasses.field(
         default_factory=ResponseLimits
     )
+    held_body_bytes: int = sys.maxsize
     crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
--- a/packages/testing/src/vanillamast_testing/emulator/machine.py
+++ b/packages/testing/src/vanillamast_testing/emulator/machine.py
@@ -45,6 +45,8 @@
 expose_share = 0.1
 expose_slack = 50
 rollback_s = 5
+[limits]
+memory_mb = 300
 [platform]
 addr = "{store}"
 ttl_min_s = 1
--- a/tests/sidecar/test_calls_between_nodes.py
+++ b/tests/sidecar/test_calls_between_nodes.py
@@ -157,7 +157,7 @@
 
     async def test_a_body_on_a_slow_link_runs(self, pair):
         """Guards against an upload that no server can ever run."""
-        pair.link.transport = SlowTransport(
+        pair.link.writer.transport = SlowTransport(
             pair.link.transport, self.PIECES, self.PIECES
         )
         reply = await send(pair, False, self.BODY)
@@ -166,7 +166,7 @@
 
     async def test_a_body_that_stops_arriving_gives_its_slot_back(self, pair):
         """Guards against a slot that a lost sender holds."""
-        pair.link.transport = SlowTransport(
+        pair.link.writer.transport = SlowTransport(
             pair.link.transport, self.PIECES, self.PIECES - 1
         )
         task = asyncio.create_task(send(pair, False, self.BODY, 60.0))
@@ -178,7 +178,7 @@
 
     async def test_a_body_does_not_arrive_past_the_deadline(self, pair):
         """Guards against a slot that is held for a caller that has gone."""
-        pair.link.transport = SlowTransport(
+        pair.link.writer.transport = SlowTransport(
             pair.link.transport, self.PIECES, self.PIECES
         )
         await send(pair, False, self.BODY, 0.2)
--- a/tests/sidecar/test_http_listener.py
+++ b/tests/sidecar/test_http_listener.py
@@ -6,6 +6,7 @@
 import tracemalloc
 
 import pytest
+from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.caller_limits import CallerLimits
 from vanillamast_sidecar.http_listener import (
     MAX_CONCURRENT_REQUESTS,
@@ -13,9 +14,11 @@
     HttpListener,
 )
 from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.transport_writer import LARGE_BYTES
 
 HOST = "127.27.0.1"
 BODY_BYTES = 262_144
+LONG_BODY_BYTES = 32 * BODY_BYTES
 # Reads of the event loop and the framing of what they contain.
 READ_SLACK_BYTES = 4 * READ_BYTES
 
@@ -34,7 +37,8 @@
         self.cancelled = []
         self.release = {}
         self.listener = HttpListener(
-            self.handle, CallerLimits(header_bytes=512, body_bytes=BODY_BYTES)
+            self.handle,
+            CallerLimits(header_bytes=512, body_bytes=LONG_BODY_BYTES),
         )
 
     async def handle(self, request, arrived_at):
@@ -190,6 +194,27 @@
             await asyncio.sleep(0)
         assert caller.started == []
 
+    async def test_a_long_body_is_held_once(self, caller):
+        """Guards against copies of a body in the process that reads it."""
+        caller.finish("/")
+        gc.collect()
+        tracemalloc.start()
+        try:
+            caller.writer.write(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+                % LONG_BODY_BYTES
+            )
+            piece = bytes(READ_BYTES)
+            for _ in range(LONG_BODY_BYTES // READ_BYTES):
+                caller.writer.write(piece)
+                await caller.writer.drain()
+            assert (await caller.read())[0] == 200
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        # Twice if it were copied.
+        assert peak < 1.5 * LONG_BODY_BYTES
+
     async def test_a_body_in_tiny_chunks_costs_its_bytes(self, caller):
         """Guards against small pieces that each cost an object of their own."""
         caller.finish("/")
@@ -212,6 +237,83 @@
         assert peak < 2 * BODY_BYTES + READ_SLACK_BYTES
 
 
+class TestBodyBudget:
+    """Long bodies share a number of bytes; what finds no room is refused."""
+
+    BODY = bytes(2 * LARGE_BYTES)
+
+    @pytest.fixture
+    async def connect(self):
+        """Returns a function that opens connections to a listener."""
+        started = asyncio.Event()
+        release = asyncio.Event()
+
+        async def handle(request, arrived_at):
+            started.set()
+            await release.wait()
+            return HttpResponse(200, [], b"%d" % len(request.body))
+
+        listener = HttpListener(
+            handle, CallerLimits(), ByteBudget(3 * LARGE_BYTES)
+        )
+        server = await listener.listen(HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        writers = []
+
+        async def connect(headers, body=b""):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writers.append(writer)
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\n" + headers)
+            writer.write(b"\r\n" + body)
+            return reader, writer
+
+        connect.started, connect.release = started, release
+        connect.listener = listener
+        yield connect
+        release.set()
+        for writer in writers:
+            writer.close()
+        server.close()
+
+    async def test_a_body_that_finds_no_room_is_refused(self, connect):
+        """Guards against bodies that take the process over its memory."""
+        length = b"Content-Length: %d\r\n" % len(self.BODY)
+        first, _ = await connect(length, self.BODY)
+        await asyncio.wait_for(connect.started.wait(), 5.0)
+        second, _ = await connect(length)
+        head = await asyncio.wait_for(second.readuntil(b"\r\n\r\n"), 5.0)
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1\r\n" in head
+        connect.release.set()
+        head = await asyncio.wait_for(first.readuntil(b"\r\n\r\n"), 5.0)
+        assert head.startswith(b"HTTP/1.1 200 ")
+        await until(lambda: connect.listener.body_budget.used == 0)
+
+    async def test_a_chunked_body_that_finds_no_room_is_refused(self, connect):
+        """Guards against bodies whose length is not known before."""
+        chunk = b"%x\r\n%s\r\n" % (LARGE_BYTES, bytes(LARGE_BYTES))
+        reader, writer = await connect(
+            b"Transfer-Encoding: chunked\r\n", chunk * 3
+        )
+        await until(lambda: connect.listener.body_budget.used > 0)
+        writer.write(chunk)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+        assert head.startswith(b"HTTP/1.1 503 ")
+        await until(lambda: connect.listener.body_budget.used == 0)
+        assert not connect.started.is_set()
+
+    @pytest.mark.parametrize("sent", [0, 1000, 2 * LARGE_BYTES])
+    async def test_a_caller_that_leaves_gives_its_bytes_back(
+        self, connect, sent
+    ):
+        """Guards against a budget that fills up with callers that left."""
+        length = b"Content-Length: %d\r\n" % len(self.BODY)
+        _, writer = await connect(length, self.BODY[:sent])
+        await until(lambda: connect.listener.body_budget.used > 0)
+        writer.close()
+        await until(lambda: connect.listener.body_budget.used == 0)
+
+
 class TestPlannedStop:
     """Requests that were accepted are answered before the connection ends."""
 
