Keep room for short request bodies

Cause: short bodies took bytes of the budget for long ones, so a few long uploads could have had short requests refused.

--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http_listener.py
@@ -43,8 +43,8 @@
       handler: Returns the response to a request that arrived at a given time.
       limits: Limits on what callers may send; replaced with each version of
         the configuration.
-      body_budget: Bytes of request bodies that are held at once; a request
-        beyond it is refused.
+      body_budget: Bytes of long request bodies that are held at once; a
+        request beyond it is refused.
       closing: Whether connections are closed after their next response.
       connections: Open connections.
       active_requests: Number of requests that the handler runs.
@@ -250,7 +250,7 @@
         self._body_bytes += len(data)
         if self._body_is_reserved:
             self._body[start : self._body_bytes] = data
-        elif self._hold(len(data)):
+        elif self._body_bytes <= LARGE_BYTES or self._hold(len(data)):
             self._body += data
         if self._body_bytes > self.listener.limits.body_bytes:
             self._reject(413)
