Move the detection of a server's end out of the executor

Change: ServerEndDetector, a class and a file of its own; no change of what it does.

Measured: the tests of the executor and of deadly requests pass.

--- a/packages/sidecar/src/vanillamast_sidecar/crash_suspects.py
+++ b/packages/sidecar/src/vanillamast_sidecar/crash_suspects.py
@@ -51,9 +51,9 @@
 class CrashSuspects:
     """Counts servers that ended under a request, by service and version.
 
-    A request that ran beside the one at fault is suspected as well. It is
-    cleared as soon as a server answers it, and as a request with many ends is
-    not sent beside another such one, both are not counted together again.
+    A request that ran beside the one at fault is suspected as well, until a
+    server answers it. Requests with many ends never run beside each other, so
+    that the next end shows which of them is at fault.
 
     Attributes:
       settings: Limits and times.
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/server_executor.py
@@ -32,6 +32,7 @@
 from vanillamast_sidecar.request_digest import digest_request
 from vanillamast_sidecar.server_call import ServerCall
 from vanillamast_sidecar.server_end import ServerEnd
+from vanillamast_sidecar.server_end_detector import ServerEndDetector
 from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
 from vanillamast_sidecar.server_registry import ServerRegistry
 from vanillamast_sidecar.settings import SidecarSettings
@@ -45,8 +46,6 @@
 # A request whose deadline is nearer than this is not sent: no server answers
 # faster.
 MIN_ATTEMPT_S = 0.005
-# A server that ends loses the connections of all requests within this time.
-END_CHECK_DELAY_S = 0.002
 # A timer that fires a little early does not find the next request allowed.
 MIN_GRANT_DELAY_S = 0.001
 
@@ -66,7 +65,7 @@
       on_unreachable: Called when the server refused a connection.
       on_response: Called when a response has changed the server's state.
       suspects: Requests under which servers have ended.
-      on_end: Called when the server has ended while it ran requests.
+      end_detector: Finds out whether the server has ended.
       queue: Slots and waiting requests.
       pool: Idle connections; None before the first heartbeat.
       incarnation: Id and start time of the server of the queue and the pool.
@@ -80,9 +79,6 @@
         time.
       running_alone: Whether the server runs a request that must not run
         beside another such one.
-      lost_requests: Digests of requests whose connection was lost, until it
-        is known whether the server has ended.
-      end_check: Finds that out; None while nothing was lost.
       grant_timer: Grants slots when the rate limit allows the next request;
         None while no request waits for that.
     """
@@ -107,7 +103,7 @@
         self.on_unreachable = on_unreachable
         self.on_response = on_response
         self.suspects = suspects
-        self.on_end = on_end
+        self.end_detector = ServerEndDetector(suspects, on_unreachable, on_end)
         self.loop = asyncio.get_running_loop()
         self.queue: AdmissionQueue[asyncio.Future[Reason]] = AdmissionQueue(1)
         self.pool: ConnectionPool | None = None
@@ -119,8 +115,6 @@
         self.sent = DecayingRate()
         self.last_deadline = float("inf")
         self.running_alone = False
-        self.lost_requests: list[int] = []
-        self.end_check: asyncio.Task[None] | None = None
         self.grant_timer: asyncio.TimerHandle | None = None
 
     def get_load(self) -> LoadReport:
@@ -502,7 +496,7 @@
             reason = Reason.MALFORMED
         except ConnectionLostError:
             reason = Reason.CONNECTION_LOST
-            self._handle_lost_request(call, digest)
+            self._handle_lost_request(call, digest, pool)
         finally:
             self.running_request_ids.discard(call.request_id)
         self.metrics.count("server_failures", reason=reason)
@@ -525,48 +519,19 @@
                 current.service, current.version, digest
             )
 
-    def _handle_lost_request(self, call: ServerCall, digest: int) -> None:
-        """Finds out whether the server has ended, once for all its requests."""
+    def _handle_lost_request(
+        self, call: ServerCall, digest: int, pool: ConnectionPool
+    ) -> None:
         current = self.registry.current
         if (
-            current is None
-            or current.leaving
-            or (current.id, current.born_ms) != (call.instance_id, call.born_ms)
+            current is not None
+            and not current.leaving
+            and (current.id, current.born_ms)
+            == (call.instance_id, call.born_ms)
         ):
-            return
-        self.lost_requests.append(digest)
-        if self.end_check is None:
-            self.end_check = self.loop.create_task(self._check_end(current))
-
-    async def _check_end(self, server: InstanceRecord) -> None:
-        """Reports the server's end if it accepts no connection any more."""
-        pool = self.pool
-        try:
-            # All requests that it ran are lost at the same moment.
-            await asyncio.sleep(END_CHECK_DELAY_S)
-            if pool is None:
-                return
-            connection = await pool.connect(
-                CONNECT_TIMEOUT_S, self.queue.running + 1
+            self.end_detector.handle_lost_request(
+                digest, current, pool, self.queue.running
             )
-            pool.release(connection)
-        except ConnectError:
-            self.on_unreachable()
-            digests = self.suspects.select(
-                server.service, server.version, self.lost_requests
-            )
-            self.on_end(
-                ServerEnd(
-                    server.service,
-                    server.version,
-                    server.id,
-                    server.born_ms,
-                    digests,
-                )
-            )
-        finally:
-            self.lost_requests = []
-            self.end_check = None
 
     def _apply_notice(self, call: ServerCall, response: HttpResponse) -> None:
         """Applies what a valid response says about the server's state."""
--- a/tests/sidecar/test_server_executor.py
+++ b/tests/sidecar/test_server_executor.py
@@ -315,7 +315,7 @@
         backend.close_connections()
         results = await asyncio.gather(*sends)
         assert {result.reason for result in results} == {Reason.CONNECTION_LOST}
-        await backend.executor.end_check
+        await backend.executor.end_detector.check
         (end,) = backend.ends
         assert (end.instance_id, end.version) == ("i-1", "v1")
         # The three requests differ in their ids only.
@@ -328,7 +328,7 @@
         await asyncio.sleep(0.05)
         backend.close_connections()
         assert (await sends).reason is Reason.CONNECTION_LOST
-        await backend.executor.end_check
+        await backend.executor.end_detector.check
         assert backend.ends == []
         assert (await run(backend, b"2")).outcome is Outcome.ANSWERED
 
