Write a departure once however many heartbeats report it

Cause: a further heartbeat of a draining server replaced the record that was being written, which was then written again.

Change: the recorder compares the server and not the record.

Measured: test_heartbeats_meanwhile_cause_no_second_write failed before (two writes) and passes.

--- a/packages/sidecar/src/vanillamast_sidecar/departure_recorder.py
+++ b/packages/sidecar/src/vanillamast_sidecar/departure_recorder.py
@@ -76,7 +76,8 @@
                 delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
                 continue
             self.recorded = (instance.id, instance.born_ms)
-            if self.pending is instance:
+            # A later heartbeat may have replaced the record, not the server.
+            if (self.pending.id, self.pending.born_ms) == self.recorded:
                 self.pending = None
             self.log.write(
                 "departure.recorded",
--- a/tests/sidecar/test_departure_recorder.py
+++ b/tests/sidecar/test_departure_recorder.py
@@ -69,6 +69,17 @@
             assert await recorder.wait(5.0)
         assert [record.instance.id for record in store.records] == ["i-1"]
 
+    async def test_heartbeats_meanwhile_cause_no_second_write(
+        self, recorder, store
+    ):
+        """Guards against writes that add up while the store is slow."""
+        store.delay_s = 0.05
+        recorder.start(departed("i-1", 7))
+        await asyncio.sleep(0.01)
+        recorder.start(departed("i-1", 7))
+        assert await recorder.wait(5.0)
+        assert len(store.records) == 1
+
     async def test_a_refused_write_is_repeated(self, recorder, store):
         """Guards against a departure that an outage of the store loses."""
         store.refusals = 3
