Decide the room for long bodies outside the adapter

Cause: the adapter computed how many bytes of bodies the memory suffices for, which is a decision.

Change: the adapter passes the memory on; body_room decides.

--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
+from vanillamast_sidecar.body_room import get_body_room
 from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.crash_suspects import CrashSuspects
 from vanillamast_sidecar.departure_recorder import DepartureRecorder
@@ -166,7 +167,7 @@
         )
         self.callers = HttpListener(
             self.gateway.handle_request,
-            body_budget=ByteBudget(settings.held_body_bytes),
+            body_budget=ByteBudget(get_body_room(settings.memory_bytes)),
         )
         operator_state = AppliedOperatorState(
             self.mesh,
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -1,7 +1,6 @@
 """Settings of a sidecar node."""
 
 import dataclasses
-import sys
 
 from vanillamast_sidecar.crash_settings import CrashSettings
 from vanillamast_sidecar.field_names import FieldNames
@@ -71,7 +70,7 @@
       bounds: Guarantees of the deployment.
       fields: Names of the deployment's header fields.
       response_limits: Limits on the responses of the local server.
-      held_body_bytes: Bytes of callers' request bodies held at once.
+      memory_bytes: Memory that the process may use; 0 if it is not limited.
       crashes: Protection against requests that end their servers.
     """
 
@@ -90,5 +89,5 @@
     response_limits: ResponseLimits = dataclasses.field(
         default_factory=ResponseLimits
     )
-    held_body_bytes: int = sys.maxsize
+    memory_bytes: int = 0
     crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
