--- a/packages/sidecar/src/vanillamast_sidecar/response_limits.py
+++ b/packages/sidecar/src/vanillamast_sidecar/response_limits.py
@@ -8,7 +8,7 @@
     """Limits on one response and on all that a process receives at once.
 
     A faulty server may send bytes without end. The process keeps a response
-    up to four times: as chunks, joined, as a frame and in a send buffer.
+    up to four times: as received, copied, as a frame and in a send buffer.
 
     Attributes:
       head_bytes: Largest status line and header section.
