--- a/packages/sidecar/src/vanillamast_sidecar/__init__.py
+++ b/packages/sidecar/src/vanillamast_sidecar/__init__.py
@@ -9,19 +9,23 @@
 """
 
 from vanillamast_sidecar.errors import SidecarError
-from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.server_api import Deregistration, ServerApi
 from vanillamast_sidecar.node import Node
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.route import Route
-from vanillamast_sidecar.server_api import Deregistration, ServerApi
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.operator_state.store import (
+    MoveStates,
+    OperatorUpdate,
+    Store,
+)
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 from vanillamast_sidecar.settings_source import SettingsSource
-from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.store import MoveStates, OperatorUpdate, Store
 
 __all__ = [
     "Address",
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Second hop: when the local backend server runs a request."""
--- a/packages/sidecar/src/vanillamast_sidecar/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/admission_queue.py
@@ -4,8 +4,8 @@
 import itertools
 from typing import Generic, TypeVar
 
-from vanillamast_sidecar.decaying_rate import DecayingRate
-from vanillamast_sidecar.rate_limiter import RateLimiter
+from vanillamast_sidecar.admission.decaying_rate import DecayingRate
+from vanillamast_sidecar.admission.rate_limiter import RateLimiter
 
 T = TypeVar("T")
 
--- a/packages/sidecar/src/vanillamast_sidecar/call_result.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/call_result.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.http.http_message import HttpResponse
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/sidecar/src/vanillamast_sidecar/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
-from vanillamast_sidecar.http_message import Body, Headers
+from vanillamast_sidecar.http.http_message import Body, Headers
 
 Confirm = Callable[[], Awaitable[Body | None]]
 
--- a/packages/sidecar/src/vanillamast_sidecar/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -4,14 +4,21 @@
 import sys
 from collections.abc import Callable
 
-from vanillamast_sidecar.admission_queue import AdmissionQueue
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.call_result import CallResult
-from vanillamast_sidecar.client_connection import ClientConnection
-from vanillamast_sidecar.connection_pool import ConnectionPool
-from vanillamast_sidecar.crash_suspects import Admission, CrashSuspects
-from vanillamast_sidecar.decaying_rate import DecayingRate
-from vanillamast_sidecar.decaying_share import DecayingShare
+from vanillamast_sidecar.admission.admission_queue import AdmissionQueue
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.decaying_rate import DecayingRate
+from vanillamast_sidecar.admission.decaying_share import DecayingShare
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.server_call import ServerCall
+from vanillamast_sidecar.admission.server_notice import (
+    is_leaving,
+    read_rate_limit,
+)
+from vanillamast_sidecar.crashes.crash_suspects import Admission, CrashSuspects
+from vanillamast_sidecar.crashes.request_digest import digest_request
+from vanillamast_sidecar.crashes.server_end import ServerEnd
+from vanillamast_sidecar.crashes.server_end_detector import ServerEndDetector
 from vanillamast_sidecar.errors import (
     ConnectError,
     ConnectionLostError,
@@ -20,23 +27,19 @@
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.http_message import Body, HttpResponse
-from vanillamast_sidecar.http_writer import encode_request_head
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.request_digest import digest_request
-from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.server_end import ServerEnd
-from vanillamast_sidecar.server_end_detector import ServerEndDetector
-from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
-from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.client_connection import ClientConnection
+from vanillamast_sidecar.http.connection_pool import ConnectionPool
+from vanillamast_sidecar.http.http_message import Body, HttpResponse
+from vanillamast_sidecar.http.http_writer import encode_request_head
+from vanillamast_sidecar.http.transport_writer import LARGE_BYTES
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import SidecarSettings
-from vanillamast_sidecar.transport_writer import LARGE_BYTES
 
 CONNECT_TIMEOUT_S = 0.5  # The server is on the same machine.
 # The server itself answers when the deadline of a request has passed; that
--- a/packages/sidecar/src/vanillamast_sidecar/server_notice.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_notice.py
@@ -4,7 +4,7 @@
 
 from vanillamast_sidecar.errors import InvalidRateLimitError
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.http_message import HttpResponse
+from vanillamast_sidecar.http.http_message import HttpResponse
 
 
 def is_leaving(response: HttpResponse, fields: FieldNames) -> bool:
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which backend servers end."""
--- a/packages/sidecar/src/vanillamast_sidecar/crash_suspects.py
+++ b/packages/sidecar/src/vanillamast_sidecar/crashes/crash_suspects.py
@@ -4,8 +4,8 @@
 import enum
 import random
 
-from vanillamast_sidecar.crash_settings import CrashSettings
-from vanillamast_sidecar.server_end import ServerEnd
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.server_end import ServerEnd
 
 # Retry-After of a request that waits for more servers to be ready.
 SPARE_RETRY_AFTER_S = 1.0
--- a/packages/sidecar/src/vanillamast_sidecar/request_digest.py
+++ b/packages/sidecar/src/vanillamast_sidecar/crashes/request_digest.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from vanillamast_sidecar.http_message import Body
+from vanillamast_sidecar.http.http_message import Body
 
 # Bodies that are equal up to here and of equal length count as the same.
 MAX_HASHED_BYTES = 65_536
--- a/packages/sidecar/src/vanillamast_sidecar/server_end_detector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/crashes/server_end_detector.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from vanillamast_sidecar.connection_pool import ConnectionPool
-from vanillamast_sidecar.crash_suspects import CrashSuspects
+from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
+from vanillamast_sidecar.crashes.server_end import ServerEnd
 from vanillamast_sidecar.errors import ConnectError
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.server_end import ServerEnd
+from vanillamast_sidecar.http.connection_pool import ConnectionPool
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
 
 CONNECT_TIMEOUT_S = 0.5  # The server is on the same machine.
 # A server that ends loses the connections of all requests within this time.
--- a/packages/sidecar/src/vanillamast_sidecar/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
@@ -7,7 +7,6 @@
 
 import httptools
 
-from vanillamast_sidecar.byte_budget import ByteBudget
 from vanillamast_sidecar.errors import (
     ConnectError,
     ConnectionLostError,
@@ -15,9 +14,10 @@
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
-from vanillamast_sidecar.http_message import Body, HttpResponse
-from vanillamast_sidecar.response_limits import ResponseLimits
-from vanillamast_sidecar.transport_writer import TransportWriter
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.http_message import Body, HttpResponse
+from vanillamast_sidecar.http.response_limits import ResponseLimits
+from vanillamast_sidecar.http.transport_writer import TransportWriter
 
 # Unacknowledged data or unanswered probes end a connection after this time,
 # which is below the 1 s after which callers give up.
--- a/packages/sidecar/src/vanillamast_sidecar/connection_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/connection_pool.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.client_connection import ClientConnection
-from vanillamast_sidecar.response_limits import ResponseLimits
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.client_connection import ClientConnection
+from vanillamast_sidecar.http.response_limits import ResponseLimits
 
 # Subtracted from the idle timeout that the server announces: the announced
 # time is rounded to seconds, and the server may close a connection earlier.
--- a/packages/sidecar/src/vanillamast_sidecar/http_listener.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/http_listener.py
@@ -8,16 +8,16 @@
 
 import httptools
 
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.caller_limits import CallerLimits
-from vanillamast_sidecar.http_message import (
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.caller_limits import CallerLimits
+from vanillamast_sidecar.http.http_message import (
     Body,
     Headers,
     HttpRequest,
     HttpResponse,
 )
-from vanillamast_sidecar.http_writer import encode_response
-from vanillamast_sidecar.transport_writer import LARGE_BYTES
+from vanillamast_sidecar.http.http_writer import encode_response
+from vanillamast_sidecar.http.transport_writer import LARGE_BYTES
 
 Handler = Callable[[HttpRequest, float], Awaitable[HttpResponse]]
 
--- a/packages/sidecar/src/vanillamast_sidecar/http_writer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/http_writer.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from vanillamast_sidecar.http_message import (
+from vanillamast_sidecar.http.http_message import (
     Headers,
     HttpResponse,
     remove_hop_by_hop,
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The known nodes and their backend servers."""
--- a/packages/sidecar/src/vanillamast_sidecar/departure_recorder.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/departure_recorder.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 from vanillamast_sidecar.errors import StoreError
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.store import Store
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.operator_state.store import Store
 
 FIRST_RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 4.0
--- a/packages/sidecar/src/vanillamast_sidecar/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.peer import Peer
 
 # Incarnations that are remembered as leaving: more than leave while one of
 # them still runs.
--- a/packages/sidecar/src/vanillamast_sidecar/node_record.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/node_record.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
 
 
 class NodeRecord(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/node_record_check.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/node_record_check.py
@@ -2,10 +2,14 @@
 
 import math
 
-from vanillamast_sidecar.heartbeat import MAX_BORN_MS, MAX_SEQUENCE, MAX_SLOTS
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.ip_address import is_ip_address
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.heartbeat import (
+    MAX_BORN_MS,
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+)
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.ip_address import is_ip_address
+from vanillamast_sidecar.membership.node_record import NodeRecord
 
 # A process that started later than this is not one of this fleet, whose clocks
 # differ by seconds.
--- a/packages/sidecar/src/vanillamast_sidecar/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/peer.py
@@ -3,9 +3,9 @@
 import asyncio
 import math
 
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.peer_link import NO_LOAD, PeerLink
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.mesh.peer_link import NO_LOAD, PeerLink
 
 # Half-life of the reported load of other nodes while no new report arrives.
 LOAD_HALF_LIFE_S = 0.7
--- a/packages/sidecar/src/vanillamast_sidecar/server_api.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_api.py
@@ -3,8 +3,8 @@
 import dataclasses
 from typing import Protocol
 
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.http_message import HttpRequest
+from vanillamast_sidecar.http.http_message import HttpRequest
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/sidecar/src/vanillamast_sidecar/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
 
 # Missing heartbeats after which the server counts as down; a single one may
 # arrive seconds late.
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and messages between the nodes."""
--- a/packages/sidecar/src/vanillamast_sidecar/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/frame_codec.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.messages import AnyMessage, Message
+from vanillamast_sidecar.mesh.messages import AnyMessage, Message
 
 LENGTH = struct.Struct(">I")
 # Far above the largest body that the caller limits allow.
--- a/packages/sidecar/src/vanillamast_sidecar/hub.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub.py
@@ -3,9 +3,9 @@
 import dataclasses
 import itertools
 
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.mesh.messages import (
     DomainStatus,
     HubReport,
     NodeHeartbeat,
--- a/packages/sidecar/src/vanillamast_sidecar/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
@@ -2,17 +2,21 @@
 
 from collections.abc import Iterator
 
-from vanillamast_sidecar.frame_codec import make_frame
-from vanillamast_sidecar.hub import Hub
-from vanillamast_sidecar.hub_selector import HUBS_PER_DOMAIN, select_hubs
-from vanillamast_sidecar.hub_view import HubView
-from vanillamast_sidecar.link_pool import LinkPool
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import DomainStatus, NodeHeartbeat, Records
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.peer_server import PeerServer
-from vanillamast_sidecar.record_relay import RecordRelay
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.frame_codec import make_frame
+from vanillamast_sidecar.mesh.hub import Hub
+from vanillamast_sidecar.mesh.hub_selector import HUBS_PER_DOMAIN, select_hubs
+from vanillamast_sidecar.mesh.hub_view import HubView
+from vanillamast_sidecar.mesh.link_pool import LinkPool
+from vanillamast_sidecar.mesh.messages import (
+    DomainStatus,
+    NodeHeartbeat,
+    Records,
+)
+from vanillamast_sidecar.mesh.peer_server import PeerServer
+from vanillamast_sidecar.mesh.record_relay import RecordRelay
 
 # Interval of the statuses that hubs of different failure domains send each
 # other.
--- a/packages/sidecar/src/vanillamast_sidecar/hub_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_selector.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.membership.peer import Peer
 
 # The second hub covers for the first until its failure is detected.
 HUBS_PER_DOMAIN = 2
--- a/packages/sidecar/src/vanillamast_sidecar/hub_view.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_view.py
@@ -3,8 +3,8 @@
 import dataclasses
 import math
 
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import HubReport
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.mesh.messages import HubReport
 
 # Reports older than this do not count: the hub may be cut off itself.
 REPORT_LIFETIME_S = 0.6
--- a/packages/sidecar/src/vanillamast_sidecar/link_pool.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/link_pool.py
@@ -4,11 +4,11 @@
 import random
 from collections.abc import Callable, Container
 
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import AnyMessage, Hello
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.peer_link import PeerLink
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.messages import AnyMessage, Hello
+from vanillamast_sidecar.mesh.peer_link import PeerLink
+from vanillamast_sidecar.observability.event_logger import EventLogger
 
 MIN_RECONNECT_DELAY_S = 0.2
 # Bounds how long a node that is reachable again goes unnoticed.
--- a/packages/sidecar/src/vanillamast_sidecar/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -5,17 +5,19 @@
 
 import msgspec
 
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.frame_codec import make_frame
-from vanillamast_sidecar.hub import HUB_INTERVAL_S
-from vanillamast_sidecar.hub_duty import HubDuty
-from vanillamast_sidecar.hub_selector import HUBS_PER_DOMAIN, select_hubs
-from vanillamast_sidecar.hub_view import HubView
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.link_pool import LinkPool
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.crashes.server_end import ServerEnd
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.frame_codec import make_frame
+from vanillamast_sidecar.mesh.hub import HUB_INTERVAL_S
+from vanillamast_sidecar.mesh.hub_duty import HubDuty
+from vanillamast_sidecar.mesh.hub_selector import HUBS_PER_DOMAIN, select_hubs
+from vanillamast_sidecar.mesh.hub_view import HubView
+from vanillamast_sidecar.mesh.link_pool import LinkPool
+from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
     DomainStatus,
     Evidence,
@@ -31,14 +33,12 @@
     Reply,
     Welcome,
 )
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.peer_link import PeerLink
-from vanillamast_sidecar.peer_monitor import PeerMonitor
-from vanillamast_sidecar.peer_server import CallRunner, PeerServer
-from vanillamast_sidecar.server_end import ServerEnd
+from vanillamast_sidecar.mesh.peer_link import PeerLink
+from vanillamast_sidecar.mesh.peer_monitor import PeerMonitor
+from vanillamast_sidecar.mesh.peer_server import CallRunner, PeerServer
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import Address, SidecarSettings
 
 # Heartbeats go to the hubs in turn.
--- a/packages/sidecar/src/vanillamast_sidecar/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.server_end import ServerEnd
-from vanillamast_sidecar.version_evidence import VersionEvidence
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.crashes.server_end import ServerEnd
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_link.py
@@ -5,15 +5,18 @@
 from collections.abc import Callable
 from typing import cast
 
-from vanillamast_sidecar.client_connection import (
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.http.client_connection import (
     close_with_reset,
     configure_socket,
 )
-from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.frame_codec import FrameCodec
-from vanillamast_sidecar.http_message import Body
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.http.http_message import Body
+from vanillamast_sidecar.http.transport_writer import TransportWriter
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.mesh.frame_codec import FrameCodec
+from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
     Call,
     Cancel,
@@ -24,9 +27,6 @@
     SlotGranted,
     Welcome,
 )
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.transport_writer import TransportWriter
 
 CONNECT_TIMEOUT_S = 0.6  # Above two round trips between failure domains.
 NO_LOAD = LoadReport(0, 0, 0.0, 0.0)
--- a/packages/sidecar/src/vanillamast_sidecar/peer_monitor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_monitor.py
@@ -1,12 +1,12 @@
 """Detects nodes that no longer answer."""
 
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.hub import HEARTBEAT_TIMEOUT_S
-from vanillamast_sidecar.link_pool import LinkPool
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.peer_link import PeerLink
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.hub import HEARTBEAT_TIMEOUT_S
+from vanillamast_sidecar.mesh.link_pool import LinkPool
+from vanillamast_sidecar.mesh.peer_link import PeerLink
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
 
 # A node with calls in flight is pinged after this time without a message, and
 # is unresponsive if no message follows for as long again.
--- a/packages/sidecar/src/vanillamast_sidecar/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -3,17 +3,21 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from vanillamast_sidecar.call_result import CallResult
-from vanillamast_sidecar.client_connection import (
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.server_call import ServerCall
+from vanillamast_sidecar.errors import FrameError
+from vanillamast_sidecar.http.client_connection import (
     close_with_reset,
     configure_socket,
 )
-from vanillamast_sidecar.clock_offset import ClockOffset
-from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.frame_codec import FrameCodec
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.http.http_message import HttpResponse
+from vanillamast_sidecar.http.transport_writer import TransportWriter
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.mesh.clock_offset import ClockOffset
+from vanillamast_sidecar.mesh.frame_codec import FrameCodec
+from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
     Call,
     Cancel,
@@ -25,10 +29,6 @@
     Reply,
     SlotGranted,
 )
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.transport_writer import TransportWriter
 
 # A call that took this much longer than the fastest one to arrive is refused:
 # its sender may have given it up during a network partition.
--- a/packages/sidecar/src/vanillamast_sidecar/record_relay.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/record_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
 
 # Records that arrive within this time are passed on in one message.
 RELAY_DELAY_S = 0.02
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -9,41 +9,45 @@
 
 import msgspec
 
-from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
-from vanillamast_sidecar.body_room import get_body_room
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.crash_suspects import CrashSuspects
-from vanillamast_sidecar.departure_recorder import DepartureRecorder
+from vanillamast_sidecar.admission.server_executor import ServerExecutor
+from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
+from vanillamast_sidecar.crashes.server_end import ServerEnd
 from vanillamast_sidecar.errors import (
     FrameError,
     InvalidHeartbeatError,
     InvalidSettingsError,
     StoreError,
 )
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.gateway import Gateway
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.http_listener import Handler, HttpListener
-from vanillamast_sidecar.http_message import HttpRequest, HttpResponse
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import Records
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_controller import MoveController
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.node_record_check import find_defect
-from vanillamast_sidecar.operator_state_sync import OperatorStateSync
-from vanillamast_sidecar.server_api import Deregistration, ServerApi
-from vanillamast_sidecar.server_end import ServerEnd
-from vanillamast_sidecar.server_executor import ServerExecutor
-from vanillamast_sidecar.server_registry import ServerRegistry
-from vanillamast_sidecar.server_selector import ServerSelector
+from vanillamast_sidecar.http.body_room import get_body_room
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.http_listener import Handler, HttpListener
+from vanillamast_sidecar.http.http_message import HttpRequest, HttpResponse
+from vanillamast_sidecar.membership.departure_recorder import DepartureRecorder
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.node_record_check import find_defect
+from vanillamast_sidecar.membership.server_api import Deregistration, ServerApi
+from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import Records
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.applied_operator_state import (
+    AppliedOperatorState,
+)
+from vanillamast_sidecar.operator_state.operator_state_sync import (
+    OperatorStateSync,
+)
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.operator_state.store import Store
+from vanillamast_sidecar.rollouts.move_controller import MoveController
+from vanillamast_sidecar.rollouts.move_table import MoveTable
+from vanillamast_sidecar.routing.gateway import Gateway
+from vanillamast_sidecar.routing.server_selector import ServerSelector
 from vanillamast_sidecar.settings import Address, SidecarSettings
 from vanillamast_sidecar.settings_source import SettingsSource
 from vanillamast_sidecar.shutdown_policy import ShutdownPolicy
-from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.store import Store
 
 # Interval of the checks for missing heartbeats, suspension and new settings.
 CHECK_INTERVAL_S = 0.25
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs and metrics."""
--- a/packages/sidecar/src/vanillamast_sidecar/metrics.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metrics.py
@@ -2,7 +2,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from vanillamast_sidecar.metric_texts import METRIC_TEXTS
+from vanillamast_sidecar.observability.metric_texts import METRIC_TEXTS
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000  # Above every timeout.
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's configuration and orders, from the store or a peer."""
--- a/packages/sidecar/src/vanillamast_sidecar/applied_operator_state.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
@@ -5,16 +5,16 @@
 from collections.abc import Callable
 
 from vanillamast_sidecar.errors import InvalidConfigurationError
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import OperatorState
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.store import MoveStates, OperatorUpdate
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import OperatorState
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.operator_state.store import MoveStates, OperatorUpdate
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 
 
 class AppliedOperatorState:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -3,22 +3,24 @@
 import asyncio
 import random
 
-from vanillamast_sidecar.applied_operator_state import AppliedOperatorState
 from vanillamast_sidecar.errors import (
     InvalidConfigurationError,
     StoreError,
     StoreTruncatedError,
 )
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import (
     FetchOperator,
     OperatorState,
 )
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.store import Store
-from vanillamast_sidecar.store_reader_policy import (
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.applied_operator_state import (
+    AppliedOperatorState,
+)
+from vanillamast_sidecar.operator_state.store import Store
+from vanillamast_sidecar.operator_state.store_reader_policy import (
     READER_FRESHNESS_S,
     StoreReaderPolicy,
 )
--- a/packages/sidecar/src/vanillamast_sidecar/snapshot.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/snapshot.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from vanillamast_sidecar.caller_limits import CallerLimits
-from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.http.caller_limits import CallerLimits
+from vanillamast_sidecar.routing.route import Route
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/packages/sidecar/src/vanillamast_sidecar/store.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
@@ -3,10 +3,10 @@
 import dataclasses
 from typing import Protocol
 
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.snapshot import Snapshot
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/sidecar/src/vanillamast_sidecar/store_reader_policy.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store_reader_policy.py
@@ -1,7 +1,7 @@
 """Decides which nodes read the operator's stream from the store."""
 
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.peer import Peer
 
 # The second reader covers for the first until its failure is detected. The
 # other nodes of the failure domain get changes from the readers.
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic between server versions."""
--- a/packages/sidecar/src/vanillamast_sidecar/move_controller.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_controller.py
@@ -4,19 +4,19 @@
 
 import msgspec
 
+from vanillamast_sidecar.admission.server_executor import ServerExecutor
 from vanillamast_sidecar.errors import StoreConflictError, StoreError
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import Evidence, MoveAnnouncement
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_driver import MoveDriver
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.move_table import Move, MoveTable
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.server_executor import ServerExecutor
-from vanillamast_sidecar.store import Store
-from vanillamast_sidecar.version_evidence import VersionEvidence
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import Evidence, MoveAnnouncement
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.store import Store
+from vanillamast_sidecar.rollouts.move_driver import MoveDriver
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.move_table import Move, MoveTable
+from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
 
 # Delays a verdict by up to this time, while a failing version gets traffic.
 CONTROL_INTERVAL_S = 0.2
--- a/packages/sidecar/src/vanillamast_sidecar/move_driver.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_driver.py
@@ -1,10 +1,13 @@
 """Decides the share of the new version over the course of a move."""
 
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.move_table import Move
-from vanillamast_sidecar.version_evidence import VersionEvidence, merge_evidence
-from vanillamast_sidecar.version_judge import Badness, judge
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.move_table import Move
+from vanillamast_sidecar.rollouts.version_evidence import (
+    VersionEvidence,
+    merge_evidence,
+)
+from vanillamast_sidecar.rollouts.version_judge import Badness, judge
 
 # Shares of the new version by elapsed fraction of the move's time limit. The
 # first ones keep a version that starts to fail late within the exposure bound
--- a/packages/sidecar/src/vanillamast_sidecar/move_status.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_status.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_state import MoveState
 
 
 class MoveStatus(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
@@ -3,12 +3,12 @@
 import dataclasses
 from collections.abc import Callable
 
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.version_evidence import VersionEvidence
-from vanillamast_sidecar.weighted_split import WeightedSplit
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
+from vanillamast_sidecar.routing.weighted_split import WeightedSplit
 
 # Complete takes precedence over reverted: the old servers may have stopped.
 _STATE_PRECEDENCE = {
--- a/packages/sidecar/src/vanillamast_sidecar/version_judge.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/version_judge.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from vanillamast_sidecar.version_evidence import (
+from vanillamast_sidecar.rollouts.version_evidence import (
     BIN_COUNT,
     BINS_PER_OCTAVE,
     RouteEvidence,
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/__init__.py
@@ -0,0 +1,1 @@
+"""First hop: which service and which backend server a request goes to."""
--- a/packages/sidecar/src/vanillamast_sidecar/exchange.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 
-from vanillamast_sidecar.call_result import CallResult
-from vanillamast_sidecar.http_message import Headers, HttpRequest, HttpResponse
-from vanillamast_sidecar.request_digest import digest_request
-from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.crashes.request_digest import digest_request
+from vanillamast_sidecar.http.http_message import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+)
+from vanillamast_sidecar.routing.route import Route
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/sidecar/src/vanillamast_sidecar/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -4,38 +4,38 @@
 import zlib
 from typing import cast
 
-from vanillamast_sidecar.call_result import CallResult
-from vanillamast_sidecar.crash_suspects import (
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.server_call import ServerCall
+from vanillamast_sidecar.admission.server_executor import ServerExecutor
+from vanillamast_sidecar.admission.server_notice import is_leaving
+from vanillamast_sidecar.crashes.crash_suspects import (
     SPARE_RETRY_AFTER_S,
     Admission,
     CrashSuspects,
 )
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.exchange import Exchange
-from vanillamast_sidecar.http_message import (
+from vanillamast_sidecar.http.http_message import (
     Body,
     Headers,
     HttpRequest,
     HttpResponse,
     remove_hop_by_hop,
 )
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import Call, Reply
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.retry_budget import RetryBudget
-from vanillamast_sidecar.route import Route
-from vanillamast_sidecar.route_durations import RouteDurations
-from vanillamast_sidecar.route_table import RouteTable
-from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.server_executor import ServerExecutor
-from vanillamast_sidecar.server_notice import is_leaving
-from vanillamast_sidecar.server_selector import ServerSelector
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import Call, Reply
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.routing.exchange import Exchange
+from vanillamast_sidecar.routing.retry_budget import RetryBudget
+from vanillamast_sidecar.routing.route import Route
+from vanillamast_sidecar.routing.route_durations import RouteDurations
+from vanillamast_sidecar.routing.route_table import RouteTable
+from vanillamast_sidecar.routing.server_selector import ServerSelector
+from vanillamast_sidecar.routing.weighted_split import WeightedSplit
 from vanillamast_sidecar.settings import SidecarSettings
-from vanillamast_sidecar.snapshot import Snapshot
-from vanillamast_sidecar.weighted_split import WeightedSplit
 
 # A request is admitted if it is expected to end within this share of its
 # latency objective: about half of the requests take longer than expected.
--- a/packages/sidecar/src/vanillamast_sidecar/route_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/route_table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.routing.route import Route
 
 
 class RouteTable:
--- a/packages/sidecar/src/vanillamast_sidecar/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/server_selector.py
@@ -4,8 +4,8 @@
 import random
 from collections.abc import Iterable
 
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.peer import Peer
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 
 # If all servers are late or failing, a server in another failure domain is
 # chosen only if it is expected to answer this much sooner: requests to it cost
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from vanillamast_sidecar.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.response_limits import ResponseLimits
+from vanillamast_sidecar.http.response_limits import ResponseLimits
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/cli/test_log_verbs.py
+++ b/tests/cli/test_log_verbs.py
@@ -7,8 +7,8 @@
 import pytest
 from vanillamast_cli import CliSettings, Executor, ExitStatus
 from vanillamast_cli.reason_texts import REASON_TEXTS
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.observability.event_logger import EventLogger
 
 REQUEST = "9c41d07be2a35f68"
 
--- a/tests/platform_adapter/test_decoder_fuzz.py
+++ b/tests/platform_adapter/test_decoder_fuzz.py
@@ -19,13 +19,13 @@
     InvalidHeartbeatError,
     InvalidSettingsError,
 )
-from vanillamast_sidecar.frame_codec import make_frame
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.http_message import HttpRequest
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.messages import Records
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.http.http_message import HttpRequest
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.mesh.frame_codec import make_frame
+from vanillamast_sidecar.mesh.messages import Records
 
 FIELDS = [
     "service",
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -17,10 +17,10 @@
     StoreTruncatedError,
     StoreUnknownOutcomeError,
 )
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
 from vanillamast_sidecar.settings import Address
 from vanillamast_testing.emulator import EmulatedStore
 
--- a/tests/platform_adapter/test_operator_records.py
+++ b/tests/platform_adapter/test_operator_records.py
@@ -10,8 +10,8 @@
     encode_move_status,
 )
 from vanillamast_sidecar.errors import InvalidConfigurationError
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
 
 CONFIG = {
     "version": 7,
--- a/tests/platform_adapter/test_server_calls.py
+++ b/tests/platform_adapter/test_server_calls.py
@@ -5,9 +5,9 @@
 import pytest
 from vanillamast_platform.server_calls import ServerCalls
 from vanillamast_sidecar.errors import InvalidHeartbeatError
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.http_message import HttpRequest
-from vanillamast_sidecar.server_api import Deregistration
+from vanillamast_sidecar.http.http_message import HttpRequest
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.server_api import Deregistration
 
 HEARTBEAT = {
     "service": "s",
--- a/tests/platform_path/test_deadly_requests.py
+++ b/tests/platform_path/test_deadly_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from vanillamast_sidecar.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_testing.emulator import EmulatedPlatform
 
 DEADLY_PATH = "/page/deadly"
--- a/tests/platform_path/test_odd_entries.py
+++ b/tests/platform_path/test_odd_entries.py
@@ -2,8 +2,8 @@
 
 import msgspec
 import pytest
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_testing.emulator import EmulatedPlatform
 from vanillamast_testing.emulator.machine import PORTS
 
--- a/tests/sidecar/test_admission_queue.py
+++ b/tests/sidecar/admission/test_admission_queue.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from vanillamast_sidecar.admission_queue import AdmissionQueue
+from vanillamast_sidecar.admission.admission_queue import AdmissionQueue
 
 
 class TestAdmissionQueue:
--- a/tests/sidecar/test_rate_limiter.py
+++ b/tests/sidecar/admission/test_rate_limiter.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from vanillamast_sidecar.rate_limiter import (
+from vanillamast_sidecar.admission.rate_limiter import (
     LIMIT_HOLD_S,
     MIN_RATE_PER_S,
     RateLimiter,
--- a/tests/sidecar/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -5,20 +5,20 @@
 import random
 
 import pytest
-from vanillamast_sidecar.crash_settings import CrashSettings
-from vanillamast_sidecar.crash_suspects import CrashSuspects
-from vanillamast_sidecar.event_logger import EventLogger
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.server_call import ServerCall
+from vanillamast_sidecar.admission.server_executor import ServerExecutor
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
+from vanillamast_sidecar.crashes.request_digest import digest_request
+from vanillamast_sidecar.crashes.server_end import ServerEnd
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.request_digest import digest_request
-from vanillamast_sidecar.server_call import ServerCall
-from vanillamast_sidecar.server_end import ServerEnd
-from vanillamast_sidecar.server_executor import ServerExecutor
-from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
 HOST = "127.31.0.1"
--- a/tests/sidecar/test_server_notice.py
+++ b/tests/sidecar/admission/test_server_notice.py
@@ -1,10 +1,13 @@
 """Tests of what a server's response says of it."""
 
 import pytest
+from vanillamast_sidecar.admission.server_notice import (
+    is_leaving,
+    read_rate_limit,
+)
 from vanillamast_sidecar.errors import InvalidRateLimitError
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.server_notice import is_leaving, read_rate_limit
+from vanillamast_sidecar.http.http_message import HttpResponse
 
 FIELDS = FieldNames(*[b"x"] * 6, rate_limit=b"limit", leaving=b"leaving")
 
--- a/tests/sidecar/test_crash_suspects.py
+++ b/tests/sidecar/crashes/test_crash_suspects.py
@@ -6,13 +6,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from vanillamast_sidecar.crash_settings import CrashSettings
-from vanillamast_sidecar.crash_suspects import Admission, CrashSuspects
-from vanillamast_sidecar.request_digest import (
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.crash_suspects import Admission, CrashSuspects
+from vanillamast_sidecar.crashes.request_digest import (
     MAX_HASHED_BYTES,
     digest_request,
 )
-from vanillamast_sidecar.server_end import ServerEnd
+from vanillamast_sidecar.crashes.server_end import ServerEnd
 
 SETTINGS = CrashSettings()
 DEADLY = 1
--- a/tests/sidecar/test_body_room.py
+++ b/tests/sidecar/http/test_body_room.py
@@ -3,8 +3,8 @@
 import sys
 
 import pytest
-from vanillamast_sidecar.body_room import BODY_COPIES, get_body_room
-from vanillamast_sidecar.caller_limits import CallerLimits
+from vanillamast_sidecar.http.body_room import BODY_COPIES, get_body_room
+from vanillamast_sidecar.http.caller_limits import CallerLimits
 
 MB = 1 << 20
 
--- a/tests/sidecar/test_bytes_fuzz.py
+++ b/tests/sidecar/http/test_bytes_fuzz.py
@@ -5,12 +5,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from vanillamast_sidecar.client_connection import ClientConnection
 from vanillamast_sidecar.errors import FrameError, SidecarError
-from vanillamast_sidecar.frame_codec import FrameCodec
-from vanillamast_sidecar.http_listener import HttpListener
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.messages import Message
+from vanillamast_sidecar.http.client_connection import ClientConnection
+from vanillamast_sidecar.http.http_listener import HttpListener
+from vanillamast_sidecar.http.http_message import HttpResponse
+from vanillamast_sidecar.mesh.frame_codec import FrameCodec
+from vanillamast_sidecar.mesh.messages import Message
 
 HOST = "127.28.0.1"
 pieces = st.lists(
--- a/tests/sidecar/test_client_connection.py
+++ b/tests/sidecar/http/test_client_connection.py
@@ -5,15 +5,15 @@
 import tracemalloc
 
 import pytest
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.client_connection import ClientConnection
 from vanillamast_sidecar.errors import (
     ConnectionLostError,
     MalformedResponseError,
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
-from vanillamast_sidecar.response_limits import ResponseLimits
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.client_connection import ClientConnection
+from vanillamast_sidecar.http.response_limits import ResponseLimits
 
 HOST = "127.26.0.1"
 ID_FIELD = b"x-id"
--- a/tests/sidecar/test_http_listener.py
+++ b/tests/sidecar/http/test_http_listener.py
@@ -6,15 +6,15 @@
 import tracemalloc
 
 import pytest
-from vanillamast_sidecar.byte_budget import ByteBudget
-from vanillamast_sidecar.caller_limits import CallerLimits
-from vanillamast_sidecar.http_listener import (
+from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.caller_limits import CallerLimits
+from vanillamast_sidecar.http.http_listener import (
     MAX_CONCURRENT_REQUESTS,
     READ_BYTES,
     HttpListener,
 )
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.transport_writer import LARGE_BYTES
+from vanillamast_sidecar.http.http_message import HttpResponse
+from vanillamast_sidecar.http.transport_writer import LARGE_BYTES
 
 HOST = "127.27.0.1"
 BODY_BYTES = 262_144
--- a/tests/sidecar/test_transport_writer.py
+++ b/tests/sidecar/http/test_transport_writer.py
@@ -4,7 +4,10 @@
 import tracemalloc
 
 import pytest
-from vanillamast_sidecar.transport_writer import PIECE_BYTES, TransportWriter
+from vanillamast_sidecar.http.transport_writer import (
+    PIECE_BYTES,
+    TransportWriter,
+)
 
 HOST = "127.27.0.2"
 LONG_BYTES = 32 * PIECE_BYTES
--- a/tests/sidecar/hub_fixture.py
+++ b/tests/sidecar/hub_fixture.py
@@ -1,9 +1,9 @@
 """Records and reports that tests of the hubs share."""
 
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.messages import NodeHeartbeat
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.mesh.messages import NodeHeartbeat
 
 IDLE = LoadReport(0, 0, 0.1, 0.0)
 BUSY = LoadReport(4, 2, 0.1, 0.0)
--- a/tests/sidecar/test_departure_recorder.py
+++ b/tests/sidecar/membership/test_departure_recorder.py
@@ -4,12 +4,12 @@
 import os
 
 import pytest
-from vanillamast_sidecar import departure_recorder
-from vanillamast_sidecar.departure_recorder import DepartureRecorder
 from vanillamast_sidecar.errors import StoreRefusedError
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership import departure_recorder
+from vanillamast_sidecar.membership.departure_recorder import DepartureRecorder
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.observability.event_logger import EventLogger
 
 
 def departed(name: str, born_ms: int) -> InstanceRecord:
--- a/tests/sidecar/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -1,9 +1,9 @@
 """Tests of what a node remembers of the others."""
 
 import pytest
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.membership import MAX_LEAVING, Membership
-from vanillamast_sidecar.node_record import NodeRecord
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.membership import MAX_LEAVING, Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
 
 ADDRESS = "127.0.0.2:1"
 
--- a/tests/sidecar/test_node_record_check.py
+++ b/tests/sidecar/membership/test_node_record_check.py
@@ -4,9 +4,9 @@
 
 import msgspec
 import pytest
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.node_record_check import (
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.node_record_check import (
     MAX_CLOCK_LEAD_MS,
     find_defect,
 )
--- a/tests/sidecar/test_server_registry.py
+++ b/tests/sidecar/membership/test_server_registry.py
@@ -1,7 +1,7 @@
 """Tests of heartbeats, deregistrations and failures of servers."""
 
-from vanillamast_sidecar.heartbeat import Heartbeat
-from vanillamast_sidecar.server_registry import ServerRegistry
+from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.server_registry import ServerRegistry
 
 
 def make_heartbeat(
--- a/tests/sidecar/test_calls_between_nodes.py
+++ b/tests/sidecar/mesh/test_calls_between_nodes.py
@@ -3,14 +3,14 @@
 import asyncio
 
 import pytest
-from vanillamast_sidecar.call_result import CallResult
-from vanillamast_sidecar.http_message import HttpResponse
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.messages import Call, Hello, Welcome
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.peer_link import PeerLink
-from vanillamast_sidecar.peer_server import PeerServer
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.http.http_message import HttpResponse
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.mesh.messages import Call, Hello, Welcome
+from vanillamast_sidecar.mesh.peer_link import PeerLink
+from vanillamast_sidecar.mesh.peer_server import PeerServer
 
 HOST = "127.25.0.1"
 PORT = 18500
--- a/tests/sidecar/test_clock_offset.py
+++ b/tests/sidecar/mesh/test_clock_offset.py
@@ -1,6 +1,6 @@
 """Tests of the estimated delay of messages."""
 
-from vanillamast_sidecar.clock_offset import ClockOffset
+from vanillamast_sidecar.mesh.clock_offset import ClockOffset
 
 
 class TestClockOffset:
--- a/tests/sidecar/test_frame_codec.py
+++ b/tests/sidecar/mesh/test_frame_codec.py
@@ -6,18 +6,18 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.frame_codec import FrameCodec, make_frame
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.messages import (
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.mesh.frame_codec import FrameCodec, make_frame
+from vanillamast_sidecar.mesh.messages import (
     Call,
     Cancel,
     Confirm,
     Ping,
     Reply,
 )
-from vanillamast_sidecar.outcome import Outcome
-from vanillamast_sidecar.reason import Reason
 
 LOAD = LoadReport(1, 2, 0.1, 0.0)
 messages = st.one_of(
--- a/tests/sidecar/test_hub.py
+++ b/tests/sidecar/mesh/test_hub.py
@@ -1,12 +1,12 @@
 """Tests of what a hub knows of its failure domain."""
 
-from vanillamast_sidecar.hub import (
+from vanillamast_sidecar.mesh.hub import (
     FIRST_HEARTBEAT_TIMEOUT_S,
     HEARTBEAT_TIMEOUT_S,
     REMOTE_STATUS_LIFETIME_S,
     Hub,
 )
-from vanillamast_sidecar.messages import DomainStatus
+from vanillamast_sidecar.mesh.messages import DomainStatus
 
 from tests.sidecar.hub_fixture import BUSY, IDLE, address, heartbeat, membership
 
--- a/tests/sidecar/test_hub_selector.py
+++ b/tests/sidecar/mesh/test_hub_selector.py
@@ -1,7 +1,10 @@
 """Tests of which nodes are hubs."""
 
 import pytest
-from vanillamast_sidecar.hub_selector import CONNECT_PATIENCE_S, select_hubs
+from vanillamast_sidecar.mesh.hub_selector import (
+    CONNECT_PATIENCE_S,
+    select_hubs,
+)
 
 from tests.sidecar.hub_fixture import address, membership, record
 
--- a/tests/sidecar/test_hub_view.py
+++ b/tests/sidecar/mesh/test_hub_view.py
@@ -1,13 +1,13 @@
 """Tests of what a node takes from the reports of its hubs."""
 
-from vanillamast_sidecar.hub_view import (
+from vanillamast_sidecar.mesh.hub_view import (
     MISMATCHES_BEFORE_FETCH,
     READER_LIFETIME_S,
     REPORT_LIFETIME_S,
     HubView,
 )
-from vanillamast_sidecar.messages import HubReport, VersionReport
-from vanillamast_sidecar.store_reader_policy import (
+from vanillamast_sidecar.mesh.messages import HubReport, VersionReport
+from vanillamast_sidecar.operator_state.store_reader_policy import (
     READER_FRESHNESS_S,
     StoreReaderPolicy,
 )
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/mesh/test_mesh.py
@@ -5,20 +5,20 @@
 
 import msgspec
 import pytest
-from vanillamast_sidecar.call_result import CallResult
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.errors import FrameError
-from vanillamast_sidecar.event_logger import EventLogger
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.mesh import Mesh
-from vanillamast_sidecar.messages import MoveAnnouncement
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.outcome import Outcome
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.mesh.mesh import Mesh
+from vanillamast_sidecar.mesh.messages import MoveAnnouncement
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
 PORT = 18400
--- a/tests/sidecar/test_peer_monitor.py
+++ b/tests/sidecar/mesh/test_peer_monitor.py
@@ -5,14 +5,14 @@
 from types import SimpleNamespace
 
 import pytest
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.hub import HEARTBEAT_TIMEOUT_S
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.peer_monitor import (
+from vanillamast_sidecar.mesh.hub import HEARTBEAT_TIMEOUT_S
+from vanillamast_sidecar.mesh.peer_monitor import (
     PING_TIMEOUT_S,
     REMOVE_AFTER_S,
     PeerMonitor,
 )
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
 
 from tests.sidecar.hub_fixture import address, membership
 
--- a/tests/sidecar/test_logbook.py
+++ b/tests/sidecar/observability/test_logbook.py
@@ -4,7 +4,10 @@
 import os
 import time
 
-from vanillamast_sidecar.event_logger import BUFFER_BYTES, EventLogger
+from vanillamast_sidecar.observability.event_logger import (
+    BUFFER_BYTES,
+    EventLogger,
+)
 
 
 class TestLogbook:
--- a/tests/sidecar/test_metrics.py
+++ b/tests/sidecar/observability/test_metrics.py
@@ -3,10 +3,10 @@
 import pathlib
 import re
 
-from vanillamast_sidecar.metric_texts import METRIC_TEXTS
-from vanillamast_sidecar.metrics import Metrics
+from vanillamast_sidecar.observability.metric_texts import METRIC_TEXTS
+from vanillamast_sidecar.observability.metrics import Metrics
 
-SOURCES = pathlib.Path(__file__).parents[2] / "packages" / "sidecar" / "src"
+SOURCES = pathlib.Path(__file__).parents[3] / "packages" / "sidecar" / "src"
 NAME = re.compile(r"metrics\.(?:count|set|observe)\(\s*\"([a-z_]+)\"")
 
 
--- a/tests/sidecar/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -6,10 +6,10 @@
 
 import pytest
 from vanillamast_sidecar.errors import StoreUnknownOutcomeError
-from vanillamast_sidecar.event_logger import EventLogger
-from vanillamast_sidecar.messages import FetchOperator
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.operator_state_sync import (
+from vanillamast_sidecar.mesh.messages import FetchOperator
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.operator_state_sync import (
     PEER_FETCH_DELAY_S,
     OperatorStateSync,
 )
--- a/tests/sidecar/test_store_reader_policy.py
+++ b/tests/sidecar/operator_state/test_store_reader_policy.py
@@ -3,9 +3,9 @@
 from types import SimpleNamespace
 
 import pytest
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.store_reader_policy import (
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.operator_state.store_reader_policy import (
     READER_FRESHNESS_S,
     READERS_PER_DOMAIN,
     START_WAIT_S,
--- a/tests/sidecar/test_moves.py
+++ b/tests/sidecar/rollouts/test_moves.py
@@ -1,13 +1,13 @@
 """Tests of moves of traffic between versions."""
 
 import msgspec
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.move_driver import MoveDriver, share_at
-from vanillamast_sidecar.move_spec import MoveSpec
-from vanillamast_sidecar.move_state import MoveState
-from vanillamast_sidecar.move_status import MoveStatus
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.version_evidence import VersionEvidence
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.rollouts.move_driver import MoveDriver, share_at
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
+from vanillamast_sidecar.rollouts.move_state import MoveState
+from vanillamast_sidecar.rollouts.move_status import MoveStatus
+from vanillamast_sidecar.rollouts.move_table import MoveTable
+from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
 
 SPEC = MoveSpec("browse", "v2", 10.0, 7)
 
--- a/tests/sidecar/test_version_judge.py
+++ b/tests/sidecar/rollouts/test_version_judge.py
@@ -3,8 +3,11 @@
 import random
 
 import pytest
-from vanillamast_sidecar.version_evidence import VersionEvidence, merge_evidence
-from vanillamast_sidecar.version_judge import judge
+from vanillamast_sidecar.rollouts.version_evidence import (
+    VersionEvidence,
+    merge_evidence,
+)
+from vanillamast_sidecar.rollouts.version_judge import judge
 
 
 def evidence(
--- a/tests/sidecar/test_gateway.py
+++ b/tests/sidecar/routing/test_gateway.py
@@ -5,18 +5,18 @@
 from types import SimpleNamespace
 
 import pytest
-from vanillamast_sidecar.crash_settings import CrashSettings
-from vanillamast_sidecar.crash_suspects import CrashSuspects
-from vanillamast_sidecar.event_logger import EventLogger
+from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.crashes.crash_settings import CrashSettings
+from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.gateway import Gateway
-from vanillamast_sidecar.http_message import HttpRequest
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.metrics import Metrics
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.reason import Reason
-from vanillamast_sidecar.route import Route
+from vanillamast_sidecar.http.http_message import HttpRequest
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.routing.gateway import Gateway
+from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
 PARENT = b"9c41d07b"
--- a/tests/sidecar/test_retry_budget.py
+++ b/tests/sidecar/routing/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import random
 
-from vanillamast_sidecar.retry_budget import RetryBudget
+from vanillamast_sidecar.routing.retry_budget import RetryBudget
 
 
 class TestRetryBudget:
--- a/tests/sidecar/test_route_durations.py
+++ b/tests/sidecar/routing/test_route_durations.py
@@ -1,7 +1,10 @@
 """Tests of the durations of routes, compared with others."""
 
 import pytest
-from vanillamast_sidecar.route_durations import MAX_RATIO, RouteDurations
+from vanillamast_sidecar.routing.route_durations import (
+    MAX_RATIO,
+    RouteDurations,
+)
 
 
 class TestRouteDurations:
--- a/tests/sidecar/test_route_table.py
+++ b/tests/sidecar/routing/test_route_table.py
@@ -1,7 +1,7 @@
 """Tests of the lookup of routes."""
 
-from vanillamast_sidecar.route import Route
-from vanillamast_sidecar.route_table import RouteTable
+from vanillamast_sidecar.routing.route import Route
+from vanillamast_sidecar.routing.route_table import RouteTable
 
 
 def route(name: str, prefix: str, host: str = "a.example") -> Route:
--- a/tests/sidecar/test_server_selector.py
+++ b/tests/sidecar/routing/test_server_selector.py
@@ -4,13 +4,13 @@
 import random
 from types import SimpleNamespace
 
-from vanillamast_sidecar.instance_record import InstanceRecord
-from vanillamast_sidecar.load_report import LoadReport
-from vanillamast_sidecar.membership import Membership
-from vanillamast_sidecar.move_table import MoveTable
-from vanillamast_sidecar.node_record import NodeRecord
-from vanillamast_sidecar.peer import Peer
-from vanillamast_sidecar.server_selector import ServerSelector
+from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
+from vanillamast_sidecar.membership.membership import Membership
+from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.rollouts.move_table import MoveTable
+from vanillamast_sidecar.routing.server_selector import ServerSelector
 
 NOW = 100.0
 SLOTS = 4
--- a/tests/sidecar/test_weighted_split.py
+++ b/tests/sidecar/routing/test_weighted_split.py
@@ -1,7 +1,7 @@
 """Tests of the weighted split of requests."""
 
 import pytest
-from vanillamast_sidecar.weighted_split import WeightedSplit
+from vanillamast_sidecar.routing.weighted_split import WeightedSplit
 
 
 class TestWeightedSplit:
--- a/tests/test_log_catalogue.py
+++ b/tests/test_log_catalogue.py
@@ -3,7 +3,7 @@
 import pathlib
 import re
 
-from vanillamast_sidecar.reason import Reason
+from vanillamast_sidecar.admission.reason import Reason
 
 ROOT = pathlib.Path(__file__).parents[1]
 PAGE = (ROOT / "docs" / "log-catalogue.md").read_text()
