Decode organisations, warm-up rates and routes without keys

Cause: configurations of newer deployments name organisations with API keys and usage caps, routes without keys, the kind download and warm-up rates of services. The adapter dropped all of them; downloads counted as requests that may run only once. A call between nodes carries the name of the organisation. Nothing decides by them yet, except that downloads are idempotent.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
@@ -28,6 +28,7 @@
       confirm: Gets the body of a non-idempotent request from its sender, or
         None if the sender gave up. None if the request is idempotent or does
         not come from another node.
+      organisation: Name of the organisation that sent it, "" without one.
     """
 
     request_id: bytes
@@ -43,6 +44,7 @@
     headers: Headers
     body: Body
     confirm: Confirm | None = None
+    organisation: str = ""
 
     @property
     def host(self) -> bytes:
--- a/packages/sidecar/src/vanillamast_sidecar/field_names.py
+++ b/packages/sidecar/src/vanillamast_sidecar/field_names.py
@@ -17,6 +17,8 @@
       rate_limit: Requests a second that the server accepts from all nodes
         together, while its responses have the field.
       leaving: `1` if the server is about to leave.
+      organisation: Organisation to which the caller's key belongs.
+      server_load: Load of the server, in its responses.
     """
 
     request_id: bytes
@@ -27,3 +29,5 @@
     not_executed: bytes
     rate_limit: bytes
     leaving: bytes
+    organisation: bytes = b""
+    server_load: bytes = b""
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -99,6 +99,7 @@
       headers: Header fields to forward.
       body: Body of the request; empty if the call is not idempotent, as its
         confirmation carries the body.
+      organisation: Name of the organisation that sent it, "" without one.
     """
 
     id: int
@@ -115,6 +116,7 @@
     target: str
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    organisation: str = ""
 
 
 class Cancel(Message, tag=6, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -172,6 +172,7 @@
                     call.headers,
                     call.body,
                     None if call.idempotent else confirm,
+                    call.organisation,
                 )
             )
         except Exception:
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations whose callers send requests, and their API keys."""
--- a/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
@@ -9,6 +9,7 @@
     HttpRequest,
     HttpResponse,
 )
+from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.routing.route import Route
 
 
@@ -29,6 +30,7 @@
       rank: Rank among the requests that wait for a slot, the lowest first.
       headers: Header fields to forward.
       tried_instances: Ids of the servers to which the request was sent.
+      organisation: Organisation that sent it; None without one.
       attempts: Attempts in which the request was sent to a server.
       refusals: Attempts that a node refused.
       may_have_run: Whether some attempt may have run.
@@ -48,12 +50,18 @@
     rank: int
     headers: Headers
     tried_instances: set[str]
+    organisation: Organisation | None = None
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
     last_result: CallResult | None = None
     response: HttpResponse | None = None
 
+    @property
+    def organisation_name(self) -> str:
+        """Returns the name of the organisation, "" without one."""
+        return self.organisation.name if self.organisation else ""
+
     def compute_digest(self) -> int:
         """Returns the digest that identifies the request in its retries."""
         request = self.request
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -408,6 +408,7 @@
             request.target,
             exchange.headers,
             request.body,
+            organisation=exchange.organisation_name,
         )
         return await self.executor.run(call)
 
@@ -438,6 +439,7 @@
                 request.target,
                 exchange.headers,
                 cast(bytes, body),
+                exchange.organisation_name,
             )
 
         reply = await link.send_call(
--- a/packages/sidecar/src/vanillamast_sidecar/routing/route.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/route.py
@@ -17,6 +17,8 @@
       priority: Priority of its requests; 0 is the most urgent.
       max_attempts: Largest number of servers to which a request is sent.
       split: Services and their weights.
+      requires_key: Whether a request needs an API key if the configuration
+        has organisations.
     """
 
     name: str
@@ -28,3 +30,4 @@
     priority: int
     max_attempts: int
     split: tuple[tuple[str, float], ...]
+    requires_key: bool = True
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -39,6 +39,14 @@
         receive.
       expose_slack: Requests in addition to that share.
       rollback_s: Time in which a failing version is rolled back.
+      cold_over: Requests that a cold server may get in a second, as a multiple
+        of its warm-up rate.
+      cold_slack: Requests in a second in addition to that.
+      evac_s: Time after which servers of an evacuated failure domain get no
+        more requests.
+      quota_window_s: Window over which an organisation's requests are counted.
+      quota_over: Share by which they may exceed its usage cap.
+      quota_slack: Requests in a window in addition to that.
     """
 
     drain_s: float
@@ -50,6 +58,12 @@
     expose_share: float
     expose_slack: float
     rollback_s: float
+    cold_over: float = 1.5
+    cold_slack: float = 8.0
+    evac_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_over: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/platform_adapter/test_operator_records.py
+++ b/tests/platform_adapter/test_operator_records.py
@@ -10,6 +10,8 @@
     encode_move_status,
 )
 from vanillamast_sidecar.errors import InvalidConfigurationError
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
+from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
 
@@ -93,6 +95,50 @@
             decode_config(damage(json.dumps(CONFIG).encode()))
 
 
+ORGANISATION = {
+    "entry_type": "tenants",
+    "metadata": {"name": "acme"},
+    "spec": {
+        "api_keys": ["secret-one", "secret-two"],
+        "priority": 0,
+        "rate_per_s": 75,
+        "burst": 15,
+    },
+}
+COLD_SERVICE = {
+    "entry_type": "services",
+    "metadata": {"name": "y"},
+    "spec": {"cold_s": 3.0, "warmup_per_s": 7.0},
+}
+
+
+class TestOrganisations:
+    """Organisations, routes without keys and warm-up rates."""
+
+    def test_all_fields_are_decoded(self):
+        """Guards against caps or keys that are lost on the way in."""
+        resources = [*CONFIG["resources"], ORGANISATION, COLD_SERVICE]
+        route = json.loads(json.dumps(CONFIG["resources"][0]))
+        route["spec"] |= {"no_auth": True, "kind": "download"}
+        raw = json.dumps({"version": 8, "resources": [*resources, route]})
+        snapshot = decode_config(raw.encode())
+        assert snapshot.organisations == (
+            Organisation("acme", ("secret-one", "secret-two"), 0, 75.0, 15.0),
+        )
+        assert snapshot.warm_ups == {"y": WarmUp(3.0, 7.0)}
+        assert [route.requires_key for route in snapshot.routes] == [
+            True,
+            True,
+            False,
+        ]
+        assert snapshot.routes[2].idempotent
+
+    def test_keys_are_not_shown(self):
+        """Guards against keys in logs and error messages."""
+        raw = json.dumps({"version": 8, "resources": [ORGANISATION]})
+        assert "secret" not in repr(decode_config(raw.encode()))
+
+
 class TestMoveRecords:
     """Specs and states of moves."""
 
