Look for a free slot before a request waits

Cause: load reports are older than most requests last, and many nodes choose by the same report. The pace that servers state scales expected durations.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -11,6 +11,7 @@
     NO_ROUTE = "no_route"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
+    BUSY = "busy"
     LEAVING = "leaving"
     STOPPING = "stopping"
     WRONG_INSTANCE = "wrong_instance"
--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
@@ -29,6 +29,7 @@
         None if the sender gave up. None if the request is idempotent or does
         not come from another node.
       organisation: Name of the organisation that sent it, "" without one.
+      may_wait: Whether it may wait for a slot; else it is refused without one.
     """
 
     request_id: bytes
@@ -45,6 +46,7 @@
     body: Body
     confirm: Confirm | None = None
     organisation: str = ""
+    may_wait: bool = True
 
     @property
     def host(self) -> bytes:
--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -15,6 +15,8 @@
     is_leaving,
     read_rate_limit,
 )
+from vanillamast_sidecar.balancing.pace_tracker import PaceTracker
+from vanillamast_sidecar.balancing.server_load import read_server_load
 from vanillamast_sidecar.crashes.crash_suspects import Admission, CrashSuspects
 from vanillamast_sidecar.crashes.request_digest import digest_request
 from vanillamast_sidecar.crashes.server_end import ServerEnd
@@ -80,6 +82,7 @@
       sent: Requests sent to the server.
       last_deadline: Latest deadline of a request that is accepted, in loop
         time.
+      pace: How fast the server works now, compared with its usual speed.
       running_alone: Whether the server runs a request that must not run
         beside another such one.
       grant_timer: Grants slots when the rate limit allows the next request;
@@ -118,6 +121,7 @@
         self.sent = DecayingRate()
         self.last_deadline = float("inf")
         self.running_alone = False
+        self.pace = PaceTracker()
         self.grant_timer: asyncio.TimerHandle | None = None
 
     def get_load(self) -> LoadReport:
@@ -127,9 +131,10 @@
         return LoadReport(
             queue.running,
             queue.size,
-            round(queue.mean_service_s, 4),
+            round(queue.mean_service_s * self.pace.factor(now), 4),
             round(self.failure_share.value(now), 3),
             round(queue.limiter.delay_s(now, queue.size), 3),
+            self.pace.newest,
         )
 
     def is_busy(self) -> bool:
@@ -200,6 +205,7 @@
         # its own queue.
         self.queue = AdmissionQueue(1)
         self.incarnation = (current.id, current.born_ms)
+        self.pace = PaceTracker()
         self.sent = DecayingRate()
 
     def _restore_rate_limit(self, limit: float) -> None:
@@ -230,8 +236,12 @@
         queue.assume_duration(call.soft_deadline - self.loop.time())
         now = self.loop.time()
         if not queue.try_acquire_slot(now):
+            if not call.may_wait:
+                return self._refuse_busy()
             wait_s = queue.expected_wait_s(call.rank, call.soft_deadline, now)
+            wait_s *= self.pace.factor(now)
             duration_s = queue.expected_duration_s(call.route)
+            duration_s *= self.pace.factor(now)
             if now + wait_s + duration_s > call.soft_deadline:
                 return self._refuse(call, Reason.OVERLOADED, wait_s)
             reason = await self._wait_for_slot(call, queue)
@@ -267,6 +277,11 @@
             return Reason.TIMEOUT
         return Reason.NONE
 
+    def _refuse_busy(self) -> CallResult:
+        """Refuses a call that looks for a free slot; it asks another node."""
+        self.metrics.count("server_refusals", reason=Reason.BUSY)
+        return CallResult(Outcome.NOT_RUN, Reason.BUSY)
+
     def _refuse(
         self, call: ServerCall, reason: Reason, wait_s: float = 0.0
     ) -> CallResult:
@@ -541,6 +556,9 @@
         key = (call.instance_id, call.born_ms)
         if self.incarnation != key:
             return
+        load = read_server_load(response, self.settings.fields)
+        if load is not None:
+            self.pace.add(load.pace, self.loop.time())
         changed = False
         if is_leaving(response, self.settings.fields):
             changed = self.registry.mark_leaving(*key)
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Even load on backend servers although load information is stale."""
--- a/packages/sidecar/src/vanillamast_sidecar/membership/load_report.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/load_report.py
@@ -12,6 +12,8 @@
       mean_service_s: Mean time that a request holds a slot.
       failure_share: Share of recent requests that failed at the server.
       rate_wait_s: Time until the server's rate limit allows another request.
+      pace: How long work takes on the server's machine now, in percent of the
+        usual time; 0 if the server does not state it.
     """
 
     running: int
@@ -19,3 +21,4 @@
     mean_service_s: float
     failure_share: float
     rate_wait_s: float = 0.0
+    pace: int = 0
--- a/packages/sidecar/src/vanillamast_sidecar/membership/peer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/peer.py
@@ -117,6 +117,15 @@
         busy = load.running + load.waiting
         self.other_load = max(0.0, float(busy - self.outstanding))
 
+    def handle_busy(self) -> None:
+        """Counts a refusal for lack of a free slot.
+
+        The report that came with it was applied while the refused call still
+        counted as one of this node's own.
+        """
+        busy = self.load.running + self.load.waiting
+        self.other_load = max(0.0, float(busy - self.outstanding))
+
     def expected_times_s(self, now: float) -> tuple[float, float]:
         """Returns the expected wait until it is sent and the service time."""
         instance = self.record.instance
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -100,6 +100,7 @@
       body: Body of the request; empty if the call is not idempotent, as its
         confirmation carries the body.
       organisation: Name of the organisation that sent it, "" without one.
+      may_wait: Whether it may wait for a slot; else it is refused without one.
     """
 
     id: int
@@ -117,6 +118,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     organisation: str = ""
+    may_wait: bool = True
 
 
 class Cancel(Message, tag=6, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -173,6 +173,7 @@
                     call.body,
                     None if call.idempotent else confirm,
                     call.organisation,
+                    call.may_wait,
                 )
             )
         except Exception:
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
@@ -138,6 +138,11 @@
             return False
         return move.share >= 1.0 or move.split.choose() == "new"
 
+    def splits_requests(self, service: str) -> bool:
+        """Returns whether two versions of a service share its requests."""
+        move = self.by_service.get(service)
+        return move is not None and 0.0 < move.share < 1.0
+
     def old_has_share(self, service: str) -> bool:
         """Returns whether the old version of a service still has a share."""
         move = self.by_service.get(service)
--- a/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.balancing.slot_search import SlotSearch
 from vanillamast_sidecar.crashes.request_digest import digest_request
 from vanillamast_sidecar.http.http_message import (
     Headers,
@@ -31,6 +32,7 @@
       headers: Header fields to forward.
       tried_instances: Ids of the servers to which the request was sent.
       organisation: Organisation that sent it; None without one.
+      search: Search for a free slot; None if the request waits at once.
       attempts: Attempts in which the request was sent to a server.
       refusals: Attempts that a node refused.
       may_have_run: Whether some attempt may have run.
@@ -51,6 +53,7 @@
     headers: Headers
     tried_instances: set[str]
     organisation: Organisation | None = None
+    search: SlotSearch | None = None
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -10,6 +10,7 @@
 from vanillamast_sidecar.admission.server_call import ServerCall
 from vanillamast_sidecar.admission.server_executor import ServerExecutor
 from vanillamast_sidecar.admission.server_notice import is_leaving
+from vanillamast_sidecar.balancing.slot_search import SlotSearch
 from vanillamast_sidecar.crashes.crash_suspects import (
     SPARE_RETRY_AFTER_S,
     Admission,
@@ -147,6 +148,8 @@
         if exchange.deadline > self.last_deadline:
             # The process might exit before the request has ended.
             return self._refuse_not_ready(request_id, Reason.STOPPING)
+        if self._searches_slots(exchange.service):
+            exchange.search = SlotSearch()
         budget = self._get_budget(exchange.service)
         budget.count_request(arrived_at)
         try:
@@ -261,22 +264,14 @@
     ) -> HttpResponse:
         while True:
             now = self.loop.time()
-            peer = self.selector.choose(
-                self.mesh.membership.peers_serving(exchange.service),
-                exchange.tried_instances,
-                exchange.service,
-                exchange.rank,
-                exchange.same_domain_deadline,
-                now,
-                self.durations.get_ratio(exchange.route.name, exchange.service),
-            )
+            peer, may_wait = self._choose_server(exchange, now)
             if peer is None or now >= exchange.deadline:
                 return self._finish(exchange)
             if self.suspects.suspects:
                 peer, retry_after_s = self._apply_suspicion(exchange, peer, now)
                 if peer is None:
                     return self._finish_held(exchange, retry_after_s)
-            result = await self._attempt(exchange, peer)
+            result = await self._attempt(exchange, peer, may_wait)
             exchange.last_result = result
             if result.outcome is Outcome.ANSWERED:
                 exchange.response = result.response
@@ -285,6 +280,52 @@
             if not self._may_retry(exchange, result, budget):
                 return self._finish(exchange)
 
+    def _choose_server(
+        self, exchange: Exchange, now: float
+    ) -> tuple[Peer | None, bool]:
+        """Returns the node to send to and whether the request may wait there.
+
+        The node is None if there is no server.
+        """
+        peers = self.mesh.membership.peers_serving(exchange.service)
+        ratio = self.durations.get_ratio(exchange.route.name, exchange.service)
+        search = exchange.search
+        if search is not None and not search.is_over:
+            peer = self.selector.choose_to_ask(
+                peers,
+                exchange.tried_instances | search.busy,
+                exchange.service,
+                exchange.rank,
+                exchange.same_domain_deadline,
+                now,
+                ratio,
+            )
+            if peer is not None:
+                return peer, False
+            search.end()
+        peer = self.selector.choose(
+            peers,
+            exchange.tried_instances,
+            exchange.service,
+            exchange.rank,
+            exchange.same_domain_deadline,
+            now,
+            ratio,
+        )
+        return peer, True
+
+    def _searches_slots(self, service: str) -> bool:
+        """Returns whether requests to a service look for a free slot first."""
+        enabled = self.settings.balancing.slot_search
+        if enabled is not None:
+            return enabled
+        if self.snapshot is not None and self.snapshot.organisations:
+            return True
+        return any(
+            peer.load.pace > 0
+            for peer in self.mesh.membership.peers_serving(service)
+        )
+
     def _apply_suspicion(
         self, exchange: Exchange, peer: Peer, now: float
     ) -> tuple[Peer | None, float]:
@@ -326,7 +367,9 @@
         self._log_failure(exchange, UNAVAILABLE, Reason.HELD)
         return self._refuse(exchange.request_id, Reason.HELD, retry_after_s)
 
-    async def _attempt(self, exchange: Exchange, peer: Peer) -> CallResult:
+    async def _attempt(
+        self, exchange: Exchange, peer: Peer, may_wait: bool
+    ) -> CallResult:
         now = self.loop.time()
         instance = peer.record.instance
         assert instance is not None
@@ -339,9 +382,9 @@
         peer.used_incarnation = (instance.id, instance.born_ms)
         try:
             if peer.is_self:
-                result = await self._run_locally(exchange)
+                result = await self._run_locally(exchange, may_wait)
             else:
-                result = await self._run_remotely(exchange, peer)
+                result = await self._run_remotely(exchange, peer, may_wait)
         finally:
             peer.outstanding -= 1
         ended = self.loop.time()
@@ -378,6 +421,11 @@
             exchange.attempts += 1
         if result.outcome is not Outcome.NOT_RUN:
             exchange.may_have_run = True
+        elif result.reason is Reason.BUSY and exchange.search is not None:
+            assert peer.record.instance is not None
+            exchange.search.add_busy(peer.record.instance.id)
+            exchange.tried_instances.discard(peer.record.instance.id)
+            peer.handle_busy()
         elif result.reason is Reason.HELD:
             # The refusal is about the request and not about the server.
             exchange.refusals += 1
@@ -391,7 +439,9 @@
             peer.refused_until = now + min(max_backoff_s, result.retry_after_s)
             peer.refused_rank = exchange.rank
 
-    async def _run_locally(self, exchange: Exchange) -> CallResult:
+    async def _run_locally(
+        self, exchange: Exchange, may_wait: bool
+    ) -> CallResult:
         own = self.mesh.membership.own.record.instance
         assert own is not None
         request = exchange.request
@@ -409,10 +459,13 @@
             exchange.headers,
             request.body,
             organisation=exchange.organisation_name,
+            may_wait=may_wait,
         )
         return await self.executor.run(call)
 
-    async def _run_remotely(self, exchange: Exchange, peer: Peer) -> CallResult:
+    async def _run_remotely(
+        self, exchange: Exchange, peer: Peer, may_wait: bool
+    ) -> CallResult:
         instance = peer.record.instance
         assert instance is not None
         link = await self.mesh.links.get(peer)
@@ -440,6 +493,7 @@
                 exchange.headers,
                 cast(bytes, body),
                 exchange.organisation_name,
+                may_wait,
             )
 
         reply = await link.send_call(
--- a/packages/sidecar/src/vanillamast_sidecar/routing/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/server_selector.py
@@ -108,17 +108,7 @@
           duration_ratio: Duration of the request, compared with the mean of a
             server's requests.
         """
-        ready_peers = [
-            peer
-            for peer in peers
-            if peer.record.instance is not None and peer.record.instance.ready
-        ]
-        wants_new = self.moves.prefers_new(service)
-        if wants_new is None:
-            groups = [_select_oldest_version(ready_peers)]
-        else:
-            groups = self._group_by_version(ready_peers, service, wants_new)
-        for group in groups:
+        for group in self._make_groups(peers, service):
             best = self._select_best(
                 [
                     peer
@@ -133,6 +123,68 @@
                 return best
         return None
 
+    def choose_to_ask(
+        self,
+        peers: Iterable[Peer],
+        excluded: set[str],
+        service: str,
+        rank: int,
+        deadline: float,
+        now: float,
+        duration_ratio: float = 1.0,
+    ) -> Peer | None:
+        """Returns a server of this domain that may have a free slot.
+
+        Args:
+          peers: Nodes whose server serves the service.
+          excluded: Ids of servers to leave out.
+          service: The service.
+          rank: Rank of the request among those that wait for a slot.
+          deadline: When the server should have answered, in loop time.
+          now: Loop time, in seconds.
+          duration_ratio: Duration of the request, compared with the mean of a
+            server's requests.
+
+        Returns:
+          None if there is nobody to ask, also while two versions share the
+          requests: asking for a slot would change their shares.
+        """
+        if self.moves.splits_requests(service):
+            return None
+        near = [peer for peer in peers if peer.same_domain]
+        for group in self._make_groups(near, service):
+            estimates = [
+                estimate_server(peer, duration_ratio, now)
+                for peer in group
+                if _is_candidate(peer, excluded, rank, now)
+            ]
+            useful = [
+                estimate
+                for estimate in estimates
+                if dataclasses.replace(estimate, wait_s=0.0).is_acceptable(
+                    deadline, now
+                )
+            ]
+            best = self._select_untried(useful, now)
+            best = best or self._select_from_sample(useful)
+            if best is not None:
+                return best
+        return None
+
+    def _make_groups(
+        self, peers: Iterable[Peer], service: str
+    ) -> list[list[Peer]]:
+        """Returns the ready servers that may be used, preferred ones first."""
+        ready_peers = [
+            peer
+            for peer in peers
+            if peer.record.instance is not None and peer.record.instance.ready
+        ]
+        wants_new = self.moves.prefers_new(service)
+        if wants_new is None:
+            return [_select_oldest_version(ready_peers)]
+        return self._group_by_version(ready_peers, service, wants_new)
+
     def _group_by_version(
         self, peers: list[Peer], service: str, wants_new: bool
     ) -> list[list[Peer]]:
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from vanillamast_sidecar.balancing.balancing_settings import BalancingSettings
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.field_names import FieldNames
 from vanillamast_sidecar.http.response_limits import ResponseLimits
@@ -86,6 +87,7 @@
       response_limits: Limits on the responses of the local server.
       memory_bytes: Memory that the process may use; 0 if it is not limited.
       crashes: Protection against requests that end their servers.
+      balancing: How requests are spread over servers.
     """
 
     node: str
@@ -105,3 +107,6 @@
     )
     memory_bytes: int = 0
     crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
+    balancing: BalancingSettings = dataclasses.field(
+        default_factory=BalancingSettings
+    )
--- a/tests/sidecar/admission/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -1,6 +1,7 @@
 """Tests of the node beside a server."""
 
 import asyncio
+import dataclasses
 import os
 import random
 
@@ -347,3 +348,69 @@
         )
         assert result.retry_after_s > 1.0
         assert backend.requests == []
+
+
+class TestCallsThatMayNotWait:
+    """Calls that look for a free slot."""
+
+    async def call(self, backend, request_id, may_wait):
+        """Runs a call that may or may not wait."""
+        now = asyncio.get_running_loop().time()
+        return await backend.executor.run(
+            ServerCall(
+                request_id,
+                "i-1",
+                1,
+                "route",
+                1,
+                True,
+                now + 5.0,
+                now + 5.0,
+                "GET",
+                "/",
+                [(b"x-id", request_id)],
+                b"",
+                may_wait=may_wait,
+            )
+        )
+
+    async def test_they_are_refused_at_once_without_a_slot(self, backend):
+        """Guards against a search that waits at the first full server."""
+        backend.answers_after_s = 0.2
+        running = [
+            asyncio.create_task(self.call(backend, b"%d" % n, True))
+            for n in range(4)
+        ]
+        await asyncio.sleep(0.05)
+        result = await self.call(backend, b"9", False)
+        assert result.outcome is Outcome.NOT_RUN
+        assert result.reason is Reason.BUSY
+        assert backend.executor.queue.size == 0
+        for task in running:
+            assert (await task).outcome is Outcome.ANSWERED
+
+    async def test_they_run_in_a_free_slot(self, backend):
+        """Guards against a search that never finds a slot."""
+        result = await self.call(backend, b"1", False)
+        assert result.outcome is Outcome.ANSWERED
+
+
+class TestPace:
+    """The pace that the server states."""
+
+    async def test_it_is_in_the_load_report(self, backend):
+        """Guards against nodes that take a slowed server for a fast one."""
+        settings = backend.executor.settings
+        backend.executor.settings = dataclasses.replace(
+            settings,
+            fields=dataclasses.replace(settings.fields, server_load=b"load"),
+        )
+        backend.script = lambda number, request_id: answer(
+            request_id, b"Load: 1,0,4,%d\r\n" % (100 if number < 3 else 300)
+        )
+        for n in range(4):
+            await run(backend, b"%d" % n)
+        report = backend.executor.get_load()
+        assert report.pace == 300
+        mean_s = backend.executor.queue.mean_service_s
+        assert report.mean_service_s > 2.0 * mean_s
--- a/tests/sidecar/routing/test_gateway.py
+++ b/tests/sidecar/routing/test_gateway.py
@@ -5,18 +5,24 @@
 from types import SimpleNamespace
 
 import pytest
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
 from vanillamast_sidecar.field_names import FieldNames
-from vanillamast_sidecar.http.http_message import HttpRequest
+from vanillamast_sidecar.http.http_message import HttpRequest, HttpResponse
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.membership import Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.routing.gateway import Gateway
 from vanillamast_sidecar.routing.route import Route
+from vanillamast_sidecar.routing.route_table import RouteTable
+from vanillamast_sidecar.routing.server_selector import ServerSelector
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
 PARENT = b"9c41d07b"
@@ -139,3 +145,71 @@
             gateway, refused_until=later, refused_rank=0, unresponsive=True
         )
         assert self.reason(gateway) is Reason.NO_SERVER
+
+
+class TestSlotSearch:
+    """Requests look for a free slot where the deployment calls for it."""
+
+    def add_servers(self, gateway, count, pace=0):
+        """Adds nodes with servers; returns their peers."""
+        peers = []
+        for n in range(count):
+            address = f"127.0.0.{n + 2}:1"
+            server = InstanceRecord(
+                f"i-{n}", 1, 1, "browse", "v1", 4, True, False, 0.0, address
+            )
+            record = NodeRecord(address, "a", 1, 0, False, server)
+            peer = gateway.mesh.membership.apply_record(record, True, 0.0)
+            peer.load = LoadReport(0, 0, 0.05, 0.0, 0.0, pace)
+            peers.append(peer)
+        return peers
+
+    async def play(self, gateway, free_after):
+        """Sends a request; returns the attempts as (server, may wait).
+
+        Args:
+          gateway: The gateway.
+          free_after: Number of servers that refuse it for lack of a slot.
+        """
+        gateway.selector = ServerSelector(
+            MoveTable(lambda _: None), random.Random(1)
+        )
+        attempts = []
+
+        async def run_remotely(exchange, peer, may_wait):
+            attempts.append((peer.record.instance.id, may_wait))
+            if len(attempts) <= free_after:
+                return CallResult(Outcome.NOT_RUN, Reason.BUSY)
+            return CallResult(
+                Outcome.ANSWERED,
+                response=HttpResponse(200, []),
+                sent_to_server=True,
+            )
+
+        gateway._run_remotely = run_remotely
+        gateway.route_table = RouteTable((route(1),))
+        gateway.snapshot = SimpleNamespace(organisations=())
+        gateway.mesh.config_version = 1
+        request = HttpRequest("GET", "/x/1", [(b"host", b"a.example")], b"")
+        response = await gateway.handle_request(request, gateway.loop.time())
+        assert response.status == 200
+        return attempts
+
+    async def test_busy_servers_are_asked_once_each(self, gateway):
+        """Guards against requests that wait while a slot is free."""
+        self.add_servers(gateway, 6, pace=100)
+        attempts = await self.play(gateway, free_after=2)
+        assert len({server for server, _ in attempts}) == 3
+        assert [may_wait for _, may_wait in attempts] == [False] * 3
+
+    async def test_then_the_request_waits(self, gateway):
+        """Guards against a request that is refused while it could wait."""
+        self.add_servers(gateway, 2, pace=100)
+        attempts = await self.play(gateway, free_after=2)
+        assert [may_wait for _, may_wait in attempts] == [False, False, True]
+
+    async def test_other_deployments_wait_at_once(self, gateway):
+        """Guards against a change for deployments that do not ask for it."""
+        self.add_servers(gateway, 6)
+        attempts = await self.play(gateway, free_after=0)
+        assert [may_wait for _, may_wait in attempts] == [True]
