Let organisations above their share of a server wait behind the others

Cause: at a server's queue, an organisation that asks for many times its usual takes the slots of all others of its priority. Change: FairShare compares what organisations use of a server, in proportion to their usage caps; one above twice its share ranks behind the others of its priority. Without organisations nothing changes.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -8,6 +8,7 @@
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.decaying_rate import DecayingRate
 from vanillamast_sidecar.admission.decaying_share import DecayingShare
+from vanillamast_sidecar.admission.fair_share import FairShare
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.admission.server_call import ServerCall
@@ -51,6 +52,9 @@
 # A request whose deadline is nearer than this is not sent: no server answers
 # faster.
 MIN_ATTEMPT_S = 0.005
+# A rank of the sender is split by whether the organisation uses more than its
+# share of the server.
+RANKS_PER_SENDER_RANK = 2
 # A timer that fires a little early does not find the next request allowed.
 MIN_GRANT_DELAY_S = 0.001
 
@@ -83,6 +87,7 @@
       last_deadline: Latest deadline of a request that is accepted, in loop
         time.
       pace: How fast the server works now, compared with its usual speed.
+      fair_share: What organisations use of the server.
       running_alone: Whether the server runs a request that must not run
         beside another such one.
       grant_timer: Grants slots when the rate limit allows the next request;
@@ -122,6 +127,7 @@
         self.last_deadline = float("inf")
         self.running_alone = False
         self.pace = PaceTracker()
+        self.fair_share = FairShare()
         self.grant_timer: asyncio.TimerHandle | None = None
 
     def get_load(self) -> LoadReport:
@@ -206,6 +212,7 @@
         self.queue = AdmissionQueue(1)
         self.incarnation = (current.id, current.born_ms)
         self.pace = PaceTracker()
+        self.fair_share.usage.clear()
         self.sent = DecayingRate()
 
     def _restore_rate_limit(self, limit: float) -> None:
@@ -235,21 +242,20 @@
         queue = self.queue
         queue.assume_duration(call.soft_deadline - self.loop.time())
         now = self.loop.time()
+        rank = self._get_rank(call, now)
         if not queue.try_acquire_slot(now):
             if not call.may_wait:
                 return self._refuse_busy()
-            wait_s = queue.expected_wait_s(call.rank, call.soft_deadline, now)
+            wait_s = queue.expected_wait_s(rank, call.soft_deadline, now)
             wait_s *= self.pace.factor(now)
             duration_s = queue.expected_duration_s(call.route)
             duration_s *= self.pace.factor(now)
             if now + wait_s + duration_s > call.soft_deadline:
                 return self._refuse(call, Reason.OVERLOADED, wait_s)
-            reason = await self._wait_for_slot(call, queue)
+            reason = await self._wait_for_slot(call, rank, queue)
             if reason:
                 now = self.loop.time()
-                wait_s = queue.expected_wait_s(
-                    call.rank, call.soft_deadline, now
-                )
+                wait_s = queue.expected_wait_s(rank, call.soft_deadline, now)
                 return self._refuse(call, reason, wait_s)
         if call.idempotent:
             return await self._run_in_slot(call, queue)
@@ -257,6 +263,15 @@
         task = self.loop.create_task(self._run_in_slot(call, queue))
         return await asyncio.shield(task)
 
+    def _get_rank(self, call: ServerCall, now: float) -> int:
+        """Returns the rank among the requests that wait for a slot.
+
+        Within a rank of the sender, organisations that use more than their
+        share of the server come last.
+        """
+        is_over = self.fair_share.is_over(call.organisation, now)
+        return call.rank * RANKS_PER_SENDER_RANK + is_over
+
     def _find_refusal_reason(self, call: ServerCall) -> Reason:
         """Returns why a call cannot run now, `Reason.NONE` if it can."""
         current = self.registry.current
@@ -300,14 +315,15 @@
         return CallResult(Outcome.NOT_RUN, reason, retry_after_s=wait_s)
 
     async def _wait_for_slot(
-        self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
+        self,
+        call: ServerCall,
+        rank: int,
+        queue: AdmissionQueue[asyncio.Future[Reason]],
     ) -> Reason:
         """Waits for a slot; returns why none was granted, or `Reason.NONE`."""
         future: asyncio.Future[Reason] = self.loop.create_future()
         duration_s = queue.expected_duration_s(call.route)
-        sequence = queue.enqueue(
-            call.rank, call.soft_deadline, duration_s, future
-        )
+        sequence = queue.enqueue(rank, call.soft_deadline, duration_s, future)
         self._schedule_grant()
         latest_start = call.deadline - duration_s
         timer = self.loop.call_at(latest_start, _refuse_overloaded, future)
@@ -351,6 +367,7 @@
         self, call: ServerCall, queue: AdmissionQueue[asyncio.Future[Reason]]
     ) -> CallResult:
         started = self.loop.time()
+        rank = self._get_rank(call, started)
         result: CallResult | None = None
         try:
             result = await self._attempt(call, queue)
@@ -359,7 +376,8 @@
             queue.release_slot(result is None or result.sent_to_server)
             self._grant_slots()
             ended = self.loop.time()
-            queue.record_slot_use(call.rank, ended - started, ended)
+            queue.record_slot_use(rank, ended - started, ended)
+            self.fair_share.add(call.organisation, ended - started, ended)
             self._record_result(call, result, queue, ended - started)
 
     def _record_result(
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -289,6 +289,7 @@
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         self.gateway.apply_snapshot(snapshot)
         self.callers.limits = snapshot.limits
+        self.executor.fair_share.apply_organisations(snapshot.organisations)
         self.executor.apply_connection_limit(
             snapshot.connection_limits.get(self.settings.service)
         )
