Let the emulator hold organisations and send keys

Cause: tests over the emulator need callers with API keys.

Change: Operator.set_organisation, Caller.send(key=...), and the emulated servers record the organisation field and any Authorization they receive.

Result: no test uses it yet; the emulator's own tests are unchanged.

--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -17,6 +17,7 @@
 NOT_EXECUTED_HEADER = "X-Vanillamast-Not-Executed"
 RATE_LIMIT_HEADER = "Server-Limit"
 LEAVING_HEADER = "Server-Leaving"
+ORGANISATION_HEADER = "X-Vanillamast-Tenant"
 
 
 @dataclasses.dataclass
@@ -32,6 +33,8 @@
       deadline_ms: Time until the caller's deadline, -1 if the header is
         missing.
       arrived_at: When it arrived, in monotonic seconds.
+      organisations: Values of the header fields that name the organisation.
+      authorizations: Values of its Authorization fields.
     """
 
     request_id: str
@@ -41,6 +44,8 @@
     caller: str
     deadline_ms: int
     arrived_at: float
+    organisations: list[str] = dataclasses.field(default_factory=list)
+    authorizations: list[str] = dataclasses.field(default_factory=list)
 
 
 class Backend:
@@ -237,6 +242,8 @@
                 request.headers.get(CALLER_HEADER, ""),
                 int(request.headers.get(DEADLINE_HEADER, "-1")),
                 time.monotonic(),
+                request.headers.getall(ORGANISATION_HEADER, []),
+                request.headers.getall("Authorization", []),
             )
         )
         number = len(self.runs)
--- a/packages/testing/src/vanillamast_testing/emulator/caller.py
+++ b/packages/testing/src/vanillamast_testing/emulator/caller.py
@@ -31,6 +31,7 @@
       echoed_id: Request id in the answer.
       retry_after_s: Value of Retry-After, None without one.
       leaving: Whether the answer says that the server leaves.
+      challenge: Value of WWW-Authenticate, "" without one.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     echoed_id: str = ""
     retry_after_s: float | None = None
     leaving: bool = False
+    challenge: str = ""
 
 
 class Caller:
@@ -68,14 +70,17 @@
         body: bytes = b"",
         deadline_ms: int = 2000,
         headers: dict[str, str] | None = None,
+        key: str = "",
     ) -> CallerAnswer:
-        """Sends a request to the node of a machine."""
+        """Sends a request to the node of a machine, with an API key if any."""
         request_id = f"{self.prefix}{next(self.request_numbers):08x}"
         request_headers = {
             "Host": HOST,
             REQUEST_ID_HEADER: request_id,
             DEADLINE_HEADER: str(deadline_ms),
         }
+        if key:
+            request_headers["Authorization"] = f"Bearer {key}"
         request_headers.update(headers or {})
         timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000.0 + 1.0)
         try:
@@ -96,6 +101,7 @@
                     answer.headers.get(REQUEST_ID_HEADER, ""),
                     float(after) if after is not None else None,
                     answer.headers.get(LEAVING_HEADER) == "1",
+                    answer.headers.get("WWW-Authenticate", ""),
                 )
         except (OSError, aiohttp.ClientError, TimeoutError):
             return CallerAnswer(request_id, NO_ANSWER_STATUS)
--- a/packages/testing/src/vanillamast_testing/emulator/operator.py
+++ b/packages/testing/src/vanillamast_testing/emulator/operator.py
@@ -15,12 +15,14 @@
       store: The store.
       version: Version of the last configuration.
       routes: Routes of the last configuration by name.
+      organisations: Organisations of the last configuration by name.
     """
 
     def __init__(self, store: EmulatedStore):
         self.store = store
         self.version = 0
         self.routes: dict[str, dict[str, Any]] = {}
+        self.organisations: dict[str, dict[str, Any]] = {}
 
     def set_route(self, name: str, service: str, **fields: Any) -> None:
         """Adds or replaces a route of the next configuration."""
@@ -37,6 +39,10 @@
         spec.update(fields)
         self.routes[name] = spec
 
+    def set_organisation(self, name: str, *keys: str, **fields: Any) -> None:
+        """Adds or replaces an organisation of the next configuration."""
+        self.organisations[name] = {"api_keys": list(keys), **fields}
+
     async def publish(self) -> int:
         """Publishes a configuration; returns its version."""
         self.version += 3
@@ -44,6 +50,10 @@
             {"entry_type": "routes", "metadata": {"name": name}, "spec": spec}
             for name, spec in self.routes.items()
         ]
+        resources.extend(
+            {"entry_type": "tenants", "metadata": {"name": name}, "spec": spec}
+            for name, spec in self.organisations.items()
+        )
         resources.append(
             {
                 "entry_type": "limits",
