Identify organisations by API key at the first hop

Cause: if a configuration has organisations, a request needs one of their keys, and the key must not travel any further.

Gateway asks it once for each request: without a known key the response is 401, else the organisation's name takes the place of Authorization in the forwarded fields. The rank puts the organisation's priority before that of the route. Refusals are counted by reason and logged with a keyed hash. Without organisations nothing changes.

--- a/packages/cli/src/vanillamast_cli/reason_texts.py
+++ b/packages/cli/src/vanillamast_cli/reason_texts.py
@@ -3,6 +3,7 @@
 REASON_TEXTS = {
     "no_configuration": "the node had not read a configuration yet",
     "no_route": "no route of the configuration in force matches",
+    "unauthenticated": "the request had no API key that is in force",
     "no_server": "no ready server of the service could be reached",
     "overloaded": "no server was expected to answer in time",
     "leaving": "the server had announced that it leaves",
--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -9,6 +9,7 @@
     NONE = ""
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
+    UNAUTHENTICATED = "unauthenticated"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
     LEAVING = "leaving"
--- a/packages/sidecar/src/vanillamast_sidecar/http/http_message.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/http_message.py
@@ -30,13 +30,14 @@
     Attributes:
       method: HTTP method.
       target: Request target as received.
-      headers: Header fields in order; names in lower case.
+      headers: Header fields in order; names in lower case. They may hold an
+        API key and are not shown.
       body: Body without transfer coding.
     """
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers = dataclasses.field(repr=False)
     body: Body = b""
 
     def get_header(self, name: bytes) -> bytes | None:
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -28,6 +28,12 @@
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.organisations.key_hasher import KeyHasher
+from vanillamast_sidecar.organisations.key_refusal import KeyRefusal
+from vanillamast_sidecar.organisations.organisation import Organisation
+from vanillamast_sidecar.organisations.organisation_directory import (
+    OrganisationDirectory,
+)
 from vanillamast_sidecar.routing.exchange import Exchange
 from vanillamast_sidecar.routing.retry_budget import RetryBudget
 from vanillamast_sidecar.routing.route import Route
@@ -65,11 +71,14 @@
 CROSS_DOMAIN_BACKOFF_S = 0.4
 # Refusals by nodes after which the caller's request is refused.
 MAX_REFUSALS = 3
+# Callers choose the request id, and log lines of refused ones are frequent.
+MAX_LOGGED_ID_BYTES = 128
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 NOT_FOUND = 404
+UNAUTHORIZED = 401
 
 
 class Gateway:
@@ -85,6 +94,8 @@
       metrics: Metrics.
       snapshot: Active configuration, None before the first one.
       route_table: Routes of the active configuration.
+      key_hasher: Hashes unknown API keys for logs.
+      directory: Organisations of the active configuration.
       splits: Traffic split between the services of a route, by route name.
       budgets: Retry budgets by service.
       durations: Durations of routes, compared with others.
@@ -112,6 +123,8 @@
         self.loop = asyncio.get_running_loop()
         self.snapshot: Snapshot | None = None
         self.route_table = RouteTable(())
+        self.key_hasher = KeyHasher()
+        self.directory = OrganisationDirectory((), self.key_hasher)
         self.splits: dict[str, WeightedSplit] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.durations = RouteDurations()
@@ -120,6 +133,10 @@
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replaces the active configuration, all parts at once."""
         self.route_table = RouteTable(snapshot.routes)
+        self.directory = OrganisationDirectory(
+            snapshot.organisations, self.key_hasher
+        )
+        self.metrics.set("organisations", len(snapshot.organisations))
         unchanged_splits = {}
         for route in snapshot.routes:
             split = self.splits.get(route.name)
@@ -143,7 +160,12 @@
         route = self.route_table.match(host, request.target)
         if route is None:
             return self._respond_no_route(request_id, host, request.target)
-        exchange = self._create_exchange(request, route, request_id, arrived_at)
+        organisation = self._identify(request, route, request_id)
+        if isinstance(organisation, HttpResponse):
+            return organisation
+        exchange = self._create_exchange(
+            request, route, request_id, arrived_at, organisation
+        )
         if exchange.deadline > self.last_deadline:
             # The process might exit before the request has ended.
             return self._refuse_not_ready(request_id, Reason.STOPPING)
@@ -186,12 +208,39 @@
         )
         return self._make_response(NOT_FOUND, request_id, Reason.NO_ROUTE)
 
+    def _identify(
+        self, request: HttpRequest, route: Route, request_id: bytes
+    ) -> Organisation | HttpResponse | None:
+        """Returns the organisation of a request, or the response to refuse it.
+
+        Returns:
+          None if the request has no organisation and needs none.
+        """
+        found = self.directory.identify(request.headers, route)
+        if not isinstance(found, KeyRefusal):
+            return found
+        reason = Reason.UNAUTHENTICATED
+        self.metrics.count("requests", outcome=reason)
+        self.metrics.count("key_refusals", reason=found.reason)
+        self.log.write(
+            "request.unauthenticated",
+            request=request_id[:MAX_LOGGED_ID_BYTES].decode("latin-1"),
+            route=route.name,
+            reason=found.reason,
+            key_hash=found.key_hash,
+            config_version=self.mesh.config_version,
+        )
+        response = self._make_response(UNAUTHORIZED, request_id, reason)
+        response.headers.append((b"WWW-Authenticate", b"Bearer"))
+        return response
+
     def _create_exchange(
         self,
         request: HttpRequest,
         route: Route,
         request_id: bytes,
         arrived_at: float,
+        organisation: Organisation | None = None,
     ) -> Exchange:
         split = self.splits.get(route.name)
         if split is None:
@@ -205,7 +254,8 @@
                 timeout_s = min(timeout_s, remaining_s)
         objective_s = min(timeout_s, route.target_latency_s)
         soft_deadline_s = objective_s * SOFT_DEADLINE_SHARE
-        rank = route.priority * RANKS_PER_PRIORITY + 1
+        priority = self.directory.get_priority(route, organisation)
+        rank = priority * RANKS_PER_PRIORITY + 1
         if self.executor.is_nested(request_id):
             # Refusing a nested call wastes the work of its parent request.
             soft_deadline_s = max(
@@ -222,11 +272,14 @@
             arrived_at + soft_deadline_s,
             arrived_at + max(objective_s, soft_deadline_s),
             rank,
-            self._headers_to_forward(request),
+            self._headers_to_forward(request, organisation),
             set(),
+            organisation,
         )
 
-    def _headers_to_forward(self, request: HttpRequest) -> Headers:
+    def _headers_to_forward(
+        self, request: HttpRequest, organisation: Organisation | None
+    ) -> Headers:
         """Returns the header fields to forward.
 
         Fields that nodes set themselves are dropped if the caller sent them.
@@ -239,7 +292,9 @@
             if name not in own
         ]
         headers.append((fields.caller, self.settings.service.encode()))
-        return headers
+        return self.directory.forward_headers(
+            headers, fields.organisation, organisation
+        )
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
