Find the configuration before a refused one at a start

Cause: a node that starts reads only the newest record of each key. If that configuration was refused, a fleet that was restarted as a whole had none at all and answered 503. Within one read, a record with a lower version also hid one with a higher version before it.

Of several configurations in one read, the highest version counts.

--- a/tests/platform_adapter/test_decoder_fuzz.py
+++ b/tests/platform_adapter/test_decoder_fuzz.py
@@ -73,7 +73,7 @@
     st.fixed_dictionaries(
         {
             "entry_type": st.sampled_from(
-                ["routes", "services", "limits", "x"]
+                ["routes", "services", "limits", "tenants", "x"]
             ),
             "metadata": st.one_of(values, st.just({"name": "r"})),
             "spec": values,
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -3,13 +3,14 @@
 import asyncio
 import json
 import os
+from unittest.mock import AsyncMock
 
 import pytest
 from vanillamast_platform.log_records import (
     encode_keyed_record,
     parse_read_answer,
 )
-from vanillamast_platform.log_store import LogStore
+from vanillamast_platform.log_store import MAX_EARLIER_CALLS, LogStore
 from vanillamast_platform.store_settings import StoreSettings
 from vanillamast_sidecar.errors import (
     StoreConflictError,
@@ -19,6 +20,7 @@
 )
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.operator_state.store import OperatorUpdate
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
 from vanillamast_sidecar.settings import Address
@@ -88,6 +90,36 @@
         assert update.snapshot.version == 4
         assert update.next_offset == 2
 
+    async def test_the_configuration_before_a_refused_one_is_found(
+        self, store, emulated
+    ):
+        """Guards against a fleet that starts without any configuration."""
+        for version, newest in ((2, 2), (9, 9), (4, 9)):
+            value = json.dumps({"version": version, "resources": []}).encode()
+            await emulated.put("keyed.op", "config", value)
+            # A lower version that is read in the same call changes nothing.
+            update = await store.poll_operator(0, 1.0)
+            assert update.snapshot.version == newest
+        await emulated.put("keyed.op", "config", b"{")
+        for first_offset, version in ((0, 9), (1, 9), (2, 4)):
+            emulated.partition("keyed.op", 0).trim(first_offset)
+            update = await store.read_operator_state()
+            assert update.snapshot.version == version
+            assert update.next_offset == 4
+        emulated.partition("keyed.op", 0).trim(3)
+        assert (await store.read_operator_state()).snapshot is None
+
+    async def test_an_unfinished_search_finds_nothing(self, store, emulated):
+        """Guards against removed keys that are in force again."""
+        value = json.dumps({"version": 4, "resources": []}).encode()
+        await emulated.put("keyed.op", "config", value)
+        await emulated.put("keyed.op", "config", b"{")
+        # An answer without records never gets up to the refused one.
+        empty = OperatorUpdate(0, None, [])
+        store.poll_operator = AsyncMock(return_value=empty)
+        assert (await store.read_operator_state()).snapshot is None
+        assert store.poll_operator.await_count == MAX_EARLIER_CALLS
+
     async def test_a_change_ends_the_wait(self, store, emulated):
         """Guards against changes that are delivered only after a full wait."""
         update = await store.read_operator_state()
--- a/tests/platform_adapter/test_operator_records.py
+++ b/tests/platform_adapter/test_operator_records.py
@@ -138,6 +138,19 @@
         raw = json.dumps({"version": 8, "resources": [ORGANISATION]})
         assert "secret" not in repr(decode_config(raw.encode()))
 
+    def test_a_fault_refuses_the_configuration_as_a_whole(self):
+        """Guards against the other organisations of a faulty configuration."""
+        shared = json.loads(json.dumps(ORGANISATION))
+        shared["metadata"]["name"] = "bolt"
+        mistyped = json.loads(json.dumps(ORGANISATION))
+        mistyped["spec"]["api_keys"] = ["secret-three", 5]
+        for resources in ([ORGANISATION, shared], [mistyped]):
+            raw = json.dumps({"version": 8, "resources": resources})
+            with pytest.raises(InvalidConfigurationError) as caught:
+                decode_config(raw.encode())
+            assert "acme" in str(caught.value)
+            assert "secret" not in repr(caught.value)
+
 
 class TestMoveRecords:
     """Specs and states of moves."""
