--- a/tests/sidecar/routing/test_gateway.py
+++ b/tests/sidecar/routing/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of the first hop of a request."""
 
+import dataclasses
 import os
 import random
 from types import SimpleNamespace
@@ -9,12 +10,18 @@
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
 from vanillamast_sidecar.field_names import FieldNames
+from vanillamast_sidecar.http.caller_limits import CallerLimits
 from vanillamast_sidecar.http.http_message import HttpRequest
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.membership import Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
-from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.event_logger import (
+    LINES_PER_KIND,
+    EventLogger,
+)
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.snapshot import Snapshot
+from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.routing.gateway import Gateway
 from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
@@ -139,3 +146,75 @@
             gateway, refused_until=later, refused_rank=0, unresponsive=True
         )
         assert self.reason(gateway) is Reason.NO_SERVER
+
+
+class TestKeys:
+    """Requests under a configuration that has organisations."""
+
+    @pytest.fixture
+    def closed(self, gateway):
+        """Returns a gateway with one organisation and one route."""
+        fields = dataclasses.replace(gateway.settings.fields, organisation=b"o")
+        gateway.settings = dataclasses.replace(gateway.settings, fields=fields)
+        gateway.mesh.config_version = 4
+        gateway.apply_snapshot(
+            Snapshot(
+                4,
+                (route(1),),
+                {},
+                CallerLimits(),
+                b"",
+                (Organisation("acme", ("s3cret",), 0),),
+            )
+        )
+        return gateway
+
+    def request(self, key, target="/x/1"):
+        """Returns a request with a key."""
+        headers = [(b"host", b"a.example"), (b"o", b"forged")]
+        headers.append((b"authorization", b"Bearer " + key))
+        return HttpRequest("GET", target, headers, b"")
+
+    async def test_a_request_without_a_known_key_is_not_run(self, closed):
+        """Guards against requests of unknown callers, and against log floods.
+
+        A request that were run would fail in this test.
+        """
+        for _ in range(10 * LINES_PER_KIND):
+            response = await closed.handle_request(self.request(b"gue55"), 0.0)
+        assert response.status == 401
+        assert response.get_header(b"www-authenticate") == b"Bearer"
+        assert "gue55" not in repr(self.request(b"gue55"))
+        lines = closed.log.pending
+        assert any(b"request.unauthenticated" in line for line in lines)
+        assert len(lines) <= 2 * LINES_PER_KIND + 2  # In up to two seconds.
+        for shown in (*lines, closed.metrics.render(), response.body):
+            assert b"gue55" not in shown
+        refused = closed.metrics.counters[
+            ("key_refusals", (("reason", "unknown"),))
+        ]
+        assert refused == 10 * LINES_PER_KIND
+
+    async def test_an_unknown_route_needs_no_key(self, closed):
+        """Guards against responses by which callers cannot tell the fault."""
+        request = self.request(b"gue55", "/none")
+        assert (await closed.handle_request(request, 0.0)).status == 404
+
+    async def test_a_known_key_is_replaced_by_the_organisation(self, closed):
+        """Guards against keys that reach servers or other nodes."""
+        request = self.request(b"s3cret")
+        organisation = closed._identify(request, route(1), b"")
+        exchange = closed._create_exchange(
+            request, route(1), b"5a0e3a11", 0.0, organisation
+        )
+        assert exchange.organisation_name == "acme"
+        assert (b"o", b"acme") in exchange.headers
+        assert "s3cret" not in repr(exchange)
+        assert "forged" not in repr(exchange)
+        nested = closed._create_exchange(
+            request, route(0), PARENT + b".1", 0.0, None
+        )
+        urgent = closed._create_exchange(
+            request, route(0), b"5a0e3a11", 0.0, organisation
+        )
+        assert nested.rank < urgent.rank < exchange.rank
