--- a/packages/cli/src/vanillamast_cli/log_verbs.py
+++ b/packages/cli/src/vanillamast_cli/log_verbs.py
@@ -33,6 +33,13 @@
         "store.regained",
     )
 )
+# Lines of requests to which the node itself responded.
+END_KINDS = (
+    "request.failed",
+    "request.refused",
+    "request.no_route",
+    "request.unauthenticated",
+)
 CONFIG_KIND = "config.applied"
 MOVE_PREFIX = "move."
 LINE_COLUMNS = ("time", "node", "event", "details")
@@ -133,7 +140,7 @@
         for line in lines
         if line.fields.get("request") == request_id
     }
-    for kind in ("request.failed", "request.refused", "request.no_route"):
+    for kind in END_KINDS:
         line = ends.get(kind)
         if line is None:
             continue
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
@@ -152,13 +152,13 @@
             max(0, self.offset), self.compressed, specs, self.moves.statuses()
         )
 
-    def apply_peer_state(self, state: OperatorState) -> None:
-        """Applies the state of a peer."""
+    def apply_peer_state(self, state: OperatorState) -> bool:
+        """Applies the state of a peer; returns False if it is refused."""
         try:
             snapshot = self.decode_snapshot(decompress(state.config))
         except (InvalidConfigurationError, zlib.error) as error:
             self.log.write("operator.invalid", error=str(error), source="peer")
-            return
+            return False
         self._replace_snapshot(snapshot, "peer")
         self._add_specs([MoveSpec(*fields) for fields in state.move_specs])
         now = self.loop.time()
@@ -167,6 +167,7 @@
         if state.offset > 0:
             self.offset = max(self.offset, state.offset)
             self.mesh.operator_offset = self.offset
+        return True
 
 
 def compress(raw: bytes) -> bytes:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -44,6 +44,9 @@
 # Other nodes fetch a change after a random delay up to this one, so that the
 # first of them can pass it on to the rest.
 FETCH_JITTER_S = 0.2
+# Delay after a peer sent a configuration that this node refuses, as nodes of
+# another build may; a newer one still arrives within the bound.
+REFUSED_FETCH_DELAY_S = 1.0
 
 
 class OperatorStateSync:
@@ -246,4 +249,5 @@
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
         self.fetch_at = 0.0
-        self.state.apply_peer_state(message)
+        if not self.state.apply_peer_state(message):
+            self.fetch_at = self.loop.time() + REFUSED_FETCH_DELAY_S
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -226,7 +226,9 @@
             "request.unauthenticated",
             request=request_id[:MAX_LOGGED_ID_BYTES].decode("latin-1"),
             route=route.name,
-            reason=found.reason,
+            status=UNAUTHORIZED,
+            reason=reason,
+            refusal=found.reason,
             key_hash=found.key_hash,
             config_version=self.mesh.config_version,
         )
--- a/tests/cli/test_log_verbs.py
+++ b/tests/cli/test_log_verbs.py
@@ -90,6 +90,15 @@
         _, out, _ = await run(f"trace {REQUEST} in {logs.files()}", "table")
         assert "ended by m1 503: overloaded: no server" in out
 
+    async def test_a_refused_key_is_explained(self, logs):
+        """Guards against a 401 that looks like a lost request."""
+        fields = {"status": 401, "reason": Reason.UNAUTHENTICATED}
+        logs.write(
+            "m3", ("request.unauthenticated", {"request": "5a", **fields})
+        )
+        _, out, _ = await run(f"trace 5a in {logs.files()}", "table")
+        assert "ended by m3 401: unauthenticated: the request had no" in out
+
     async def test_context_is_limited_to_the_requests_nodes(self, logs):
         """Guards against a context with other nodes' state changes."""
         _, out, _ = await run(f"trace {REQUEST} in {logs.files()}")
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -87,6 +87,18 @@
             sync.handle_versions(peer, 40, 8)
         assert len(sync.mesh.sent) == 1
 
+    async def test_a_refused_state_is_not_fetched_at_once(self, sync):
+        """Guards against a loop of fetches between nodes of two builds."""
+        peer = sync.mesh.membership.peers[address(1)]
+        sync.state.apply_peer_state = lambda message: False
+        for _ in range(50):
+            before = len(sync.mesh.sent)
+            sync.handle_versions(peer, 40, 8)
+            if len(sync.mesh.sent) > before:
+                sync.handle_operator_state(None)
+            sync.loop.now += 0.1
+        assert 4 <= len(sync.mesh.sent) <= 5
+
     async def test_a_node_that_is_not_behind_does_not_fetch(self, sync):
         """Guards against fetches at rest."""
         peer = sync.mesh.membership.peers[address(1)]
