--- a/tests/platform_path/test_organisations.py
+++ b/tests/platform_path/test_organisations.py
@@ -118,6 +118,9 @@
                 received += await reader.read(65536)
         assert received.count(b"HTTP/1.1 401") == 3
         writer.close()
+        found = await statuses(fleet)
+        assert found["m1"] == found["m3"] == [401, 200, 401]
+        assert found["m2"][0] in (401, 503)  # 503 until it is ready.
         await until_everywhere(fleet, (401, 200, 401))
 
 
--- a/tests/sidecar/organisations/test_organisation_directory.py
+++ b/tests/sidecar/organisations/test_organisation_directory.py
@@ -63,9 +63,10 @@
         )
 
     @rule(
-        keys=st.lists(st.sampled_from([*KEYS, "other"]), max_size=2),
+        keys=st.lists(st.sampled_from([*KEYS, "other"]), max_size=2)
+        | st.sampled_from([[key] * 2 for key in KEYS]),
         scheme=schemes,
-        odd=st.none() | odd_values,
+        odd=st.none() | st.none() | odd_values,
         route=st.sampled_from([OPEN, CLOSED]),
         forged=st.booleans(),
     )
