--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Rate of requests to servers that are cold after a start."""
