Read evacuations of failure domains and spread them

The operator evacuates a failure domain by a record in keyed.op, and every node has to know of it within 5 s, also those that do not read the store.

OperatorUpdate and OperatorState carry the newest record of each failure domain. A node that learns of a record from the store, and each hub, passes it on once; hubs also send them to the nodes and hubs that connect to them. Records from before the read offset are ignored: the stateful fuzz found that a peer that is behind brought back an evacuation whose withdrawal the store no longer lists. An earlier build's message, which has no such field, changes nothing.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -27,4 +27,5 @@
     CALLER_GONE = "caller_gone"
     NOT_CONFIRMED = "not_confirmed"
     HELD = "held"
+    EVACUATED = "evacuated"
     BUDGET_SPENT = "budget_spent"
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -80,6 +80,8 @@
       on_operator_state: Handles the operator's state as another node has it.
       on_server_end: Handles the end of a server; returns whether it is new.
       get_operator_state: Returns the operator's state as this node has it.
+      get_evacuations: Returns the part of it on evacuations; None without
+        one.
       inbound: Connections that other nodes opened.
       wants_nodes: Whether the list of nodes has not been read yet.
       config_version: Version of the node's configuration, -1 without one.
@@ -127,6 +129,7 @@
         self.get_operator_state: Callable[[], OperatorState | None] = lambda: (
             None
         )
+        self.get_evacuations: Callable[[], OperatorState | None] = lambda: None
         self.loop = asyncio.get_running_loop()
         self.inbound: set[PeerServer] = set()
         self.wants_nodes = True
@@ -354,6 +357,9 @@
         if self.is_hub and not peer.same_domain:
             for status in self.moves.statuses():
                 link.send(MoveAnnouncement(status))
+            evacuations = self.get_evacuations()
+            if evacuations is not None:
+                link.send(evacuations)
 
     def _handle_inbound_closed(self, connection: PeerServer) -> None:
         self.inbound.discard(connection)
@@ -453,6 +459,8 @@
             state = self.get_operator_state()
             if state is not None:
                 connection.send(state)
+        elif isinstance(message, OperatorState):
+            self.on_operator_state(message)
 
     def _handle_heartbeat(
         self, connection: PeerServer, peer: Peer, heartbeat: NodeHeartbeat
@@ -466,6 +474,9 @@
         if self.duty.handle_heartbeat(connection, heartbeat, now):
             for status in self.moves.statuses():
                 connection.send(MoveAnnouncement(status))
+            evacuations = self.get_evacuations()
+            if evacuations is not None:
+                connection.send(evacuations)
         self.on_versions(
             peer, heartbeat.config_version, heartbeat.operator_offset
         )
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -11,6 +11,7 @@
 from vanillamast_sidecar.crashes.server_end import ServerEnd
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
 from vanillamast_sidecar.rollouts.move_status import MoveStatus
 from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
 
@@ -197,17 +198,24 @@
 class OperatorState(Message, tag=13, frozen=True):
     """The newest state that the operator has published.
 
+    Evacuations that are new to a node are also sent alone, without a
+    configuration and with the offset 0, to the nodes to which it is a hub and
+    from hub to hub.
+
     Attributes:
       offset: Offset up to which the sender has read the operator's stream.
       config: Newest configuration, compressed; empty if unknown.
       move_specs: Newest move specs: service, version, seconds, move id.
       move_statuses: Status of each move that the sender knows.
+      evacuations: Newest record on the evacuation of each failure domain;
+        None from nodes that do not know of evacuations.
     """
 
     offset: int
     config: bytes
     move_specs: list[tuple[str, str, float, int]]
     move_statuses: list[MoveStatus]
+    evacuations: list[Evacuation] | None = None
 
 
 class SlotGranted(Message, tag=14, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -3,6 +3,7 @@
 METRIC_TEXTS = {
     "caller_connections": "Open connections of callers.",
     "config_version": "Version of the configuration in force.",
+    "evacuated_domains": "Failure domains that the operator has evacuated.",
     "held_requests": "Requests that are held, at the last end of a server.",
     "move_conflicts": "Writes of a move's state that another record beat.",
     "peer_silences": "Nodes that stopped answering on an open connection.",
@@ -18,6 +19,7 @@
     "server_requests": "Requests that were sent to the server.",
     "server_running": "Requests that the server runs.",
     "server_waiting": "Requests that wait for a slot of the server.",
+    "server_warm_up_rate": "Warm-up rate that limits the server; 0: none.",
     "store_connected": "1 if the store answered the last call, else 0.",
     "store_reader": "1 if this node reads the store for its domain, else 0.",
 }
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
@@ -9,6 +9,8 @@
 from vanillamast_sidecar.mesh.messages import OperatorState
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
 from vanillamast_sidecar.operator_state.snapshot import Snapshot
 from vanillamast_sidecar.operator_state.store import MoveStates, OperatorUpdate
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
@@ -18,7 +20,7 @@
 
 
 class AppliedOperatorState:
-    """Newest configuration and move specs, from the store or from a peer.
+    """Newest operator state, from the store or from a peer.
 
     Attributes:
       mesh: Announces the applied configuration version and offset to other
@@ -26,6 +28,9 @@
       moves: Moves of all services.
       apply_snapshot: Applies a configuration in the rest of the node.
       decode_snapshot: Decodes a configuration from another node.
+      evacuations: Failure domains that the operator has evacuated.
+      on_evacuation: Handles a new record on an evacuation; the flag tells
+        whether the operator has just written it, as far as this node knows.
       log: Event logger.
       metrics: Metrics.
       offset: Next offset to read in the operator's stream; -1 if the newest
@@ -42,6 +47,8 @@
         decode_snapshot: Callable[[bytes], Snapshot],
         log: EventLogger,
         metrics: Metrics,
+        evacuations: Evacuations | None = None,
+        on_evacuation: Callable[[Evacuation, bool], None] = lambda *_: None,
     ):
         self.mesh = mesh
         self.moves = moves
@@ -49,11 +56,14 @@
         self.decode_snapshot = decode_snapshot
         self.log = log
         self.metrics = metrics
+        self.evacuations = evacuations or Evacuations()
+        self.on_evacuation = on_evacuation
         self.loop = asyncio.get_running_loop()
         self.offset = -1
         self.snapshot: Snapshot | None = None
         self.compressed = b""
         mesh.get_operator_state = self.to_message
+        mesh.get_evacuations = self.to_evacuations_message
 
     # From the store.
 
@@ -88,7 +98,18 @@
         """Applies an update of the store; returns whether anything changed."""
         self.offset = max(self.offset, update.next_offset)
         self.mesh.operator_offset = max(0, self.offset)
-        changed = self._add_specs(update.move_specs)
+        # Before the configuration, with which requests begin.
+        if update.complete:
+            new = self.evacuations.apply_complete(
+                update.evacuations, 0, update.next_offset
+            )
+        else:
+            new = self.evacuations.apply_read(
+                update.evacuations, 0, update.next_offset
+            )
+        self._handle_evacuations(new, "store")
+        changed = bool(new)
+        changed = self._add_specs(update.move_specs) or changed
         if update.snapshot is not None:
             changed = (
                 self._replace_snapshot(update.snapshot, "store") or changed
@@ -111,6 +132,26 @@
                 )
         return changed
 
+    def _handle_evacuations(self, new: list[Evacuation], source: str) -> None:
+        """Handles new records on evacuations and passes them on."""
+        for record in new:
+            self.log.write(
+                "evacuation.changed",
+                failure_domain=record.failure_domain,
+                evacuated=record.active,
+                offset=record.offset,
+                source=source,
+            )
+            # A node without a configuration has just started, and takes over
+            # records of any age.
+            self.on_evacuation(record, self.snapshot is not None)
+        if new:
+            self.metrics.set(
+                "evacuated_domains", self.evacuations.count_evacuated()
+            )
+            if source == "store" or self.mesh.is_hub:
+                self.mesh.broadcast(OperatorState(0, b"", [], [], new))
+
     def _replace_snapshot(self, snapshot: Snapshot, source: str) -> bool:
         """Applies a configuration if its version is newer; never rolls back."""
         known = self.snapshot
@@ -149,11 +190,31 @@
             if move.spec.over_s > 0.0
         ]
         return OperatorState(
-            max(0, self.offset), self.compressed, specs, self.moves.statuses()
+            max(0, self.offset),
+            self.compressed,
+            specs,
+            self.moves.statuses(),
+            self.evacuations.to_list(),
         )
 
+    def to_evacuations_message(self) -> OperatorState | None:
+        """Returns the records on evacuations alone, None without one."""
+        records = self.evacuations.to_list()
+        return OperatorState(0, b"", [], [], records) if records else None
+
     def apply_peer_state(self, state: OperatorState) -> None:
         """Applies the state of a peer."""
+        if state.evacuations is not None:
+            new = (
+                self.evacuations.apply_complete(
+                    state.evacuations, 0, state.offset
+                )
+                if state.offset > 0
+                else self.evacuations.apply(state.evacuations)
+            )
+            self._handle_evacuations(new, "peer")
+        if not state.config:
+            return
         try:
             snapshot = self.decode_snapshot(decompress(state.config))
         except (InvalidConfigurationError, zlib.error) as error:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -245,5 +245,7 @@
 
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
-        self.fetch_at = 0.0
+        if message.config:
+            # Evacuations alone are no answer to a fetch.
+            self.fetch_at = 0.0
         self.state.apply_peer_state(message)
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
 from vanillamast_sidecar.operator_state.snapshot import Snapshot
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
@@ -17,11 +18,17 @@
       next_offset: Offset of the next read.
       snapshot: Newest configuration, None if there is no new one.
       move_specs: New move specs.
+      evacuations: New records on evacuations, the newest of each failure
+        domain.
+      complete: Whether the operator's whole state was read: a failure domain
+        without a record is not evacuated.
     """
 
     next_offset: int
     snapshot: Snapshot | None
     move_specs: list[MoveSpec]
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
+    complete: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -19,6 +19,7 @@
 )
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
 from vanillamast_sidecar.settings import Address
@@ -77,6 +78,21 @@
             assert update.snapshot.version == 4
             assert [spec.service for spec in update.move_specs] == ["t"]
 
+    async def test_evacuations_are_read(self, store, emulated):
+        """Guards against an evacuation or its withdrawal that is missed."""
+        await emulated.put("keyed.op", "evacuate/a", b"{}")
+        await emulated.put("keyed.op", "evacuate/b", b"{}")
+        await emulated.put("keyed.op", "evacuate/c", b"nonsense")
+        await emulated.put("keyed.op", "evacuate/", b"{}")
+        await emulated.put("keyed.op", "evacuate/b", b"")
+        polled = await store.poll_operator(0, 1.0)
+        found = sorted(polled.evacuations, key=lambda e: e.failure_domain)
+        assert found == [Evacuation("a", True, 0), Evacuation("b", False, 4)]
+        assert not polled.complete
+        read = await store.read_operator_state()
+        assert read.evacuations == [Evacuation("a", True, 0)]
+        assert read.complete
+
     async def test_a_malformed_configuration_keeps_the_last_one(
         self, store, emulated
     ):
