Limit the requests to cold servers, keep evacuated domains free of them

A cold server crashes well above warmup_per_s, and servers of an evacuated failure domain must get no requests.

A server that turns cold again is announced at once. It counts as cold after a withdrawn evacuation. Nodes of callers prefer warm servers and leave evacuated domains out; the node beside the server refuses with the reason 'evacuated', also what waits.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/admission_queue.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/admission_queue.py
@@ -2,10 +2,12 @@
 
 import bisect
 import itertools
+import math
 from typing import Generic, TypeVar
 
 from vanillamast_sidecar.admission.decaying_rate import DecayingRate
 from vanillamast_sidecar.admission.rate_limiter import RateLimiter
+from vanillamast_sidecar.warmup.warm_up_limiter import WarmUpLimiter
 
 T = TypeVar("T")
 
@@ -23,14 +25,16 @@
 
 
 class AdmissionQueue(Generic[T]):
-    """Grants slots by rank, then by soft deadline, within the rate limit.
+    """Grants slots by rank, then by soft deadline, within the rate limits.
 
     The queue only decides; its owner runs the granted requests.
 
     Attributes:
       slots: Requests that the server runs at once.
-      limiter: Rate limit of the server.
+      limiter: Rate limit that the server names.
+      warm_up: Rate limit while the server is cold; None without one.
       running: Requests that hold a slot.
+      at_server: Those of them that were sent to the server.
       mean_service_s: Mean time that a request holds a slot, in seconds.
       mean_service_s_by_route: The same by route.
       recorded: Number of durations that the mean is made of.
@@ -40,10 +44,12 @@
       items: Item and expected duration of each, by sequence number.
     """
 
-    def __init__(self, slots: int):
+    def __init__(self, slots: int, warm_up: WarmUpLimiter | None = None):
         self.slots = slots
         self.limiter = RateLimiter()
+        self.warm_up = warm_up
         self.running = 0
+        self.at_server = 0
         self.mean_service_s = INITIAL_MEAN_SERVICE_S
         self.mean_service_s_by_route: dict[str, float] = {}
         self.recorded = 0
@@ -62,11 +68,41 @@
         """Takes a slot if a request may be sent now and no request waits."""
         if self.running >= self.slots or self.waiting:
             return False
-        if not self.limiter.try_acquire(now):
+        if not self._try_acquire_rate(now):
             return False
         self.running += 1
         return True
 
+    def _try_acquire_rate(self, now: float) -> bool:
+        """Takes a token of each rate limit, or none at all."""
+        warm_up = self.warm_up
+        if warm_up is not None and not warm_up.may_admit(self.unsent, now):
+            return False
+        if not self.limiter.try_acquire(now):
+            return False
+        if warm_up is not None:
+            warm_up.admit(now)
+        return True
+
+    @property
+    def unsent(self) -> int:
+        """Returns the number of requests with a slot that are not sent yet."""
+        return self.running - self.at_server
+
+    def may_send(self, now: float) -> bool:
+        """Returns whether a request with a slot may be sent now."""
+        return self.warm_up is None or self.warm_up.may_send(now)
+
+    def begin_send(self, now: float) -> None:
+        """Counts a request with a slot that is sent to the server."""
+        self.at_server += 1
+        if self.warm_up is not None:
+            self.warm_up.record_sent(now)
+
+    def end_send(self) -> None:
+        """Counts the end of a request that was sent to the server."""
+        self.at_server -= 1
+
     def assume_duration(self, remaining_s: float) -> None:
         """Estimates the mean service time while no request has ended.
 
@@ -91,7 +127,7 @@
         recently did.
         """
         if self.running < self.slots and not self.waiting:
-            return self.limiter.delay_s(now)
+            return self.rate_delay_s(now)
         durations_ahead = [
             self.items[sequence][1]
             for other_rank, other_deadline, sequence in self.waiting
@@ -114,21 +150,40 @@
         return (work_ahead_s + self.mean_service_s) / (slots * free_share)
 
     def _wait_for_rate_s(self, ahead: int, rank: int, now: float) -> float:
-        limit = self.limiter.limit_per_s
-        if limit is None:
-            return 0.0
+        wait_s = 0.0
         overtaking = _sum_more_urgent(self.request_rates, rank, now)
-        free_share = 1.0 - min(MAX_OVERTAKEN_SHARE, overtaking / limit)
-        return self.limiter.delay_s(now, ahead) / free_share
+        limit = self.limiter.limit_per_s
+        if limit is not None:
+            free_share = 1.0 - min(MAX_OVERTAKEN_SHARE, overtaking / limit)
+            wait_s = self.limiter.delay_s(now, ahead) / free_share
+        warm_up = self.warm_up
+        if warm_up is None or not warm_up.is_limiting(now):
+            return wait_s
+        rate_per_s = warm_up.rate_per_s or math.inf
+        free_share = 1.0 - min(MAX_OVERTAKEN_SHARE, overtaking / rate_per_s)
+        delay_s = warm_up.delay_s(self.unsent, ahead, now) / free_share
+        return max(wait_s, min(delay_s, warm_up.cold_until - now))
+
+    def rate_delay_s(self, now: float, ahead: int = 0) -> float:
+        """Returns when the rate limits allow a request, in seconds from now.
+
+        Args:
+          now: Loop time, in seconds.
+          ahead: Number of requests that are sent before it.
+        """
+        delay_s = self.limiter.delay_s(now, ahead)
+        if self.warm_up is None:
+            return delay_s
+        return max(delay_s, self.warm_up.delay_s(self.unsent, ahead, now))
 
     def next_grant_s(self, now: float) -> float | None:
-        """Returns in how many seconds the rate limit allows the next grant.
+        """Returns in how many seconds the rate limits allow the next grant.
 
         Returns None if no request waits, or if it waits for a slot.
         """
         if not self.waiting or self.running >= self.slots:
             return None
-        return self.limiter.delay_s(now)
+        return self.rate_delay_s(now)
 
     def expected_duration_s(self, route: str) -> float:
         """Returns how long a request of a route is expected to hold a slot."""
@@ -152,7 +207,7 @@
         """Grants a slot to the next item; None if none may be sent now."""
         if not self.waiting or self.running >= self.slots:
             return None
-        if not self.limiter.try_acquire(now):
+        if not self._try_acquire_rate(now):
             return None
         _, _, sequence = self.waiting.pop(0)
         self.running += 1
@@ -174,6 +229,8 @@
         self.running -= 1
         if not sent:
             self.limiter.give_back()
+            if self.warm_up is not None:
+                self.warm_up.give_back()
 
     def record_slot_use(self, rank: int, held_s: float, now: float) -> None:
         """Counts how long any ended request, also a failed one, held a slot."""
--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -38,8 +38,11 @@
 from vanillamast_sidecar.membership.server_registry import ServerRegistry
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import SidecarSettings
+from vanillamast_sidecar.warmup.warm_up_limiter import WarmUpLimiter
 
 CONNECT_TIMEOUT_S = 0.5  # The server is on the same machine.
 # The server itself answers when the deadline of a request has passed; that
@@ -74,8 +77,11 @@
       incarnation: Id and start time of the server of the queue and the pool.
       failure_share: Recent share of failed requests.
       response_budget: Bytes of responses that are kept at once.
+      evacuations: Failure domains that the operator has evacuated.
       connection_limit: Connections that a server of this service accepts;
         None for any number.
+      warm_up: How servers of this service warm up; None without a limit.
+      configured: Whether a configuration has said so.
       running_request_ids: Ids of the requests that the server runs.
       sent: Requests sent to the server.
       last_deadline: Latest deadline of a request that is accepted, in loop
@@ -97,6 +103,7 @@
         on_response: Callable[[], None],
         suspects: CrashSuspects,
         on_end: Callable[[ServerEnd], None],
+        evacuations: Evacuations | None = None,
     ):
         self.settings = settings
         self.registry = registry
@@ -108,12 +115,15 @@
         self.suspects = suspects
         self.end_detector = ServerEndDetector(suspects, on_unreachable, on_end)
         self.loop = asyncio.get_running_loop()
-        self.queue: AdmissionQueue[asyncio.Future[Reason]] = AdmissionQueue(1)
+        self.evacuations = evacuations or Evacuations()
+        self.queue = self._make_queue()
         self.pool: ConnectionPool | None = None
         self.incarnation: tuple[str, int] = ("", 0)
         self.failure_share = DecayingShare()
         self.response_budget = ByteBudget(settings.response_limits.total_bytes)
         self.connection_limit: int | None = None
+        self.warm_up: WarmUp | None = None
+        self.configured = False
         self.running_request_ids: set[bytes] = set()
         self.sent = DecayingRate()
         self.last_deadline = float("inf")
@@ -129,9 +139,12 @@
             queue.size,
             round(queue.mean_service_s, 4),
             round(self.failure_share.value(now), 3),
-            round(queue.limiter.delay_s(now, queue.size), 3),
+            round(queue.rate_delay_s(now, queue.size), 3),
         )
 
+    def _make_queue(self) -> AdmissionQueue[asyncio.Future[Reason]]:
+        return AdmissionQueue(1, WarmUpLimiter(self.settings.bounds))
+
     def is_busy(self) -> bool:
         """Returns whether requests run or wait."""
         return self.queue.running > 0 or self.queue.size > 0
@@ -155,6 +168,7 @@
         if self.incarnation != (current.id, current.born_ms):
             self._switch_instance(current)
         self._apply_limits(current)
+        self.update_warm_up()
         if current.rate_limit is not None:
             self._restore_rate_limit(current.rate_limit)
         if not current.ready:
@@ -172,6 +186,31 @@
             self._apply_limits(self.registry.current)
             self._grant_slots()
 
+    def apply_warm_up(self, warm_up: WarmUp | None) -> None:
+        """Applies how servers of this service warm up."""
+        self.warm_up = warm_up
+        self.configured = True
+        self.update_warm_up()
+
+    def update_warm_up(self) -> None:
+        """Applies the cold time of the server after a heartbeat."""
+        now = self.loop.time()
+        limiter = self.queue.warm_up
+        cold_until = self.registry.cold_until
+        if limiter is None or not limiter.update(self.warm_up, cold_until, now):
+            return
+        self.metrics.set("server_warm_up_rate", limiter.limit_per_s or 0.0)
+        self.log.write(
+            "server.warm_up",
+            instance=self.incarnation[0],
+            rate_per_s=limiter.limit_per_s,
+            cold_s=round(max(0.0, cold_until - now), 2),
+            sent_per_s=round(limiter.sent_per_s(now), 1),
+            running=self.queue.running,
+            waiting=self.queue.size,
+        )
+        self._grant_slots()
+
     def _apply_limits(self, current: InstanceRecord) -> None:
         """Applies the limits on requests that run and on connections.
 
@@ -198,7 +237,9 @@
         )
         # Requests that the old incarnation still runs release their slots to
         # its own queue.
-        self.queue = AdmissionQueue(1)
+        self.queue = self._make_queue()
+        if self.warm_up is not None:
+            self.metrics.set("server_warm_up_rate", 0.0)
         self.incarnation = (current.id, current.born_ms)
         self.sent = DecayingRate()
 
@@ -219,6 +260,14 @@
         if current is not None and not self.moves.allows_requests(current):
             self._refuse_waiting(Reason.VERSION_CLOSED)
 
+    def refuse_if_evacuated(self) -> None:
+        """Refuses waiting requests after this failure domain was evacuated."""
+        if self._is_evacuated():
+            self._refuse_waiting(Reason.EVACUATED)
+
+    def _is_evacuated(self) -> bool:
+        return self.evacuations.is_evacuated(self.settings.failure_domain)
+
     # A request.
 
     async def run(self, call: ServerCall) -> CallResult:
@@ -250,6 +299,8 @@
     def _find_refusal_reason(self, call: ServerCall) -> Reason:
         """Returns why a call cannot run now, `Reason.NONE` if it can."""
         current = self.registry.current
+        if self._is_evacuated():
+            return Reason.EVACUATED
         if current is None:
             return Reason.NO_SERVER
         if (current.id, current.born_ms) != (call.instance_id, call.born_ms):
@@ -260,6 +311,9 @@
             return Reason.NO_SERVER
         if not self.moves.allows_requests(current):
             return Reason.VERSION_CLOSED
+        if not self.configured and self.loop.time() < self.registry.cold_until:
+            # The configuration may limit the requests to a cold server.
+            return Reason.NO_CONFIGURATION
         if call.deadline > self.last_deadline:
             # The process might exit before the request has ended.
             return Reason.STOPPING
@@ -411,6 +465,11 @@
         if reason:
             pool.release(connection)
             return self._refuse(call, reason)
+        now = self.loop.time()
+        if not queue.may_send(now):
+            pool.release(connection)
+            wait_s = queue.rate_delay_s(now)
+            return self._refuse(call, Reason.OVERLOADED, wait_s)
         body = body or b""
         digest = digest_request(call.method, call.host, call.target, body)
         admission, retry_after_s = self._judge(digest)
@@ -419,12 +478,12 @@
             return self._refuse(call, Reason.HELD, retry_after_s)
         if admission is not Admission.ALONE:
             return await self._send_request(
-                call, body, digest, pool, connection
+                call, body, digest, pool, connection, queue
             )
         self.running_alone = True
         try:
             return await self._send_request(
-                call, body, digest, pool, connection
+                call, body, digest, pool, connection, queue
             )
         finally:
             self.running_alone = False
@@ -454,6 +513,7 @@
         digest: int,
         pool: ConnectionPool,
         connection: ClientConnection,
+        queue: AdmissionQueue[asyncio.Future[Reason]],
     ) -> CallResult:
         remaining_s = call.deadline - self.loop.time()
         fields = self.settings.fields
@@ -472,7 +532,9 @@
         outcome, reason = Outcome.UNKNOWN, Reason.CONNECTION_LOST
         if call.request_id:
             self.running_request_ids.add(call.request_id)
-        self.sent.add(1.0, self.loop.time())
+        now = self.loop.time()
+        self.sent.add(1.0, now)
+        queue.begin_send(now)
         self.metrics.count("server_requests")
         try:
             response = await connection.send_request(
@@ -501,6 +563,7 @@
             reason = Reason.CONNECTION_LOST
             self._handle_lost_request(call, digest, pool)
         finally:
+            queue.end_send()
             self.running_request_ids.discard(call.request_id)
         self.metrics.count("server_failures", reason=reason)
         self.log.write(
--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -7,6 +7,7 @@
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
 # Incarnations that are remembered as leaving: more than leave while one of
 # them still runs.
@@ -78,6 +79,19 @@
         self._changed = True
         return peer
 
+    def presume_cold(
+        self, domain: str, warm_ups: dict[str, WarmUp], now: float
+    ) -> None:
+        """Counts the other servers of a failure domain as just started.
+
+        Their nodes' next records say how long they are cold.
+        """
+        for peer in self.peers_by_domain().get(domain, ()):
+            instance = peer.record.instance
+            if instance is not None and instance.service in warm_ups:
+                cold_s = warm_ups[instance.service].cold_s
+                peer.cold_until = max(peer.cold_until, now + cold_s)
+
     def mark_leaving(self, peer: Peer, instance: InstanceRecord) -> None:
         """Takes a server of another node out of use that says that it leaves.
 
--- a/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
@@ -4,6 +4,7 @@
 
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
 # Missing heartbeats after which the server counts as down; a single one may
 # arrive seconds late.
@@ -11,6 +12,9 @@
 # A rate limit is announced again when it has changed by this share. The other
 # nodes keep it for a restart of this one; they need no exact value.
 ANNOUNCED_LIMIT_CHANGE = 0.2
+# The end of the cold time is announced again when it has moved this far, in
+# seconds: heartbeats that are late move it as well.
+ANNOUNCED_COLD_CHANGE_S = 1.0
 
 
 class ServerRegistry:
@@ -24,6 +28,12 @@
       current: The newest incarnation, None before the first heartbeat.
       last_heartbeat_at: When its last heartbeat arrived, in loop time.
       cold_until: When it has warmed up, in loop time.
+      announced_cold_until: The same as the other nodes were told.
+      warm_up: How servers of this service warm up; None without a limit, and
+        then a change of the cold time alone is not announced.
+      presumed_cold_until: Until when it counts as cold whatever heartbeats
+        say that may have been sent before the presumption, in loop time.
+      unproven_until: Until when heartbeats may arrive that were, in loop time.
       down: Whether it refused a connection or missed heartbeats since its
         last heartbeat.
       leaving: Incarnations that drain, have deregistered or say in their
@@ -43,6 +53,10 @@
         self.current: InstanceRecord | None = None
         self.last_heartbeat_at = 0.0
         self.cold_until = 0.0
+        self.announced_cold_until = 0.0
+        self.warm_up: WarmUp | None = None
+        self.presumed_cold_until = 0.0
+        self.unproven_until = 0.0
         self.down = False
         self.leaving: set[tuple[str, int]] = set()
         self.leaving_before: dict[str, int] = {}
@@ -69,10 +83,46 @@
         self.last_heartbeat_at = now
         self.down = False
         self.cold_until = now + max(0.0, heartbeat.cold_s)
+        if now < self.unproven_until:
+            self.cold_until = max(self.cold_until, self.presumed_cold_until)
         self.current = self._build_record(heartbeat)
-        return previous is None or _announced_fields(
+        changed = previous is None or _announced_fields(
             previous
         ) != _announced_fields(self.current)
+        return changed or self._must_announce_cold_time(now)
+
+    def presume_cold(self, now: float) -> bool:
+        """Counts the server as cold from now on, as if it had just started.
+
+        Only a heartbeat that was sent later ends this. Heartbeats do not say
+        when they were sent, so that one counts as sent later if it arrives
+        when the server would count as down without it.
+
+        Returns:
+          Whether the other nodes have to be told.
+        """
+        if self.warm_up is None:
+            return False
+        self.presumed_cold_until = now + self.warm_up.cold_s
+        self.unproven_until = now + MISSED_HEARTBEATS * self.heartbeat_s
+        self.cold_until = max(self.cold_until, self.presumed_cold_until)
+        return self.current is not None and self._must_announce_cold_time(now)
+
+    def make_announced_record(self, now: float) -> InstanceRecord | None:
+        """Returns the record to announce now; None without a server."""
+        if self.current is None or self.warm_up is None:
+            return self.current
+        self.announced_cold_until = self.cold_until
+        # The record's cold time counts from its arrival.
+        cold_s = round(max(0.0, self.cold_until - now), 3)
+        return msgspec.structs.replace(self.current, cold_s=cold_s)
+
+    def _must_announce_cold_time(self, now: float) -> bool:
+        if self.warm_up is None:
+            return False
+        announced_until = max(now, self.announced_cold_until)
+        cold_until = max(now, self.cold_until)
+        return abs(cold_until - announced_until) > ANNOUNCED_COLD_CHANGE_S
 
     def handle_deregistration(
         self, instance_id: str, born_ms: int, wall_ms: int
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -36,6 +36,8 @@
 from vanillamast_sidecar.operator_state.applied_operator_state import (
     AppliedOperatorState,
 )
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
 from vanillamast_sidecar.operator_state.operator_state_sync import (
     OperatorStateSync,
 )
@@ -90,6 +92,7 @@
       departures: Records in the store that the local server leaves.
       moves: Moves of traffic between server versions.
       suspects: Requests under which servers have ended.
+      evacuations: Failure domains that the operator has evacuated.
       executor: Runs requests on the local server.
       mesh: Connections to the other nodes.
       gateway: Handles the requests of the machine's callers.
@@ -130,6 +133,7 @@
         )
         self.moves = MoveTable(self._handle_version_change)
         self.suspects = CrashSuspects(settings.crashes, random.Random())
+        self.evacuations = Evacuations()
         self.executor = ServerExecutor(
             settings,
             self.registry,
@@ -140,6 +144,7 @@
             lambda: self._handle_server_change("response"),
             self.suspects,
             self._handle_server_end,
+            self.evacuations,
         )
         record = NodeRecord(
             str(settings.peer_listener),
@@ -164,10 +169,11 @@
             settings,
             self.mesh,
             self.executor,
-            ServerSelector(self.moves, random.Random()),
+            ServerSelector(self.moves, random.Random(), self.evacuations),
             self.suspects,
             log,
             self.metrics,
+            self.evacuations,
         )
         self.callers = HttpListener(
             self.gateway.handle_request,
@@ -180,6 +186,8 @@
             store.decode_snapshot,
             log,
             self.metrics,
+            self.evacuations,
+            self._handle_evacuation,
         )
         self.operator_sync = OperatorStateSync(
             store, self.mesh, operator_state, log, self.metrics
@@ -292,6 +300,35 @@
         self.executor.apply_connection_limit(
             snapshot.connection_limits.get(self.settings.service)
         )
+        warm_up = snapshot.warm_ups.get(self.settings.service)
+        self.registry.warm_up = warm_up
+        self.executor.apply_warm_up(warm_up)
+        self.gateway.selector.warm_ups = snapshot.warm_ups
+        self._apply_cold_time()
+
+    def _apply_cold_time(self) -> None:
+        """Applies the cold time of the server in the rest of the node."""
+        self.executor.update_warm_up()
+        if self.registry.warm_up is not None:
+            own = self.mesh.membership.own
+            own.cold_until = self.registry.cold_until
+
+    def _handle_evacuation(
+        self, record: Evacuation, just_written: bool
+    ) -> None:
+        """Applies that a failure domain was evacuated, or no longer is."""
+        self.executor.refuse_if_evacuated()
+        if record.active or not just_written:
+            return
+        now = self.loop.time()
+        domain = record.failure_domain
+        self.mesh.membership.presume_cold(
+            domain, self.gateway.selector.warm_ups, now
+        )
+        if domain == self.settings.failure_domain:
+            if self.registry.presume_cold(now):
+                self._handle_server_change("evacuation_withdrawn")
+            self._apply_cold_time()
 
     def _handle_version_change(self, service: str) -> None:
         del service  # The executor checks the service of its own server.
@@ -393,6 +430,7 @@
             return
         if self.registry.handle_heartbeat(heartbeat, arrived):
             self._handle_server_change("heartbeat")
+        self._apply_cold_time()
 
     async def _handle_readiness(
         self, request: HttpRequest, arrived: float
@@ -580,7 +618,9 @@
         """Announces the state of this node and its server."""
         try:
             self.mesh.announce(
-                self.registry.current, self.stopping, self.serves_while_stopping
+                self.registry.make_announced_record(self.loop.time()),
+                self.stopping,
+                self.serves_while_stopping,
             )
         except FrameError as error:
             # Requests in progress and a planned stop go on without it.
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -27,6 +27,7 @@
 from vanillamast_sidecar.mesh.messages import Call, Reply
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
 from vanillamast_sidecar.operator_state.snapshot import Snapshot
 from vanillamast_sidecar.routing.exchange import Exchange
 from vanillamast_sidecar.routing.retry_budget import RetryBudget
@@ -83,6 +84,7 @@
       suspects: Requests under which servers have ended.
       log: Event logger.
       metrics: Metrics.
+      evacuations: Failure domains that the operator has evacuated.
       snapshot: Active configuration, None before the first one.
       route_table: Routes of the active configuration.
       splits: Traffic split between the services of a route, by route name.
@@ -101,6 +103,7 @@
         suspects: CrashSuspects,
         log: EventLogger,
         metrics: Metrics,
+        evacuations: Evacuations | None = None,
     ):
         self.settings = settings
         self.mesh = mesh
@@ -109,6 +112,7 @@
         self.suspects = suspects
         self.log = log
         self.metrics = metrics
+        self.evacuations = evacuations or Evacuations()
         self.loop = asyncio.get_running_loop()
         self.snapshot: Snapshot | None = None
         self.route_table = RouteTable(())
@@ -299,7 +303,9 @@
         ready = [
             other
             for other in self.mesh.membership.peers_serving(exchange.service)
-            if other.usable and other.version == instance.version
+            if other.usable
+            and other.version == instance.version
+            and not self._is_evacuated(other)
         ]
         digest = exchange.compute_digest()
         admission, retry_after_s = self.suspects.judge(
@@ -378,6 +384,9 @@
             exchange.attempts += 1
         if result.outcome is not Outcome.NOT_RUN:
             exchange.may_have_run = True
+        elif result.reason is Reason.EVACUATED:
+            exchange.refusals += 1
+            self._leave_out_domain(exchange, peer.record.failure_domain)
         elif result.reason is Reason.HELD:
             # The refusal is about the request and not about the server.
             exchange.refusals += 1
@@ -391,6 +400,19 @@
             peer.refused_until = now + min(max_backoff_s, result.retry_after_s)
             peer.refused_rank = exchange.rank
 
+    def _is_evacuated(self, peer: Peer) -> bool:
+        return self.evacuations.is_evacuated(peer.record.failure_domain)
+
+    def _leave_out_domain(self, exchange: Exchange, domain: str) -> None:
+        """Leaves out the servers of a failure domain that is evacuated.
+
+        This node may learn of the evacuation later than the refusing one.
+        """
+        for peer in self.mesh.membership.peers_serving(exchange.service):
+            instance = peer.record.instance
+            if peer.record.failure_domain == domain and instance is not None:
+                exchange.tried_instances.add(instance.id)
+
     async def _run_locally(self, exchange: Exchange) -> CallResult:
         own = self.mesh.membership.own.record.instance
         assert own is not None
@@ -523,6 +545,9 @@
         """Returns why a request was sent to no server."""
         peers = self.mesh.membership.peers_serving(exchange.service)
         now = self.loop.time()
+        usable = [peer for peer in peers if peer.usable]
+        if usable and all(self._is_evacuated(peer) for peer in usable):
+            return Reason.EVACUATED
         if any(
             peer.usable and peer.is_full_for(exchange.rank, now)
             for peer in peers
--- a/packages/sidecar/src/vanillamast_sidecar/routing/server_selector.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/server_selector.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 
 from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 from vanillamast_sidecar.rollouts.move_table import MoveTable
 
 # If all servers are late or failing, a server in another failure domain is
@@ -78,11 +80,21 @@
     Attributes:
       moves: Moves of traffic between server versions.
       rng: Random source for samples and ties.
+      evacuations: Failure domains that the operator has evacuated.
+      warm_ups: How servers warm up, by service; those of other services have
+        no limit while they are cold.
     """
 
-    def __init__(self, moves: MoveTable, rng: random.Random):
+    def __init__(
+        self,
+        moves: MoveTable,
+        rng: random.Random,
+        evacuations: Evacuations | None = None,
+    ):
         self.moves = moves
         self.rng = rng
+        self.evacuations = evacuations or Evacuations()
+        self.warm_ups: dict[str, WarmUp] = {}
 
     def choose(
         self,
@@ -111,7 +123,9 @@
         ready_peers = [
             peer
             for peer in peers
-            if peer.record.instance is not None and peer.record.instance.ready
+            if peer.record.instance is not None
+            and peer.record.instance.ready
+            and not self.evacuations.is_evacuated(peer.record.failure_domain)
         ]
         wants_new = self.moves.prefers_new(service)
         if wants_new is None:
@@ -128,6 +142,7 @@
                 same_domain_deadline,
                 duration_ratio,
                 now,
+                service in self.warm_ups,
             )
             if best is not None:
                 return best
@@ -160,11 +175,13 @@
         same_domain_deadline: float,
         duration_ratio: float,
         now: float,
+        prefers_warm: bool,
     ) -> Peer | None:
         """Returns the best acceptable server, or the one of the lowest cost.
 
         A request goes to another failure domain only if no server of this one
-        is expected to answer in time.
+        is expected to answer in time. Within a failure domain, a cold server
+        with a limit gets it only if no warm one is.
         """
         estimates: list[ServerEstimate] = []
         for same_domain in (True, False):
@@ -179,6 +196,8 @@
                 for estimate in found
                 if estimate.is_acceptable(same_domain_deadline, now)
             ]
+            if prefers_warm:
+                acceptable = _prefer_warm(acceptable, now)
             best = (
                 self._select_untried(acceptable, now) if same_domain else None
             )
@@ -236,6 +255,16 @@
     )
 
 
+def _prefer_warm(
+    estimates: list[ServerEstimate], now: float
+) -> list[ServerEstimate]:
+    """Returns the warm servers, or all if none is warm."""
+    warm = [
+        estimate for estimate in estimates if now >= estimate.peer.cold_until
+    ]
+    return warm or estimates
+
+
 def _select_oldest_version(peers: list[Peer]) -> list[Peer]:
     """Returns the servers of the version that started first.
 
--- a/packages/sidecar/src/vanillamast_sidecar/warmup/warm_up_limiter.py
+++ b/packages/sidecar/src/vanillamast_sidecar/warmup/warm_up_limiter.py
@@ -35,6 +35,8 @@
       rate_per_s: Requests a second that a cold server tolerates; None without
         a limit.
       cold_until: When the server has warmed up, in loop time.
+      limit_per_s: Rate that limited the server at the last update; None if it
+        was warm.
       tokens: Requests that could be sent at once when the bucket was updated.
       updated_at: When that was, in loop time.
       sent: When requests were sent, in loop time, within about `WINDOW_S`.
@@ -44,6 +46,7 @@
         self.bounds = bounds
         self.rate_per_s: float | None = None
         self.cold_until = -math.inf
+        self.limit_per_s: float | None = None
         self.tokens = 0.0
         self.updated_at = 0.0
         self.sent: collections.deque[float] = collections.deque()
@@ -76,7 +79,6 @@
           Whether the limit has begun or ended, or its rate has changed.
         """
         was_limiting = self.is_limiting(now)
-        previous_rate = self.rate_per_s
         if was_limiting:
             self._update_tokens(now)
         self.rate_per_s = warm_up.rate_per_s if warm_up is not None else None
@@ -88,9 +90,9 @@
             # What the bucket earned while the server was warm does not count.
             self.tokens = 0.0
             self.updated_at = now
-        return limiting != was_limiting or (
-            limiting and self.rate_per_s != previous_rate
-        )
+        previous_limit = self.limit_per_s
+        self.limit_per_s = self.rate_per_s if limiting else None
+        return self.limit_per_s != previous_limit
 
     def may_admit(self, unsent: int, now: float) -> bool:
         """Returns whether a request may be admitted now.
@@ -111,11 +113,9 @@
             self._update_tokens(now)
             self.tokens -= 1.0
 
-    def give_back(self, now: float) -> None:
+    def give_back(self) -> None:
         """Returns the token of a request that was not sent."""
-        if self.is_limiting(now):
-            self._update_tokens(now)
-            self.tokens = min(self._burst(), self.tokens + 1.0)
+        self.tokens += 1.0
 
     def may_send(self, now: float) -> bool:
         """Returns whether an admitted request may be sent now.
