Test cold servers and evacuations

The guarantees of both need tests that fail when they break: the limiter and the queue against a list of all sent requests, the announcements, the refusals at both hops, the spread over hubs, and real nodes over the emulated platform, whose operator now writes services and evacuations and whose servers state their cold time.

--- a/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
@@ -108,14 +108,16 @@
         self.cold_until = max(self.cold_until, self.presumed_cold_until)
         return self.current is not None and self._must_announce_cold_time(now)
 
-    def make_announced_record(self, now: float) -> InstanceRecord | None:
-        """Returns the record to announce now; None without a server."""
+    def refresh_cold_time(self, now: float) -> None:
+        """Updates the record's cold time, which counts from its arrival.
+
+        Called right before the record is announced.
+        """
         if self.current is None or self.warm_up is None:
-            return self.current
+            return
         self.announced_cold_until = self.cold_until
-        # The record's cold time counts from its arrival.
         cold_s = round(max(0.0, self.cold_until - now), 3)
-        return msgspec.structs.replace(self.current, cold_s=cold_s)
+        self.current = msgspec.structs.replace(self.current, cold_s=cold_s)
 
     def _must_announce_cold_time(self, now: float) -> bool:
         if self.warm_up is None:
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -367,6 +367,7 @@
 
     def _handle_server_change(self, cause: str) -> None:
         self.executor.handle_server_change()
+        self.registry.refresh_cold_time(self.loop.time())
         current = self.registry.current
         self._announce()
         self._record_departure()
@@ -618,9 +619,7 @@
         """Announces the state of this node and its server."""
         try:
             self.mesh.announce(
-                self.registry.make_announced_record(self.loop.time()),
-                self.stopping,
-                self.serves_while_stopping,
+                self.registry.current, self.stopping, self.serves_while_stopping
             )
         except FrameError as error:
             # Requests in progress and a planned stop go on without it.
--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -64,6 +64,8 @@
       deadly_path: Path whose requests end the server; "" for none.
       restart_s: Time until it starts again after such an end.
       crashes: Number of such ends.
+      cold_until: Monotonic time until which its heartbeats say that it is
+        cold. It runs requests as usual meanwhile.
       names_leaving: Whether its answers say that it leaves.
       arrivals: Monotonic times at which requests arrived.
       runs: Requests that it began to run.
@@ -99,6 +101,7 @@
         self.restart_s = 1.0
         self.crashes = 0
         self.crash_task: asyncio.Task[None] | None = None
+        self.cold_until = 0.0
         self.names_leaving = False
         self.arrivals: list[float] = []
         self.born_ms = int(time.time() * 1000)
@@ -176,7 +179,7 @@
             "version": self.version,
             "max_concurrency": self.slots,
             "state": self.state,
-            "cold_left_s": 0,
+            "cold_left_s": max(0.0, self.cold_until - time.monotonic()),
             "sequence": next(self.heartbeat_numbers)
             if sequence is None
             else sequence,
--- a/packages/testing/src/vanillamast_testing/emulator/operator.py
+++ b/packages/testing/src/vanillamast_testing/emulator/operator.py
@@ -15,12 +15,14 @@
       store: The store.
       version: Version of the last configuration.
       routes: Routes of the last configuration by name.
+      services: Services of the last configuration by name.
     """
 
     def __init__(self, store: EmulatedStore):
         self.store = store
         self.version = 0
         self.routes: dict[str, dict[str, Any]] = {}
+        self.services: dict[str, dict[str, Any]] = {}
 
     def set_route(self, name: str, service: str, **fields: Any) -> None:
         """Adds or replaces a route of the next configuration."""
@@ -37,6 +39,10 @@
         spec.update(fields)
         self.routes[name] = spec
 
+    def set_service(self, name: str, **spec: Any) -> None:
+        """Adds or replaces a service of the next configuration."""
+        self.services[name] = spec
+
     async def publish(self) -> int:
         """Publishes a configuration; returns its version."""
         self.version += 3
@@ -44,6 +50,10 @@
             {"entry_type": "routes", "metadata": {"name": name}, "spec": spec}
             for name, spec in self.routes.items()
         ]
+        resources += [
+            {"entry_type": "services", "metadata": {"name": name}, "spec": spec}
+            for name, spec in self.services.items()
+        ]
         resources.append(
             {
                 "entry_type": "limits",
@@ -73,3 +83,11 @@
         """Returns a move's state in the store, "" without one."""
         value = self.store.newest("keyed.status", f"rollout/{service}")
         return json.loads(value)["state"] if value is not None else ""
+
+    async def evacuate(self, zone: str) -> None:
+        """Evacuates a failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+
+    async def withdraw_evacuation(self, zone: str) -> None:
+        """Withdraws the evacuation of a failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{zone}", b"")
--- a/tests/sidecar/admission/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -1,6 +1,7 @@
 """Tests of the node beside a server."""
 
 import asyncio
+import collections
 import os
 import random
 
@@ -18,6 +19,8 @@
 from vanillamast_sidecar.membership.server_registry import ServerRegistry
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
 
@@ -347,3 +350,130 @@
         )
         assert result.retry_after_s > 1.0
         assert backend.requests == []
+
+
+class TestWarmUp:
+    """A cold server gets no more than its warm-up rate."""
+
+    RATE_PER_S = 10.0
+
+    def turn_cold(self, backend, sequence=2, cold_s=30.0):
+        """Applies a heartbeat that says that the server is cold."""
+        executor = backend.executor
+        executor.registry.handle_heartbeat(
+            Heartbeat(
+                "i-1",
+                1,
+                sequence,
+                "browse",
+                executor.registry.current.address,
+                "v1",
+                64,
+                False,
+                cold_s,
+            ),
+            asyncio.get_running_loop().time(),
+        )
+        executor.handle_server_change()
+
+    async def send_all(self, backend, count, timeout_s=1.0):
+        """Sends requests at once; returns the results by reason."""
+        results = await asyncio.gather(
+            *(run(backend, b"%d" % n, timeout_s) for n in range(count))
+        )
+        return collections.Counter(result.reason for result in results)
+
+    async def test_a_crowd_gets_the_rate_and_the_rest_is_refused(self, backend):
+        """Guards against a cold server that crashes under a crowd."""
+        backend.executor.apply_warm_up(WarmUp(30.0, self.RATE_PER_S))
+        self.turn_cold(backend)
+        reasons = await self.send_all(backend, 60)
+        assert 5 <= len(backend.requests) <= 13
+        assert reasons[Reason.OVERLOADED] == 60 - len(backend.requests)
+
+    async def test_nothing_changes_without_a_rate(self, backend):
+        """Guards against a limit that no configuration asks for."""
+        backend.executor.apply_warm_up(None)
+        self.turn_cold(backend)
+        assert await self.send_all(backend, 60) == {Reason.NONE: 60}
+
+    async def test_a_later_configuration_applies_to_a_cold_server(
+        self, backend
+    ):
+        """Guards against a rate that counts only from the next cold time."""
+        backend.executor.apply_warm_up(None)
+        self.turn_cold(backend)
+        backend.executor.apply_warm_up(WarmUp(30.0, self.RATE_PER_S))
+        await self.send_all(backend, 60)
+        assert len(backend.requests) <= 13
+
+    async def test_no_configuration_and_a_cold_server(self, backend):
+        """Guards against a started node that cannot know the rate."""
+        self.turn_cold(backend)
+        assert (await run(backend)).reason is Reason.NO_CONFIGURATION
+        assert backend.requests == []
+
+    async def test_requests_admitted_before_it_turned_cold(self, backend):
+        """Guards against a crowd that was admitted while it was warm."""
+        backend.executor.apply_warm_up(WarmUp(30.0, self.RATE_PER_S))
+        self.turn_cold(backend, 2, 0.0)
+        connected = asyncio.Event()
+        connect = backend.executor.pool.acquire
+
+        async def acquire_late(*args):
+            await connected.wait()
+            return await connect(*args)
+
+        backend.executor.pool.acquire = acquire_late
+        sends = asyncio.create_task(self.send_all(backend, 60, 5.0))
+        await asyncio.sleep(0.05)
+        self.turn_cold(backend, 3)
+        connected.set()
+        reasons = await sends
+        most = backend.executor.queue.warm_up.max_in_window
+        assert len(backend.requests) == most
+        assert reasons == {Reason.NONE: most, Reason.OVERLOADED: 60 - most}
+
+    async def test_waiting_requests_run_when_the_cold_time_ends(self, backend):
+        """Guards against a warm server that is still limited."""
+        backend.executor.apply_warm_up(WarmUp(30.0, 0.5))
+        self.turn_cold(backend, cold_s=0.2)
+        started = asyncio.get_running_loop().time()
+        assert await self.send_all(backend, 8, 2.0) == {Reason.NONE: 8}
+        assert asyncio.get_running_loop().time() - started < 1.0
+
+
+class TestEvacuation:
+    """An evacuated server gets no request; those that run go on."""
+
+    async def test_waiting_requests_are_refused_and_running_ones_go_on(
+        self, backend
+    ):
+        """Guards against requests after the evacuation, and lost ones."""
+        backend.executor.apply_connection_limit(1)
+        backend.answers_after_s = 0.3
+        sends = [
+            asyncio.create_task(run(backend, b"%d" % number))
+            for number in range(2)
+        ]
+        await asyncio.sleep(0.1)
+        backend.executor.evacuations.apply([Evacuation("a", True, 1)])
+        backend.executor.refuse_if_evacuated()
+        results = await asyncio.gather(*sends)
+        assert [result.reason for result in results] == [
+            Reason.NONE,
+            Reason.EVACUATED,
+        ]
+        assert results[1].outcome is Outcome.NOT_RUN
+        assert (await run(backend, b"4")).reason is Reason.EVACUATED
+        assert len(backend.requests) == 1
+
+    async def test_others_and_withdrawn_evacuations_change_nothing(
+        self, backend
+    ):
+        """Guards against refusals on servers that may be used."""
+        evacuations = backend.executor.evacuations
+        evacuations.apply([Evacuation("a", True, 1), Evacuation("b", True, 2)])
+        evacuations.apply([Evacuation("a", False, 3)])
+        backend.executor.refuse_if_evacuated()
+        assert (await run(backend)).outcome is Outcome.ANSWERED
--- a/tests/sidecar/membership/test_server_registry.py
+++ b/tests/sidecar/membership/test_server_registry.py
@@ -1,7 +1,12 @@
 """Tests of heartbeats, deregistrations and failures of servers."""
 
+import dataclasses
+
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
 from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
+
+WARM_UP = WarmUp(10.0, 7.0)
 
 
 def make_heartbeat(
@@ -157,3 +162,63 @@
         after.apply_rate_limit("i-1", 100, None)
         assert not after.apply_peer_record(before.current)
         assert after.current.rate_limit is None
+
+
+class TestColdTime:
+    """When the other nodes are told that the server is cold."""
+
+    def registry(self, warm_up=WARM_UP):
+        """Returns the state of a warm server at time 0."""
+        registry = ServerRegistry(1.5)
+        registry.warm_up = warm_up
+        registry.handle_heartbeat(make_heartbeat(1), 0.0)
+        registry.refresh_cold_time(0.0)
+        return registry
+
+    def heartbeat(self, sequence, cold_s):
+        """Returns a heartbeat that states a cold time."""
+        return dataclasses.replace(make_heartbeat(sequence), cold_s=cold_s)
+
+    def test_a_server_that_turns_cold_again_is_announced_once(self):
+        """Guards against nodes that use it as a warm one."""
+        registry = self.registry()
+        assert registry.handle_heartbeat(self.heartbeat(2, 9.0), 1.5)
+        registry.refresh_cold_time(1.6)
+        assert registry.current.cold_s == 8.9
+        assert not registry.handle_heartbeat(self.heartbeat(3, 7.4), 3.0)
+        assert not registry.handle_heartbeat(self.heartbeat(9, 0.0), 12.0)
+
+    def test_nothing_is_announced_without_a_rate(self):
+        """Guards against more messages where no deployment asks for them."""
+        registry = self.registry(None)
+        assert not registry.handle_heartbeat(self.heartbeat(2, 9.0), 1.5)
+        registry.refresh_cold_time(5.0)
+        assert registry.current.cold_s == 9.0
+        assert not registry.presume_cold(6.0)
+        assert registry.cold_until == 10.5
+
+    def test_a_late_heartbeat_binds_as_long_as_it_states(self):
+        """Guards against a limit that ends before the cold time."""
+        registry = self.registry()
+        registry.handle_heartbeat(self.heartbeat(2, 5.0), 4.0)
+        assert registry.cold_until == 9.0
+        registry.handle_heartbeat(self.heartbeat(1, 0.0), 4.5)
+        assert registry.cold_until == 9.0
+
+    def test_it_counts_as_cold_after_an_evacuation(self):
+        """Guards against a heartbeat that was sent before the withdrawal."""
+        registry = self.registry()
+        assert registry.presume_cold(20.0)
+        registry.refresh_cold_time(20.0)
+        registry.handle_heartbeat(self.heartbeat(2, 0.0), 22.0)
+        assert registry.cold_until == 30.0
+        # Sent later for certain: it would count as down without it.
+        registry.handle_heartbeat(self.heartbeat(3, 0.0), 26.5)
+        assert registry.cold_until == 26.5
+
+    def test_a_longer_cold_time_binds_after_an_evacuation(self):
+        """Guards against a presumption that shortens what a server states."""
+        registry = self.registry()
+        registry.presume_cold(20.0)
+        registry.handle_heartbeat(self.heartbeat(2, 15.0), 21.0)
+        assert registry.cold_until == 36.0
--- a/tests/sidecar/mesh/test_mesh.py
+++ b/tests/sidecar/mesh/test_mesh.py
@@ -16,6 +16,11 @@
 from vanillamast_sidecar.mesh.messages import MoveAnnouncement
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.applied_operator_state import (
+    AppliedOperatorState,
+)
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.store import OperatorUpdate
 from vanillamast_sidecar.rollouts.move_state import MoveState
 from vanillamast_sidecar.rollouts.move_status import MoveStatus
 from vanillamast_sidecar.rollouts.move_table import MoveTable
@@ -109,6 +114,20 @@
     }
 
 
+def operator_state(mesh: Mesh) -> AppliedOperatorState:
+    """Returns the operator's state of a mesh, without a configuration."""
+    state = AppliedOperatorState(
+        mesh,
+        mesh.moves,
+        lambda _: None,
+        lambda _: None,
+        mesh.log,
+        mesh.metrics,
+    )
+    mesh.on_operator_state = state.apply_peer_state
+    return state
+
+
 class TestOwnRecord:
     """What a node announces of itself."""
 
@@ -202,6 +221,22 @@
             lambda: all(mesh.moves.statuses() == [status] for mesh in others)
         )
 
+    async def test_an_evacuation_reaches_every_node(self, fleet, make_mesh):
+        """Guards against nodes without the store that miss an evacuation."""
+        states = [operator_state(mesh) for mesh in fleet]
+        record = Evacuation("a", True, 3)
+        # A node that is no hub, and the only one that reaches the store.
+        states[6].apply_update(OperatorUpdate(4, None, [], [record]))
+
+        def known():
+            return all(s.evacuations.is_evacuated("a") for s in states)
+
+        await until(known)
+        late = await make_mesh("127.24.2.9", "c")
+        states.append(operator_state(late))
+        late.apply_listed_nodes([m.membership.own.record for m in fleet])
+        await until(known)
+
     async def test_two_drivers_cause_no_storm(self, fleet):
         """Guards against statuses that hubs send each other for ever."""
         sent = []
--- a/tests/sidecar/routing/test_gateway.py
+++ b/tests/sidecar/routing/test_gateway.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 
 import pytest
+from vanillamast_sidecar.admission.call_result import CallResult
+from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
@@ -15,6 +17,7 @@
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
 from vanillamast_sidecar.routing.gateway import Gateway
 from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.settings import Address, Bounds, SidecarSettings
@@ -139,3 +142,30 @@
             gateway, refused_until=later, refused_rank=0, unresponsive=True
         )
         assert self.reason(gateway) is Reason.NO_SERVER
+
+    async def test_servers_of_an_evacuated_domain(self, gateway):
+        """Guards against logs that report an evacuation as an outage."""
+        self.add_server(gateway)
+        gateway.evacuations.apply([Evacuation("a", True, 1)])
+        assert self.reason(gateway) is Reason.EVACUATED
+
+
+class TestEvacuatedServers:
+    """A server whose node refuses because of an evacuation."""
+
+    async def test_its_whole_domain_is_left_out(self, gateway):
+        """Guards against a request that only evacuated servers refuse."""
+        for number, domain in enumerate("aab", start=2):
+            host = f"127.0.0.{number}"
+            server = InstanceRecord(
+                f"i-{number}", 1, 1, "browse", "v1", 4, True, False, 0.0, host
+            )
+            record = NodeRecord(f"{host}:1", domain, 1, 0, False, server)
+            gateway.mesh.membership.apply_record(record, True, 0.0)
+        request = HttpRequest("GET", "/x/1", [], b"")
+        exchange = gateway._create_exchange(request, route(1), b"5a0e3a11", 0.0)
+        peer = gateway.mesh.membership.peers["127.0.0.2:1"]
+        result = CallResult(Outcome.NOT_RUN, Reason.EVACUATED)
+        gateway._record_attempt(exchange, peer, result, 1.0)
+        assert exchange.tried_instances == {"i-2", "i-3"}
+        assert not exchange.may_have_run
--- a/tests/sidecar/routing/test_server_selector.py
+++ b/tests/sidecar/routing/test_server_selector.py
@@ -4,11 +4,15 @@
 import random
 from types import SimpleNamespace
 
+import msgspec
+import pytest
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.membership import Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.routing.server_selector import ServerSelector
 
@@ -157,3 +161,57 @@
             new = chooser.report("10.1.0.1", LoadReport(SLOTS, 0, 0.1, 0.0))
             new.used_incarnation = None
             assert chooser.choose() == "10.1.0.0:2"
+
+
+class TestColdServers:
+    """Cold servers with a limit get what warm ones cannot take."""
+
+    def chosen(self, chooser, count=20):
+        """Returns the nodes that were chosen."""
+        return {chooser.choose() for _ in range(count)}
+
+    def test_a_warm_server_is_preferred(self):
+        """Guards against requests that a cold server refuses."""
+        chooser = Chooser(1, same_domain=4)
+        chooser.selector.warm_ups = {"browse": WarmUp(10.0, 7.0)}
+        for n in range(3):
+            chooser.membership.peers[f"10.1.0.{n}:2"].cold_until = NOW + 5.0
+        assert self.chosen(chooser, SLOTS) == {"10.1.0.3:2"}
+
+    def test_cold_servers_are_used_if_there_are_no_others(self):
+        """Guards against a service that is unused while all are cold."""
+        chooser = Chooser(1, same_domain=3)
+        chooser.selector.warm_ups = {"browse": WarmUp(10.0, 7.0)}
+        for peer in chooser.membership.other_peers():
+            peer.cold_until = NOW + 5.0
+        assert len(self.chosen(chooser)) == 3
+
+
+class TestEvacuations:
+    """Servers of evacuated failure domains are never chosen."""
+
+    def test_another_domain_takes_the_requests(self):
+        """Guards against requests to a failure domain that is evacuated."""
+        chooser = Chooser(1, same_domain=5, cross_domain=1)
+        chooser.selector.evacuations.apply([Evacuation("a", True, 1)])
+        for _ in range(40):
+            assert chooser.choose() == "10.2.0.0:2"
+
+    def test_no_other_domain(self):
+        """Guards against an evacuated server as the last resort."""
+        chooser = Chooser(1, same_domain=5)
+        chooser.selector.evacuations.apply([Evacuation("a", True, 1)])
+        with pytest.raises(AssertionError):
+            chooser.choose()
+
+    def test_versions_that_only_evacuated_servers_have(self):
+        """Guards against a version without servers that takes all requests."""
+        chooser = Chooser(1, same_domain=1, cross_domain=1)
+        peer = chooser.membership.peers["10.1.0.0:2"]
+        older = msgspec.structs.replace(
+            peer.record.instance, version="v0", born_ms=0
+        )
+        peer.record = msgspec.structs.replace(peer.record, instance=older)
+        assert chooser.choose() == "10.1.0.0:2"
+        chooser.selector.evacuations.apply([Evacuation("a", True, 1)])
+        assert chooser.choose() == "10.2.0.0:2"
