--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -42,6 +42,19 @@
         self.own.record = record
         self._changed = True
 
+    def set_own_cold_until(self, cold_until: float, now: float) -> None:
+        """Applies until when this node's own server is cold, in loop time.
+
+        Nodes that connect later get this node's last record, whose cold time
+        would begin anew at its arrival.
+        """
+        own = self.own
+        own.cold_until = cold_until
+        instance = own.record.instance
+        if instance is not None and instance.cold_s > 0.0 and now >= cold_until:
+            warm = msgspec.structs.replace(instance, cold_s=0.0)
+            own.record = msgspec.structs.replace(own.record, instance=warm)
+
     def apply_record(
         self, record: NodeRecord, direct: bool, now: float
     ) -> Peer | None:
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -310,8 +310,9 @@
         """Applies the cold time of the server in the rest of the node."""
         self.executor.update_warm_up()
         if self.registry.warm_up is not None:
-            own = self.mesh.membership.own
-            own.cold_until = self.registry.cold_until
+            self.mesh.membership.set_own_cold_until(
+                self.registry.cold_until, self.loop.time()
+            )
 
     def _handle_evacuation(
         self, record: Evacuation, just_written: bool
@@ -336,6 +337,9 @@
 
     def _handle_server_unreachable(self) -> None:
         if self.registry.mark_unreachable():
+            # A heartbeat that the ended server sent may still arrive, while
+            # another one starts at its address.
+            self.registry.presume_cold(self.loop.time())
             self._handle_server_change("unreachable")
 
     def _handle_server_end(self, end: ServerEnd) -> None:
--- a/tests/sidecar/membership/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -1,9 +1,11 @@
 """Tests of what a node remembers of the others."""
 
+import msgspec
 import pytest
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.membership import MAX_LEAVING, Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
 ADDRESS = "127.0.0.2:1"
 
@@ -38,6 +40,28 @@
     return membership
 
 
+class TestColdTime:
+    """Until when servers count as cold."""
+
+    def test_a_warm_server_is_not_announced_as_cold(self, membership):
+        """Guards against nodes that connect late and take it for cold."""
+        cold = msgspec.structs.replace(server(), cold_s=9.0)
+        own = msgspec.structs.replace(membership.own.record, instance=cold)
+        membership.set_own(own)
+        membership.set_own_cold_until(9.0, 5.0)
+        assert membership.own.record.instance.cold_s == 9.0
+        membership.set_own_cold_until(9.0, 9.1)
+        assert membership.own.record.instance.cold_s == 0.0
+
+    def test_servers_count_as_cold_after_an_evacuation(self, membership):
+        """Guards against servers that are preferred as they are not loaded."""
+        peer = membership.peers[ADDRESS]
+        membership.presume_cold("a", {"other": WarmUp(9.0, 7.0)}, 100.0)
+        assert peer.cold_until <= 100.0
+        membership.presume_cold("a", {"browse": WarmUp(9.0, 7.0)}, 100.0)
+        assert peer.cold_until == 109.0
+
+
 class TestLeaving:
     """Leaving is final for an incarnation of a server."""
 
