Let all servers be cold in the test of a restarted node

With the limiter switched off in a trial, the test still passed: the nodes preferred the warm servers to the one whose node had restarted. All servers are cold in it now, and addresses are its own (test_deadly_requests.py has the same ones).

--- a/tests/platform_path/test_cold_servers.py
+++ b/tests/platform_path/test_cold_servers.py
@@ -18,7 +18,7 @@
 @pytest.fixture
 async def fleet(tmp_path):
     """Starts two servers of a service in each of two failure domains."""
-    async with EmulatedPlatform(tmp_path, "127.33") as platform:
+    async with EmulatedPlatform(tmp_path, "127.36") as platform:
         platform.operator.set_route("page", "browse")
         platform.operator.set_service(
             "browse", cold_s=6.0, warmup_per_s=WARM_UP_PER_S
@@ -81,13 +81,14 @@
     async def test_a_restarted_node_limits_its_cold_server(self, fleet):
         """Guards against requests before the node knows that it is cold."""
         backend, machine = fleet.backends["m1"], fleet.machines["m1"]
-        turn_cold([backend], 30.0)
-        await backend.heartbeat()
+        turn_cold(fleet.backends.values(), 30.0)
+        for other in fleet.backends.values():
+            assert await other.heartbeat()
         await machine.process.kill()
         backend.arrivals.clear()
         await machine.process.start()
         await send_for(fleet, 4.0)
-        assert most_in_a_second(backend.arrivals) <= MOST_IN_A_SECOND
+        assert 0 < most_in_a_second(backend.arrivals) <= MOST_IN_A_SECOND
 
 
 class TestEvacuation:
