--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -7,6 +7,7 @@
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.peer import Peer
+from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
 # Incarnations that are remembered as leaving: more than leave while one of
 # them still runs.
@@ -41,6 +42,19 @@
         self.own.record = record
         self._changed = True
 
+    def set_own_cold_until(self, cold_until: float, now: float) -> None:
+        """Applies until when this node's own server is cold, in loop time.
+
+        Nodes that connect later get this node's last record, whose cold time
+        would begin anew at its arrival.
+        """
+        own = self.own
+        own.cold_until = cold_until
+        instance = own.record.instance
+        if instance is not None and instance.cold_s > 0.0 and now >= cold_until:
+            warm = msgspec.structs.replace(instance, cold_s=0.0)
+            own.record = msgspec.structs.replace(own.record, instance=warm)
+
     def apply_record(
         self, record: NodeRecord, direct: bool, now: float
     ) -> Peer | None:
@@ -78,6 +92,19 @@
         self._changed = True
         return peer
 
+    def presume_cold(
+        self, domain: str, warm_ups: dict[str, WarmUp], now: float
+    ) -> None:
+        """Counts the other servers of a failure domain as just started.
+
+        Their nodes' next records say how long they are cold.
+        """
+        for peer in self.peers_by_domain().get(domain, ()):
+            instance = peer.record.instance
+            if instance is not None and instance.service in warm_ups:
+                cold_s = warm_ups[instance.service].cold_s
+                peer.cold_until = max(peer.cold_until, now + cold_s)
+
     def mark_leaving(self, peer: Peer, instance: InstanceRecord) -> None:
         """Takes a server of another node out of use that says that it leaves.
 
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -36,6 +36,8 @@
 from vanillamast_sidecar.operator_state.applied_operator_state import (
     AppliedOperatorState,
 )
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
+from vanillamast_sidecar.operator_state.evacuations import Evacuations
 from vanillamast_sidecar.operator_state.operator_state_sync import (
     OperatorStateSync,
 )
@@ -90,6 +92,7 @@
       departures: Records in the store that the local server leaves.
       moves: Moves of traffic between server versions.
       suspects: Requests under which servers have ended.
+      evacuations: Failure domains that the operator has evacuated.
       executor: Runs requests on the local server.
       mesh: Connections to the other nodes.
       gateway: Handles the requests of the machine's callers.
@@ -130,6 +133,7 @@
         )
         self.moves = MoveTable(self._handle_version_change)
         self.suspects = CrashSuspects(settings.crashes, random.Random())
+        self.evacuations = Evacuations()
         self.executor = ServerExecutor(
             settings,
             self.registry,
@@ -140,6 +144,7 @@
             lambda: self._handle_server_change("response"),
             self.suspects,
             self._handle_server_end,
+            self.evacuations,
         )
         record = NodeRecord(
             str(settings.peer_listener),
@@ -164,10 +169,11 @@
             settings,
             self.mesh,
             self.executor,
-            ServerSelector(self.moves, random.Random()),
+            ServerSelector(self.moves, random.Random(), self.evacuations),
             self.suspects,
             log,
             self.metrics,
+            self.evacuations,
         )
         self.callers = HttpListener(
             self.gateway.handle_request,
@@ -180,6 +186,8 @@
             store.decode_snapshot,
             log,
             self.metrics,
+            self.evacuations,
+            self._handle_evacuation,
         )
         self.operator_sync = OperatorStateSync(
             store, self.mesh, operator_state, log, self.metrics
@@ -293,6 +301,36 @@
         self.executor.apply_connection_limit(
             snapshot.connection_limits.get(self.settings.service)
         )
+        warm_up = snapshot.warm_ups.get(self.settings.service)
+        self.registry.warm_up = warm_up
+        self.executor.apply_warm_up(warm_up)
+        self.gateway.selector.warm_ups = snapshot.warm_ups
+        self._apply_cold_time()
+
+    def _apply_cold_time(self) -> None:
+        """Applies the cold time of the server in the rest of the node."""
+        self.executor.update_warm_up()
+        if self.registry.warm_up is not None:
+            self.mesh.membership.set_own_cold_until(
+                self.registry.cold_until, self.loop.time()
+            )
+
+    def _handle_evacuation(
+        self, record: Evacuation, just_written: bool
+    ) -> None:
+        """Applies that a failure domain was evacuated, or no longer is."""
+        self.executor.refuse_if_evacuated()
+        if record.active or not just_written:
+            return
+        now = self.loop.time()
+        domain = record.failure_domain
+        self.mesh.membership.presume_cold(
+            domain, self.gateway.selector.warm_ups, now
+        )
+        if domain == self.settings.failure_domain:
+            if self.registry.presume_cold(now):
+                self._handle_server_change("evacuation_withdrawn")
+            self._apply_cold_time()
 
     def _handle_version_change(self, service: str) -> None:
         del service  # The executor checks the service of its own server.
@@ -300,6 +338,9 @@
 
     def _handle_server_unreachable(self) -> None:
         if self.registry.mark_unreachable():
+            # A heartbeat that the ended server sent may still arrive, while
+            # another one starts at its address.
+            self.registry.presume_cold(self.loop.time())
             self._handle_server_change("unreachable")
 
     def _handle_server_end(self, end: ServerEnd) -> None:
@@ -331,6 +372,7 @@
 
     def _handle_server_change(self, cause: str) -> None:
         self.executor.handle_server_change()
+        self.registry.refresh_cold_time(self.loop.time())
         current = self.registry.current
         self._announce()
         self._record_departure()
@@ -394,6 +436,7 @@
             return
         if self.registry.handle_heartbeat(heartbeat, arrived):
             self._handle_server_change("heartbeat")
+        self._apply_cold_time()
 
     async def _handle_readiness(
         self, request: HttpRequest, arrived: float
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -248,6 +248,8 @@
 
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
-        self.fetch_at = 0.0
+        if message.config:
+            # Evacuations alone are no answer to a fetch.
+            self.fetch_at = 0.0
         if not self.state.apply_peer_state(message):
             self.fetch_at = self.loop.time() + REFUSED_FETCH_DELAY_S
--- a/packages/testing/src/vanillamast_testing/emulator/operator.py
+++ b/packages/testing/src/vanillamast_testing/emulator/operator.py
@@ -16,6 +16,7 @@
       version: Version of the last configuration.
       routes: Routes of the last configuration by name.
       organisations: Organisations of the last configuration by name.
+      services: Services of the last configuration by name.
     """
 
     def __init__(self, store: EmulatedStore):
@@ -23,6 +24,7 @@
         self.version = 0
         self.routes: dict[str, dict[str, Any]] = {}
         self.organisations: dict[str, dict[str, Any]] = {}
+        self.services: dict[str, dict[str, Any]] = {}
 
     def set_route(self, name: str, service: str, **fields: Any) -> None:
         """Adds or replaces a route of the next configuration."""
@@ -43,6 +45,10 @@
         """Adds or replaces an organisation of the next configuration."""
         self.organisations[name] = {"api_keys": list(keys), **fields}
 
+    def set_service(self, name: str, **spec: Any) -> None:
+        """Adds or replaces a service of the next configuration."""
+        self.services[name] = spec
+
     async def publish(self) -> int:
         """Publishes a configuration; returns its version."""
         self.version += 3
@@ -54,6 +60,10 @@
             {"entry_type": "tenants", "metadata": {"name": name}, "spec": spec}
             for name, spec in self.organisations.items()
         )
+        resources += [
+            {"entry_type": "services", "metadata": {"name": name}, "spec": spec}
+            for name, spec in self.services.items()
+        ]
         resources.append(
             {
                 "entry_type": "limits",
@@ -83,3 +93,11 @@
         """Returns a move's state in the store, "" without one."""
         value = self.store.newest("keyed.status", f"rollout/{service}")
         return json.loads(value)["state"] if value is not None else ""
+
+    async def evacuate(self, zone: str) -> None:
+        """Evacuates a failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+
+    async def withdraw_evacuation(self, zone: str) -> None:
+        """Withdraws the evacuation of a failure domain."""
+        await self.store.put("keyed.op", f"evacuate/{zone}", b"")
--- a/tests/sidecar/routing/test_gateway.py
+++ b/tests/sidecar/routing/test_gateway.py
@@ -23,6 +23,7 @@
     EventLogger,
 )
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.operator_state.evacuation import Evacuation
 from vanillamast_sidecar.operator_state.snapshot import Snapshot
 from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.rollouts.move_table import MoveTable
@@ -152,6 +153,12 @@
         )
         assert self.reason(gateway) is Reason.NO_SERVER
 
+    async def test_servers_of_an_evacuated_domain(self, gateway):
+        """Guards against logs that report an evacuation as an outage."""
+        self.add_server(gateway)
+        gateway.evacuations.apply([Evacuation("a", True, 1)])
+        assert self.reason(gateway) is Reason.EVACUATED
+
 
 class TestSlotSearch:
     """Requests look for a free slot where the deployment calls for it."""
@@ -292,3 +299,24 @@
             request, route(0), b"5a0e3a11", 0.0, organisation
         )
         assert nested.rank < urgent.rank < exchange.rank
+
+
+class TestEvacuatedServers:
+    """A server whose node refuses because of an evacuation."""
+
+    async def test_its_whole_domain_is_left_out(self, gateway):
+        """Guards against a request that only evacuated servers refuse."""
+        for number, domain in enumerate("aab", start=2):
+            host = f"127.0.0.{number}"
+            server = InstanceRecord(
+                f"i-{number}", 1, 1, "browse", "v1", 4, True, False, 0.0, host
+            )
+            record = NodeRecord(f"{host}:1", domain, 1, 0, False, server)
+            gateway.mesh.membership.apply_record(record, True, 0.0)
+        request = HttpRequest("GET", "/x/1", [], b"")
+        exchange = gateway._create_exchange(request, route(1), b"5a0e3a11", 0.0)
+        peer = gateway.mesh.membership.peers["127.0.0.2:1"]
+        result = CallResult(Outcome.NOT_RUN, Reason.EVACUATED)
+        gateway._record_attempt(exchange, peer, result, 1.0)
+        assert exchange.tried_instances == {"i-2", "i-3"}
+        assert not exchange.may_have_run
