Test a node's process under clients outside the limits

Cause: callers that the system does not control can take all memory or all descriptors of a node. No test starts a process and plays such clients. Change: 32 fixed crowds, one kind of bytes each, against one node with `memory_mb` 80 and `max_fds` 1000 (also its RLIMIT_NOFILE). A test checks that the process lives, that VmHWM stays under `memory_mb` and the open descriptors within `max_fds` less the 200 that are reserved for files, and that an ordinary request is answered on a fresh connection. These crowds and bounds stay.

--- /dev/null
+++ b/tests/platform_path/test_untrusted_clients.py
@@ -0,0 +1,251 @@
+"""Tests of a node's process under clients outside the limits.
+
+The bounds are the limits of the node's own settings. No test checks times or
+how many requests of a crowd are served.
+"""
+
+import asyncio
+import pathlib
+import resource
+import struct
+
+import pytest
+from vanillamast_testing.emulator import EmulatedPlatform
+from vanillamast_testing.emulator.caller import Caller
+from vanillamast_testing.emulator.machine import PORTS
+from vanillamast_testing.emulator.operator import HOST
+
+from tests.platform_path.untrusted_crowd import Crowd, play
+
+MEMORY_MB = 80
+MAX_FDS = 1000
+# Of `max_fds`, the platform reserves these for files.
+FILE_FDS = 200
+HEADER_BYTES = 16_384  # Of the emulated operator's configuration.
+ANSWER_TIMEOUT_S = 60.0  # Only a hang takes this long.
+KB = 1024
+
+START = f"GET /page/1 HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+POST = f"POST /post/1 HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def short_lines(size):
+    """Returns header lines of 5 and 6 bytes, all names different."""
+    lines = bytearray()
+    number = 0
+    while len(lines) < size:
+        name = b""
+        rest = number
+        for _ in range(3 if number >= 676 else 2):
+            name += b"%c" % (97 + rest % 26)
+            rest //= 26
+        lines += name + b":\r\n"
+        number += 1
+    return bytes(lines[:size]).rpartition(b"\r\n")[0] + b"\r\n"
+
+
+# A few lines are left out: a head is counted with four bytes around each
+# field and must stay under the limit.
+LEGAL_LINES = short_lines(HEADER_BYTES * 3 // 4)
+LEGAL_GET = START + LEGAL_LINES + b"\r\n"
+LEGAL_POST = POST + LEGAL_LINES + b"Content-Length: 1\r\n\r\nx"
+LONG_TARGET = (
+    f"GET /page/{'t' * 7_500} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+)
+LONG_BODY = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n"
+
+CROWDS = {
+    # Heads.
+    "unfinished heads of short lines": Crowd(
+        "outbound", 400, ((START + LEGAL_LINES, 1),)
+    ),
+    "requests of short lines": Crowd("outbound", 400, ((LEGAL_GET, 1),)),
+    "pipelined requests of short lines": Crowd(
+        "outbound", 60, ((LEGAL_POST, 40),)
+    ),
+    "heads of short lines over the limit": Crowd(
+        "outbound", 200, ((START + short_lines(400 * KB), 1),)
+    ),
+    "a header field without end": Crowd(
+        "outbound", 400, ((START + b"a: ", 1), (b"v" * KB, 300))
+    ),
+    "a field name without end": Crowd(
+        "outbound", 400, ((START, 1), (b"n" * KB, 300))
+    ),
+    "a request line without end": Crowd(
+        "outbound", 400, ((b"GET /", 1), (b"p" * KB, 300))
+    ),
+    "a method without end": Crowd("outbound", 200, ((b"G" * KB, 300),)),
+    "empty lines before a request": Crowd(
+        "outbound", 50, ((b"\r\n" * (512 * KB), 2),)
+    ),
+    "heads that arrive in single bytes": Crowd(
+        "outbound",
+        200,
+        tuple((START[i : i + 1], 1) for i in range(len(START))),
+    ),
+    # Chunked bodies.
+    "a trailer field without end": Crowd(
+        "outbound",
+        4,
+        ((CHUNKED + b"1\r\nx\r\n0\r\na: ", 1), (b"v" * (64 * KB), 480)),
+    ),
+    "trailers of short lines": Crowd(
+        "outbound",
+        400,
+        ((CHUNKED + b"1\r\nx\r\n0\r\n" + LEGAL_LINES, 1),),
+    ),
+    "trailers of short lines over the limit": Crowd(
+        "outbound",
+        200,
+        ((CHUNKED + b"1\r\nx\r\n0\r\n" + short_lines(400 * KB), 1),),
+    ),
+    "a chunk extension without end": Crowd(
+        "outbound", 20, ((CHUNKED + b"1;e=", 1), (b"v" * (64 * KB), 32))
+    ),
+    "a chunk size without end": Crowd(
+        "outbound", 20, ((CHUNKED, 1), (b"0" * (64 * KB), 32))
+    ),
+    "chunks of one byte": Crowd(
+        "outbound", 100, ((CHUNKED, 1), (b"1\r\nx\r\n" * (8 * KB), 7))
+    ),
+    # Bodies.
+    "unfinished bodies": Crowd(
+        "outbound",
+        400,
+        ((POST + b"Content-Length: 65536\r\n\r\n" + bytes(65_500), 1),),
+    ),
+    "pipelined bodies": Crowd(
+        "outbound",
+        60,
+        ((POST + b"Content-Length: 65000\r\n\r\n" + bytes(65_000), 40),),
+    ),
+    "long bodies for readiness checks": Crowd(
+        "ready", 4, ((LONG_BODY, 1), (bytes(64 * KB), 480))
+    ),
+    "long bodies for heartbeats": Crowd(
+        "control", 4, ((LONG_BODY, 1), (bytes(64 * KB), 480))
+    ),
+    "long bodies for metrics": Crowd(
+        "metrics", 4, ((LONG_BODY, 1), (bytes(64 * KB), 480))
+    ),
+    # Pipelined requests and answers that nobody reads.
+    "pipelined tiny requests": Crowd(
+        "outbound", 30, ((b"GET / HTTP/1.1\r\n\r\n" * (16 * KB), 2),)
+    ),
+    "unread answers": Crowd("outbound", 8, ((LONG_TARGET, 1500),), 12.0),
+    "unread metrics": Crowd(
+        "metrics", 4, ((b"GET /metrics HTTP/1.1\r\n\r\n" * 100, 300),), 12.0
+    ),
+    # Other nodes' listener.
+    "unfinished frames": Crowd(
+        "inbound", 4, ((struct.pack(">I", 90 << 20), 1), (bytes(64 * KB), 480))
+    ),
+    "unfinished frames of many": Crowd(
+        "inbound",
+        400,
+        ((struct.pack(">I", 90 << 20), 1), (bytes(64 * KB), 4)),
+    ),
+    # Connections.
+    "half a request line": Crowd("outbound", 1500, ((b"GET /pa", 1),)),
+    "idle": Crowd("outbound", 1500),
+    "idle at readiness": Crowd("ready", 1500),
+    "idle at heartbeats": Crowd("control", 1500),
+    "idle at metrics": Crowd("metrics", 1500),
+    "idle at the nodes' listener": Crowd("inbound", 1500),
+}
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Starts one node with lowered limits, and its server."""
+    async with EmulatedPlatform(tmp_path, "127.47") as platform:
+        platform.operator.set_route("page", "browse")
+        platform.operator.set_route(
+            "post", "browse", kind="non_idempotent", timeout_s=6.0
+        )
+        await platform.operator.publish()
+        machine = await platform.add_machine(0, "browse", node=False)
+        text = machine.settings.read_text()
+        machine.settings.write_text(
+            text.replace(
+                "memory_mb = 300",
+                f"memory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}",
+            )
+        )
+        await machine.process.start()
+        resource.prlimit(
+            machine.process.process.pid,
+            resource.RLIMIT_NOFILE,
+            (MAX_FDS, MAX_FDS),
+        )
+        await platform.wait_until_ready()
+        yield platform
+
+
+def read_peak_mb(process):
+    """Returns the most memory that a process has had so far."""
+    status = pathlib.Path(f"/proc/{process.process.pid}/status").read_text()
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / KB
+    raise AssertionError(status)
+
+
+def count_fds(process):
+    """Returns the number of open descriptors of a process."""
+    return len(list(pathlib.Path(f"/proc/{process.process.pid}/fd").iterdir()))
+
+
+async def watch_fds(process, counts):
+    """Adds the number of open descriptors until it is cancelled."""
+    while process.running:
+        counts.append(count_fds(process))
+        await asyncio.sleep(0.05)
+
+
+async def is_answered(machine):
+    """Sends one ordinary request on a connection of its own."""
+    caller = Caller()
+    try:
+        return (await caller.send(machine, "/page/1")).status == 200
+    finally:
+        await caller.close()
+
+
+async def wait_for_answer(machine):
+    """Waits until an ordinary request is answered."""
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        while not await is_answered(machine):
+            await asyncio.sleep(0.2)
+
+
+class TestUntrustedClients:
+    """A process survives clients that it does not control."""
+
+    @pytest.mark.parametrize("kind", CROWDS)
+    async def test_node_stays_within_its_limits(self, fleet, kind):
+        """Guards against clients that take all memory or descriptors."""
+        crowd = CROWDS[kind]
+        machine = fleet.machines["m1"]
+        process = machine.process
+        fleet.backends["m1"].slots = 16
+        counts = []
+        watch = asyncio.create_task(watch_fds(process, counts))
+        before_mb = read_peak_mb(process)
+        clients = await play(crowd, machine.host, PORTS[crowd.port])
+        try:
+            await asyncio.sleep(crowd.hold_s)
+            assert process.running
+            await wait_for_answer(machine)
+        finally:
+            watch.cancel()
+            for client in clients:
+                client.close()
+        await wait_for_answer(machine)
+        assert process.running
+        peak_mb = read_peak_mb(process)
+        print(f"{kind}: {before_mb:.0f} to {peak_mb:.0f} MB, {max(counts)} fds")
+        assert peak_mb < MEMORY_MB
+        assert max(counts) <= MAX_FDS - FILE_FDS
