Bound what clients of the listeners cost a node

Cause: heads, header fields, trailers, pipelined requests, unread answers and short bodies were not counted, connections were not limited, the listeners for readiness, heartbeats and metrics took bodies of 64 MB, and anyone could announce a frame of 90 MB to the nodes' listener. Change: each listener has one account in what bytes cost the process (`MemoryAccount`, `memory_costs`), from `memory_mb`, and a limit on connections from `max_fds`, which is read now. The parser gets 4 KB at a time and limits are checked in between; what a client pipelines beyond them waits in the kernel. A response is released once its client has read it. Without room, unfinished requests and unread answers that hold more are closed, else the request is refused with 503. A connection's first frame between nodes must be a hello of 64 KB at most. `http_listener.py` is split: connection, reader, pending request. On the same connections: `Upgrade` is ignored (a body behind it is not taken for a request), targets in absolute form replace Host, and a half-closed caller gets its answers. A caller that is gone is told apart by the first bytes of the response, sent early; its requests are cancelled as before.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh/frame_codec.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/frame_codec.py
@@ -15,6 +15,9 @@
 LENGTH = struct.Struct(">I")
 # Far above the largest body that the caller limits allow.
 MAX_FRAME_BYTES = 96 * 1024 * 1024
+# The first frame of a connection is a hello, of less than a kilobyte. Whoever
+# connects may announce a longer one and take memory with it.
+MAX_FIRST_FRAME_BYTES = 65_536
 # 8 KB: enough because header fields repeat from one request to the next, and
 # small because a node keeps a window for each cross-domain node.
 WINDOW_BITS = 13
@@ -56,12 +59,14 @@
 
     Attributes:
       buffer: Received bytes of an incomplete frame.
+      max_frame_bytes: Longest frame that may follow.
       compressor: Compresses sent bytes; None without compression.
       decompressor: Decompresses received bytes; None without compression.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_first_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         self.buffer = bytearray()
+        self.max_frame_bytes = max_first_frame_bytes
         self.compressor: zlib._Compress | None = None
         self.decompressor: zlib._Decompress | None = None
 
@@ -104,7 +109,7 @@
         start = 0
         while len(buffer) - start >= LENGTH.size:
             (length,) = LENGTH.unpack_from(buffer, start)
-            if length > MAX_FRAME_BYTES:
+            if length > self.max_frame_bytes:
                 raise FrameError(f"frame of {length} bytes is too long")
             end = start + LENGTH.size + length
             if len(buffer) < end:
@@ -115,6 +120,7 @@
                 view[start + LENGTH.size : end] as payload,
             ):
                 messages.append(_decode(payload))
+            self.max_frame_bytes = MAX_FRAME_BYTES
             start = end
         del buffer[:start]
         return messages
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from vanillamast_sidecar.crashes.server_end import ServerEnd
+from vanillamast_sidecar.http.listening import listen
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.membership import Membership
@@ -16,6 +17,7 @@
 from vanillamast_sidecar.mesh.hub_duty import HubDuty
 from vanillamast_sidecar.mesh.hub_selector import HUBS_PER_DOMAIN, select_hubs
 from vanillamast_sidecar.mesh.hub_view import HubView
+from vanillamast_sidecar.mesh.inbound_limiter import InboundLimiter
 from vanillamast_sidecar.mesh.link_pool import LinkPool
 from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
@@ -80,6 +82,7 @@
       on_operator_state: Handles the operator's state as another node has it.
       on_server_end: Handles the end of a server; returns whether it is new.
       get_operator_state: Returns the operator's state as this node has it.
+      limiter: Limits the connections that others open.
       inbound: Connections that other nodes opened.
       wants_nodes: Whether the list of nodes has not been read yet.
       config_version: Version of the node's configuration, -1 without one.
@@ -128,6 +131,7 @@
             None
         )
         self.loop = asyncio.get_running_loop()
+        self.limiter = InboundLimiter()
         self.inbound: set[PeerServer] = set()
         self.wants_nodes = True
         self.config_version = -1
@@ -144,16 +148,16 @@
 
     async def listen(self, address: Address) -> asyncio.Server:
         """Starts to accept connections of other nodes."""
-        return await self.loop.create_server(
+        return await listen(
             lambda: PeerServer(
                 self.run_call,
                 self.get_load,
                 self._handle_inbound_message,
                 self._handle_inbound_closed,
+                self.limiter,
             ),
             address.host,
             address.port,
-            backlog=512,
         )
 
     # This node's own record.
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -16,7 +16,11 @@
 from vanillamast_sidecar.http.transport_writer import TransportWriter
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.mesh.clock_offset import ClockOffset
-from vanillamast_sidecar.mesh.frame_codec import FrameCodec
+from vanillamast_sidecar.mesh.frame_codec import (
+    MAX_FIRST_FRAME_BYTES,
+    FrameCodec,
+)
+from vanillamast_sidecar.mesh.inbound_limiter import InboundLimiter
 from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
     Call,
@@ -38,6 +42,9 @@
 # trips between failure domains.
 CONFIRM_TIMEOUT_S = 0.3
 
+# Longest wait for the hello; nodes send it when they have connected.
+HELLO_TIMEOUT_S = 3.0
+
 NO_RESPONSE = HttpResponse(0, [])
 
 CallRunner = Callable[[ServerCall], Awaitable[CallResult]]
@@ -52,6 +59,8 @@
       on_message: Handles messages that are not about calls, with this
         connection.
       on_closed: Called when the connection has ended.
+      limiter: Limits the connections of this kind.
+      greeted: Whether the hello, the first message, has arrived.
       peer_address: Address of the node, empty before its hello.
       transport: The connection; None while there is none.
       writer: Writes to the transport.
@@ -67,20 +76,24 @@
         get_load: Callable[[], LoadReport],
         on_message: Callable[["PeerServer", AnyMessage], None],
         on_closed: Callable[["PeerServer"], None],
+        limiter: InboundLimiter | None = None,
     ):
         self.run_call = run_call
         self.get_load = get_load
         self.on_message = on_message
         self.on_closed = on_closed
         self.loop = asyncio.get_running_loop()
+        self.limiter = limiter or InboundLimiter()
+        self.greeted = False
         self.peer_address = ""
         self.transport: asyncio.Transport | None = None
         self.writer = TransportWriter()
-        self.codec = FrameCodec()
+        self.codec = FrameCodec(MAX_FIRST_FRAME_BYTES)
         self.confirmations: dict[int, asyncio.Future[bytes]] = {}
         self.clock = ClockOffset()
         self.tasks: dict[int, asyncio.Task[None]] = {}
         self.last_received_at = 0.0
+        self._hello_timer: asyncio.TimerHandle | None = None
 
     def send(self, message: Message) -> None:
         """Sends a message if the connection is open, else drops it."""
@@ -103,6 +116,23 @@
         self.transport = transport  # type: ignore[assignment]
         self.writer.transport = self.transport
         configure_socket(transport)
+        self._hello_timer = self.loop.call_later(
+            HELLO_TIMEOUT_S, self._close_stranger
+        )
+        self.limiter.add(self)
+
+    def _close_stranger(self) -> None:
+        self.limiter.close(self, "no_hello")
+
+    def _greet(self, message: AnyMessage) -> None:
+        """Takes the first message; closes the connection if it is no hello."""
+        if not isinstance(message, Hello):
+            self._close_stranger()
+            return
+        self.greeted = True
+        self.limiter.greet(self)
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
 
     def pause_writing(self) -> None:
         """Stops writing while the transport's buffer is full."""
@@ -122,6 +152,10 @@
             self.close()
             return
         for message in messages:
+            if not self.greeted:
+                self._greet(message)
+            if not self.greeted:
+                return
             if isinstance(message, Call):
                 self._start_call(message)
             elif isinstance(message, Cancel):
@@ -237,6 +271,9 @@
         idempotent continue to their end.
         """
         self.transport = None
+        self.limiter.remove(self)
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
         self.writer.close()
         for task in list(self.tasks.values()):
             task.cancel()
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -20,8 +21,12 @@
 )
 from vanillamast_sidecar.http.body_room import get_body_room
 from vanillamast_sidecar.http.byte_budget import ByteBudget
+from vanillamast_sidecar.http.caller_limits import CallerLimits
+from vanillamast_sidecar.http.connection_limits import get_connection_limits
 from vanillamast_sidecar.http.http_listener import Handler, HttpListener
 from vanillamast_sidecar.http.http_message import HttpRequest, HttpResponse
+from vanillamast_sidecar.http.memory_account import MemoryAccount
+from vanillamast_sidecar.http.memory_costs import get_memory_room
 from vanillamast_sidecar.membership.departure_recorder import DepartureRecorder
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
@@ -68,6 +73,11 @@
 # Intervals at which a shutdown checks whether requests are in progress.
 STOP_CHECK_INTERVAL_S = 0.05
 CLOSE_CHECK_INTERVAL_S = 0.01
+# Part of the memory for callers that each other listener has: a crowd there
+# takes nothing from callers, and callers nothing from heartbeats.
+SMALL_LISTENER_PART = 16
+# Heartbeats have less than a kilobyte.
+MAX_SMALL_BODY_BYTES = 262_144
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -169,10 +179,16 @@
             log,
             self.metrics,
         )
+        limits = get_connection_limits(settings.max_fds)
         self.callers = HttpListener(
             self.gateway.handle_request,
             body_budget=ByteBudget(get_body_room(settings.memory_bytes)),
+            account=MemoryAccount(get_memory_room(settings.memory_bytes)),
+            max_connections=limits.callers,
+            on_limit=partial(self._handle_client_limit, "caller"),
         )
+        self.mesh.limiter.max_connections = limits.peers
+        self.mesh.limiter.on_limit = partial(self._handle_client_limit, "peer")
         operator_state = AppliedOperatorState(
             self.mesh,
             self.moves,
@@ -267,8 +283,17 @@
             "metrics": (settings.metrics_listener, self._handle_metrics),
         }
         listeners = {"caller": (settings.caller_listener, self.callers)}
+        connection_limits = get_connection_limits(settings.max_fds)
+        room = get_memory_room(settings.memory_bytes) // SMALL_LISTENER_PART
         for name, (address, handler) in handlers.items():
-            listeners[name] = (address, HttpListener(handler))
+            listener = HttpListener(
+                handler,
+                CallerLimits(body_bytes=MAX_SMALL_BODY_BYTES),
+                account=MemoryAccount(room),
+                max_connections=connection_limits.small,
+                on_limit=partial(self._handle_client_limit, name),
+            )
+            listeners[name] = (address, listener)
         if "peer" not in self.servers:
             self.servers["peer"] = await self.mesh.listen(
                 settings.peer_listener
@@ -356,6 +381,19 @@
             self.mesh.membership.own.record, instance=departed
         )
 
+    def _handle_client_limit(
+        self, listener: str, kind: str, transport: asyncio.Transport
+    ) -> None:
+        """Logs a client that met a limit."""
+        self.metrics.count("client_limits", listener=listener, kind=kind)
+        peer = transport.get_extra_info("peername")
+        self.log.write(
+            "client.limited",
+            listener=listener,
+            limit=kind,
+            client=f"{peer[0]}:{peer[1]}" if peer else "",
+        )
+
     # Handlers of the other listeners.
 
     async def _handle_server_call(
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -2,6 +2,7 @@
 
 METRIC_TEXTS = {
     "caller_connections": "Open connections of callers.",
+    "client_limits": "Clients that met a limit, by listener and limit.",
     "config_version": "Version of the configuration in force.",
     "held_requests": "Requests that are held, at the last end of a server.",
     "move_conflicts": "Writes of a move's state that another record beat.",
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -85,6 +85,7 @@
       fields: Names of the deployment's header fields.
       response_limits: Limits on the responses of the local server.
       memory_bytes: Memory that the process may use; 0 if it is not limited.
+      max_fds: Descriptors that the process may open; 0 if they are not limited.
       crashes: Protection against requests that end their servers.
     """
 
@@ -104,4 +105,5 @@
         default_factory=ResponseLimits
     )
     memory_bytes: int = 0
+    max_fds: int = 0
     crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
--- a/tests/sidecar/http/test_http_listener.py
+++ b/tests/sidecar/http/test_http_listener.py
@@ -8,11 +8,8 @@
 import pytest
 from vanillamast_sidecar.http.byte_budget import ByteBudget
 from vanillamast_sidecar.http.caller_limits import CallerLimits
-from vanillamast_sidecar.http.http_listener import (
-    MAX_CONCURRENT_REQUESTS,
-    READ_BYTES,
-    HttpListener,
-)
+from vanillamast_sidecar.http.http_connection import MAX_CONCURRENT_REQUESTS
+from vanillamast_sidecar.http.http_listener import READ_BYTES, HttpListener
 from vanillamast_sidecar.http.http_message import HttpResponse
 from vanillamast_sidecar.http.transport_writer import LARGE_BYTES
 
@@ -345,3 +342,117 @@
         caller.send("GET /a")
         caller.finish("/a")
         assert await caller.read() == (200, "/a", True)
+
+
+class TestEndOfRequests:
+    """A caller that sends no more, and one that is gone."""
+
+    @pytest.mark.parametrize("wait_s", [0.0, 0.3])
+    async def test_a_half_closed_connection_gets_all_responses(
+        self, caller, wait_s
+    ):
+        """Guards against requests cut off when the caller stops sending."""
+        caller.send("GET /a", "POST /b")
+        caller.writer.write_eof()
+        await until(lambda: caller.started == ["/a"])
+        await asyncio.sleep(wait_s)
+        caller.finish("/a", "/b")
+        assert (await caller.read())[:2] == (200, "/a")
+        assert (await caller.read())[:2] == (200, "/b")
+        assert await caller.is_closed()
+        assert caller.cancelled == []
+
+    async def test_a_half_closed_incomplete_request_is_not_run(self, caller):
+        """Guards against a request that is run without its end."""
+        caller.writer.write(b"POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nx")
+        caller.writer.write_eof()
+        assert await caller.is_closed()
+        assert caller.started == []
+
+
+class TestTargets:
+    """Upgrade fields and targets in absolute form (RFC 9110, RFC 9112)."""
+
+    UPGRADE = (
+        b"Host: x\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    )
+
+    async def test_an_upgrade_is_ignored(self, caller):
+        """Guards against ordinary requests refused for an offer."""
+        caller.finish("/a", "/b")
+        caller.writer.write(b"GET /a HTTP/1.1\r\n" + self.UPGRADE + b"\r\n")
+        caller.send("GET /b")
+        assert await caller.read() == (200, "/a", False)
+        assert await caller.read() == (200, "/b", False)
+
+    @pytest.mark.parametrize(
+        "framing",
+        [
+            b"Content-Length: 23\r\n\r\nGET /inner HTTP/1.1\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nGET\r\n0\r\n\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("piece", [1, 7, 4096])
+    async def test_the_body_of_an_upgrade_is_no_request(
+        self, caller, framing, piece
+    ):
+        """Guards against a body that is run as a request of its own."""
+        bodies = []
+        handle = caller.listener.handler
+
+        async def keep_body(request, arrived_at):
+            bodies.append((request.method, bytes(request.body)))
+            return await handle(request, arrived_at)
+
+        caller.listener.handler = keep_body
+        caller.finish("/a", "/b")
+        data = b"PUT /a HTTP/1.1\r\n" + self.UPGRADE + framing
+        for start in range(0, len(data), piece):
+            caller.writer.write(data[start : start + piece])
+            await asyncio.sleep(0)
+        expected = b"GET"
+        if b"chunked" not in framing:
+            expected = framing.partition(b"\r\n\r\n")[2]
+        caller.send("GET /b")
+        assert await caller.read() == (200, "/a", False)
+        assert await caller.read() == (200, "/b", False)
+        assert bodies == [("PUT", expected), ("GET", b"")]
+
+    async def test_a_tunnel_is_refused(self, caller):
+        """Guards against bytes of a tunnel that are run as requests."""
+        caller.writer.write(b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await caller.read())[::2] == (400, True)
+        assert caller.started == []
+
+    @pytest.mark.parametrize(
+        ("target", "path"),
+        [
+            ("http://a.example/x?y=1", "/x?y=1"),
+            ("HTTP://a.example:8080", "/"),
+            ("https://a.example?q", "/?q"),
+            ("/x?u=http://b/", "/x?u=http://b/"),
+        ],
+    )
+    async def test_an_absolute_target_names_the_host(
+        self, caller, target, path
+    ):
+        """Guards against a Host field that differs from the target."""
+        hosts = []
+        handle = caller.listener.handler
+
+        async def keep_host(request, arrived_at):
+            hosts.append([v for n, v in request.headers if n == b"host"])
+            return await handle(request, arrived_at)
+
+        caller.listener.handler = keep_host
+        caller.finish(path)
+        caller.send(f"GET {target}")
+        assert (await caller.read())[:2] == (200, path)
+        authority = target.partition("//")[2].partition("/")[0]
+        authority = authority.partition("?")[0].encode()
+        assert hosts == [[b"x" if target[0] == "/" else authority]]
+
+    async def test_an_absolute_target_with_a_user_is_refused(self, caller):
+        """Guards against a host that is taken from the user part."""
+        caller.send("GET http://a@b/x")
+        assert (await caller.read())[0] == 400
