Treat invalid status codes as malformed responses

Cause: a response with status 000 or 099 counted as an interim one, so that its request waited for its timeout, and 600 and 999 reached the caller. Change: a status below 100 or above 599, and 101, fails the request with `MalformedResponseError` when its head has arrived and closes the connection. The executor counts it against the server as other malformed responses; the outcome is unclear, so only requests that may run twice are tried again.

--- a/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
@@ -25,6 +25,9 @@
 KEEPALIVE_IDLE_S = 1  # Smallest value that the kernel accepts.
 KEEPALIVE_INTERVAL_S = 1  # Smallest value that the kernel accepts.
 KEEPALIVE_PROBES = 2  # A single lost probe is no failure.
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 NO_LINGER = struct.pack("ii", 1, 0)  # Makes close() send a reset.
 
 
@@ -289,11 +292,16 @@
     def on_headers_complete(self) -> None:
         """Determines how the body is delimited."""
         self._in_body = True
+        status = self.parser.get_status_code()
+        if not _is_valid(status):
+            self._fail(MalformedResponseError(f"status {status:03d}"))
+            self._drop_body()
+            self.close()
+            return
         framed = any(
             name.lower() in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
         )
-        status = self.parser.get_status_code()
         self._ends_at_close = not framed and status >= 200
         if status in (204, 304):
             self._ends_at_close = False
@@ -361,3 +369,11 @@
             name, _, seconds = part.strip().partition(b"=")
             if name.lower() == b"timeout" and seconds.isdigit():
                 self.idle_limit_s = float(seconds)
+
+
+def _is_valid(status: int) -> bool:
+    """Returns whether a response may have a status.
+
+    No request asks for another protocol, so none may be answered with 101.
+    """
+    return MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS
--- a/tests/sidecar/admission/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -207,6 +207,24 @@
         assert pool.idle == [idle]
 
 
+class TestInvalidStatuses:
+    """A status that is none makes the outcome unclear."""
+
+    @pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+    async def test_it_counts_against_the_server(self, backend, status):
+        """Guards against a status that reaches a caller, or a second run."""
+        backend.script = lambda number, request_id: answer(request_id).replace(
+            b"200", status
+        )
+        result = await run(backend, timeout_s=1.0)
+        assert result.outcome is Outcome.UNKNOWN
+        assert result.reason is Reason.MALFORMED
+        assert result.response is None
+        assert len(backend.requests) == 1
+        counters = backend.executor.metrics.counters
+        assert counters["server_failures", (("reason", "malformed"),)] == 1
+
+
 class TestStopping:
     """A stopping node runs what can end before its exit."""
 
--- a/tests/sidecar/http/test_client_connection.py
+++ b/tests/sidecar/http/test_client_connection.py
@@ -269,3 +269,57 @@
             connection = await serve(script)
             with pytest.raises((ConnectionLostError, MalformedResponseError)):
                 await ask(connection)
+
+
+def respond(*lines: bytes):
+    """Returns a script that answers with status lines, the last one final."""
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for line in lines[:-1]:
+            writer.write(b"HTTP/1.1 %s\r\n\r\n" % line)
+        writer.write(
+            b"HTTP/1.1 %s\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok" % lines[-1]
+        )
+        await writer.drain()
+        await reader.read()
+
+    return script
+
+
+class TestStatusCodes:
+    """Final responses have a status of 200 to 599, interim ones 100 to 199."""
+
+    @pytest.mark.parametrize(
+        "lines",
+        [
+            (b"000 None",),
+            (b"000 None", b"200 OK"),
+            (b"099 None",),
+            (b"099 None", b"200 OK"),
+            (b"101 Switching Protocols",),
+            (b"101 Switching Protocols", b"200 OK"),
+            (b"103 Early Hints", b"101 Switching Protocols", b"200 OK"),
+            (b"199 Wait",) * 100 + (b"200 OK",),
+            (b"600 Odd",),
+            (b"999 Odd",),
+            (b"103 Early Hints", b"999 Odd"),
+        ],
+        ids=lambda lines: "-".join(line[:3].decode() for line in lines[:3]),
+    )
+    async def test_an_invalid_status_is_malformed(self, serve, lines):
+        """Guards against statuses that no caller can understand."""
+        connection = await serve(respond(*lines))
+        with pytest.raises(MalformedResponseError):
+            await ask(connection, timeout_s=2.0)
+        assert not connection.reusable
+        assert connection.budget.used == 0
+
+    @pytest.mark.parametrize("status", [200, 204, 299, 404, 503, 599])
+    async def test_a_valid_status_is_delivered(self, serve, status):
+        """Guards against legal responses that are taken for malformed ones."""
+        connection = await serve(
+            respond(b"103 Early Hints", b"199 Wait", b"%d Some" % status)
+        )
+        response = await ask(connection, timeout_s=2.0)
+        assert response.status == status
