Keep early SIGHUPs, and match long paths in one pass

Cause: SIGHUP before the node had set its handlers ended the process. A path of thousands of slashes was compared with the routes once for each slash, and each time its start was copied. Routes are looked up by the lengths of their prefixes. An early SIGTERM still ends the process at once: nothing has been accepted.

--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -217,6 +217,7 @@
         self.loop.set_exception_handler(self._log_exception)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload_requested.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self._listen(self.settings)
         self.log.write(
             "node.started",
--- a/packages/sidecar/src/vanillamast_sidecar/routing/route_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/route_table.py
@@ -10,6 +10,7 @@
 
     Attributes:
       routes_by_host: Routes of each host by path prefix.
+      lengths_by_host: Lengths of these prefixes, the longest first.
     """
 
     def __init__(self, routes: Iterable[Route]):
@@ -18,6 +19,10 @@
             self.routes_by_host.setdefault(route.host, {})[
                 route.path_prefix
             ] = route
+        self.lengths_by_host = {
+            host: sorted({len(prefix) for prefix in prefixes}, reverse=True)
+            for host, prefixes in self.routes_by_host.items()
+        }
 
     def match(self, host: str, target: str) -> Route | None:
         """Returns the route with the longest prefix of the path.
@@ -26,14 +31,15 @@
           host: Value of the Host header; its port is ignored.
           target: Request target with an optional query.
         """
-        prefixes = self.routes_by_host.get(host.partition(":")[0].lower())
+        name = host.partition(":")[0].lower()
+        prefixes = self.routes_by_host.get(name)
         if prefixes is None:
             return None
         path = target.partition("?")[0]
-        end = path.rfind("/")
-        while end >= 0:
-            route = prefixes.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
+        # A path may have thousands of slashes; the lengths are few.
+        for length in self.lengths_by_host[name]:
+            if length <= len(path) and path.startswith("/", length - 1):
+                route = prefixes.get(path[:length])
+                if route is not None:
+                    return route
         return None
