Read ordinary requests with fewer calls

Cause: the checks of limits cost each request a timer and calls for each header field. Change: the timer of a body starts only if the body has not arrived with its head, and the number of fields is checked once for each piece that is parsed.

--- a/packages/sidecar/src/vanillamast_sidecar/http/http_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/http_connection.py
@@ -100,6 +100,10 @@
 
     def _feed(self, data: memoryview) -> None:
         taken = self.reader.feed(data, self._may_read)
+        if self._timer is None and self.reader.is_in_body():
+            self._start_timer(
+                self.listener.limits.idle_timeout_s, self._handle_body_timeout
+            )
         if taken == len(data) or self.transport is None:
             return
         rest = bytes(data[taken:])
@@ -183,10 +187,8 @@
         )
 
     def handle_head_end(self, continue_expected: bool) -> None:
-        """Starts the timer of the body; sends 100 Continue if expected."""
-        self._start_timer(
-            self.listener.limits.idle_timeout_s, self._handle_body_timeout
-        )
+        """Ends the timer of the header section; sends 100 Continue."""
+        self._stop_timer()
         # Behind other requests, it would precede their responses.
         if continue_expected and not self.pending and self.transport:
             self.transport.write(CONTINUE)
--- a/packages/sidecar/src/vanillamast_sidecar/http/request_reader.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/request_reader.py
@@ -141,6 +141,9 @@
 
     def _settle(self, unparsed_bytes: int = 0) -> None:
         """Charges what the request costs now; rejects it without room."""
+        if len(self._headers) > self.limits.fields:
+            self.reject(FIELDS_TOO_LARGE, "fields")
+            return
         cost = get_request_cost(
             len(self._headers),
             max(self._header_bytes, unparsed_bytes),
@@ -186,6 +189,10 @@
         self._body_is_reserved = False
         self._body_left = 0
 
+    def is_in_body(self) -> bool:
+        """Returns whether a body or its trailer section is arriving."""
+        return self.in_message and not self.in_head and not self.rejected
+
     def is_reading_long_body(self) -> bool:
         """Returns whether a body that has reserved its bytes is arriving."""
         return self._body_is_reserved
@@ -214,7 +221,9 @@
         if self.rejected or self._upgrading:
             return
         self._target += url
-        self._count_header(len(url))
+        self._header_bytes += len(url)
+        if self._header_bytes > self.limits.header_bytes:
+            self.reject(FIELDS_TOO_LARGE, "header")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header or trailer field."""
@@ -222,12 +231,7 @@
             return
         self._headers.append((name.lower(), value))
         # A line has at least a colon and its end.
-        self._count_header(len(name) + len(value) + 3)
-        if len(self._headers) > self.limits.fields:
-            self.reject(FIELDS_TOO_LARGE, "fields")
-
-    def _count_header(self, size: int) -> None:
-        self._header_bytes += size
+        self._header_bytes += len(name) + len(value) + 3
         if self._header_bytes > self.limits.header_bytes:
             self.reject(FIELDS_TOO_LARGE, "header")
 
