--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -2,6 +2,7 @@
 
 METRIC_TEXTS = {
     "caller_connections": "Open connections of callers.",
+    "client_limits": "Clients that met a limit, by listener and limit.",
     "config_version": "Version of the configuration in force.",
     "evacuated_domains": "Failure domains that the operator has evacuated.",
     "held_requests": "Requests that are held, at the last end of a server.",
