Let the emulated store return from an older copy

Cause: at the end of an outage the store may come back from a copy that is some seconds old, and no test could play that. Change: EmulatedStore.make_copy and restore; the header Store-Era in all of its responses; 410 for reads beyond the end, also for long polls that wait during the return. Operator.restore_store writes again what the operator had written since the copy.

--- a/packages/testing/src/vanillamast_testing/emulator/operator.py
+++ b/packages/testing/src/vanillamast_testing/emulator/operator.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from vanillamast_testing.emulator.store import EmulatedStore
+from vanillamast_testing.emulator.store import EmulatedStore, Partitions
 
 HOST = "tintero.example"
 
@@ -69,6 +69,12 @@
             "keyed.op", f"rollout/{service}", json.dumps(value).encode()
         )
 
+    async def restore_store(self, partitions: Partitions) -> None:
+        """Returns the store to an older copy and writes again what it lost."""
+        lost = await self.store.restore(partitions)
+        for key, value in lost.items():
+            await self.store.put("keyed.op", key, value)
+
     def move_state(self, service: str) -> str:
         """Returns a move's state in the store, "" without one."""
         value = self.store.newest("keyed.status", f"rollout/{service}")
--- a/packages/testing/src/vanillamast_testing/emulator/store.py
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import copy
 import struct
 from typing import Any
 
@@ -20,6 +21,8 @@
 PAGE_MAX_BYTES = 1_000_000
 MAX_WAIT_S = 30.0
 
+Partitions = dict[tuple[str, int], Partition]
+
 
 class EmulatedStore:
     """Topics and groups, with faults that tests switch on.
@@ -38,18 +41,22 @@
       delay_s: Delay before each call is handled.
       lose_answer_every: Every n-th write takes effect but gets no answer; 0
         for none.
+      era: Number of returns from an older copy.
+      names_era: Whether responses name the era.
     """
 
     def __init__(self, host: str, port: int):
         self.host = host
         self.port = port
-        self.partitions: dict[tuple[str, int], Partition] = {}
+        self.partitions: Partitions = {}
         self.groups: dict[str, tuple[int, dict[str, float]]] = {}
         self.calls: collections.Counter[str] = collections.Counter()
         self.failure_mode = ""
         self.blocked_hosts: set[str] = set()
         self.delay_s = 0.0
         self.lose_answer_every = 0
+        self.era = 0
+        self.names_era = True
         self.writes = 0
         self.changed = asyncio.Condition()
         self.runner: web.AppRunner | None = None
@@ -59,6 +66,7 @@
         app = web.Application(
             middlewares=[self._inject_fault], client_max_size=4 << 20
         )
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post("/api/log-append", self._append)
         app.router.add_get("/api/log-read", self._read)
         app.router.add_get("/api/log-newest", self._newest)
@@ -103,6 +111,39 @@
         found = self.partition(topic, 0).newest.get(key)
         return found[0] if found is not None else None
 
+    def make_copy(self) -> Partitions:
+        """Returns a copy of all partitions, for a later `restore`."""
+        return copy.deepcopy(self.partitions)
+
+    async def restore(self, partitions: Partitions) -> dict[str, bytes]:
+        """Returns to an older copy, as after an outage.
+
+        Producers, groups and offsets return to it as well.
+
+        Returns:
+          Newest values of the operator's keys that the copy lacks, in the
+          order of their offsets.
+        """
+        lost = self.partition("keyed.op", 0).newest
+        self.partitions = copy.deepcopy(partitions)
+        self.era += 1
+        kept = self.partition("keyed.op", 0).newest
+        await self._notify()
+        return {
+            key: value
+            for key, (value, _) in sorted(
+                lost.items(), key=lambda item: item[1][1]
+            )
+            if kept.get(key) != lost[key]
+        }
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        if self.names_era:
+            response.headers["Store-Era"] = str(self.era)
+
     async def _notify(self) -> None:
         async with self.changed:
             self.changed.notify_all()
@@ -168,20 +209,22 @@
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
         query = request.query
-        partition = self.partition(query["topic"], int(query.get("part", 0)))
+        topic, part = query["topic"], int(query.get("part", 0))
         start = int(query["from"])
         wait_s = min(MAX_WAIT_S, int(query.get("wait_ms", 0)) / 1000.0)
-        if start < partition.first_offset:
-            return web.json_response(
-                {"first_offset": partition.first_offset}, status=410
-            )
         try:
             async with asyncio.timeout(wait_s), self.changed:
-                while partition.end_offset <= start:
+                # A return to an older copy replaces the partition.
+                while self.partition(topic, part).end_offset == start:
                     await self.changed.wait()
         except TimeoutError:
             # The long poll ends without records.
             pass
+        partition = self.partition(topic, part)
+        if not partition.first_offset <= start <= partition.end_offset:
+            return web.json_response(
+                {"first_offset": partition.first_offset}, status=410
+            )
         head = struct.pack(">QQ", partition.end_offset, partition.first_offset)
         records = partition.records[max(0, start - partition.first_offset) :]
         body = b"".join(struct.pack(">I", len(r)) + r for r in records)
