Survive a store that returns from an older copy

Cause: offsets of the operator's stream, and the ids of moves that are offsets, were compared as if the store never went back. After a return, records at offsets that had been read before were missed for ever, and records, departures and ends of moves that the store lost stayed lost. Calls that span a change of era fail with StoreEraError, so no late answer of an earlier era is used. Readers then read the operator's state as a whole. Nodes tell each other era and offset. A later era's spec renews the known move instead of starting it over; its driver records the state again. Each node writes its record again after a random delay within half of the store's rate of writes.

--- a/packages/sidecar/src/vanillamast_sidecar/errors.py
+++ b/packages/sidecar/src/vanillamast_sidecar/errors.py
@@ -79,5 +79,12 @@
         self.first_offset = first_offset
 
 
+class StoreEraError(StoreError):
+    """The store's era changed between a call and its answer.
+
+    What was read may be outdated, and what was written may be lost.
+    """
+
+
 class StoreUnknownOutcomeError(StoreError):
     """No response arrived; the call may have been executed or may yet be."""
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/hub.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub.py
@@ -93,6 +93,7 @@
             heartbeat.config_version,
             heartbeat.operator_offset,
             heartbeat.store_age_s,
+            heartbeat.operator_era,
         )
         entry = self.entries.get(address)
         if entry is None:
@@ -212,4 +213,5 @@
         version.config_version,
         version.operator_offset,
         round(version.store_age_s + age_s, 3),
+        version.operator_era,
     )
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -76,7 +76,8 @@
       on_previous_record: Handles a record of this node's previous process.
       on_evidence: Handles evidence on a move, with the sender's address.
       on_versions: Handles the operator state's version that another node of
-        the failure domain has: the node, configuration version and offset.
+        the failure domain has: the node, configuration version, offset and
+        era.
       on_operator_state: Handles the operator's state as another node has it.
       on_server_end: Handles the end of a server; returns whether it is new.
       get_operator_state: Returns the operator's state as this node has it.
@@ -85,6 +86,7 @@
       config_version: Version of the node's configuration, -1 without one.
       operator_offset: Offset up to which the node has read the operator's
         stream.
+      operator_era: Era of the store that the offset belongs to.
       store_contact_at: When the node last received a response of the store,
         in loop time; None while it does not read the operator's stream.
     """
@@ -121,7 +123,9 @@
             None
         )
         self.on_evidence: Callable[[str, Evidence], None] = lambda *_: None
-        self.on_versions: Callable[[Peer, int, int], None] = lambda *_: None
+        self.on_versions: Callable[[Peer, int, int, int], None] = lambda *_: (
+            None
+        )
         self.on_operator_state: Callable[[OperatorState], None] = lambda _: None
         self.on_server_end: Callable[[ServerEnd], bool] = lambda _: False
         self.get_operator_state: Callable[[], OperatorState | None] = lambda: (
@@ -132,6 +136,7 @@
         self.wants_nodes = True
         self.config_version = -1
         self.operator_offset = 0
+        self.operator_era = 0
         self.store_contact_at: float | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.ticks = 0
@@ -307,7 +312,11 @@
         if self.store_contact_at is not None:
             age_s = round(now - self.store_contact_at, 3)
         return NodeHeartbeat(
-            load, self.config_version, self.operator_offset, age_s
+            load,
+            self.config_version,
+            self.operator_offset,
+            age_s,
+            self.operator_era,
         )
 
     def _send_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
@@ -406,7 +415,10 @@
             source = self.membership.peers.get(version.address)
             if source is not None and not source.is_self:
                 self.on_versions(
-                    source, version.config_version, version.operator_offset
+                    source,
+                    version.config_version,
+                    version.operator_offset,
+                    version.operator_era,
                 )
         if report.digest and self.view.needs_records(address, report.digest):
             self._fetch_records(peer)
@@ -467,7 +479,10 @@
             for status in self.moves.statuses():
                 connection.send(MoveAnnouncement(status))
         self.on_versions(
-            peer, heartbeat.config_version, heartbeat.operator_offset
+            peer,
+            heartbeat.config_version,
+            heartbeat.operator_offset,
+            heartbeat.operator_era,
         )
 
     def _handle_records(
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -72,12 +72,14 @@
       operator_offset: Offset up to which it has read the operator's stream.
       store_age_s: Time since it last received a response of the store; None
         while it does not read the stream.
+      operator_era: Era of the store that the offset belongs to.
     """
 
     load: LoadReport
     config_version: int
     operator_offset: int
     store_age_s: float | None
+    operator_era: int = 0
 
 
 class Call(Message, tag=5, frozen=True):
@@ -183,11 +185,13 @@
       service: Service of the move.
       move_id: Id of the move.
       evidence: Cumulative outcomes.
+      era: Era of the store that the move id belongs to.
     """
 
     service: str
     move_id: int
     evidence: VersionEvidence
+    era: int = 0
 
 
 class FetchOperator(Message, tag=12, frozen=True):
@@ -202,12 +206,17 @@
       config: Newest configuration, compressed; empty if unknown.
       move_specs: Newest move specs: service, version, seconds, move id.
       move_statuses: Status of each move that the sender knows.
+      era: Era of the store that the offset belongs to.
+      move_eras: Era of each move spec's id, in the order of the specs; empty
+        if all are of era 0.
     """
 
     offset: int
     config: bytes
     move_specs: list[tuple[str, str, float, int]]
     move_statuses: list[MoveStatus]
+    era: int = 0
+    move_eras: list[int] = []
 
 
 class SlotGranted(Message, tag=14, frozen=True):
@@ -245,12 +254,14 @@
       operator_offset: Offset up to which it has read the operator's stream.
       store_age_s: Time since it last received a response of the store; None
         while it does not read the stream.
+      operator_era: Era of the store that the offset belongs to.
     """
 
     address: str
     config_version: int
     operator_offset: int
     store_age_s: float | None
+    operator_era: int = 0
 
 
 class HubReport(Message, tag=16, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -27,6 +27,8 @@
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.node_record_check import find_defect
+from vanillamast_sidecar.membership.record_restorer import RecordRestorer
+from vanillamast_sidecar.membership.restore_delay import choose_restore_delay
 from vanillamast_sidecar.membership.server_api import Deregistration, ServerApi
 from vanillamast_sidecar.membership.server_registry import ServerRegistry
 from vanillamast_sidecar.mesh.mesh import Mesh
@@ -88,6 +90,8 @@
       metrics: Metrics.
       registry: State of the local server.
       departures: Records in the store that the local server leaves.
+      restorer: Writes the node's record again when the store lost it.
+      registered: Whether the store has had the node's record.
       moves: Moves of traffic between server versions.
       suspects: Requests under which servers have ended.
       executor: Runs requests on the local server.
@@ -128,6 +132,11 @@
         self.departures = DepartureRecorder(
             store, self._make_stored_record, log
         )
+        self.restorer = RecordRestorer(
+            self._write_own_record, self._choose_restore_delay, log
+        )
+        self.registered = False
+        store.on_era = self._handle_store_era
         self.moves = MoveTable(self._handle_version_change)
         self.suspects = CrashSuspects(settings.crashes, random.Random())
         self.executor = ServerExecutor(
@@ -215,6 +224,7 @@
                 self.operator_sync.run,
                 self.move_controller.run,
                 self._sync_nodes,
+                self.restorer.run,
                 self._run_checks,
             )
         ]
@@ -423,13 +433,12 @@
 
     async def _sync_nodes(self) -> None:
         """Registers this node in the store and reads the others."""
-        registered = False
         while True:
             try:
                 records = await self._list_nodes()
-                if not registered:
+                if not self.registered:
                     records = await self._register(records)
-                    registered = True
+                    self.registered = True
                 self.nodes_known = True
                 self.mesh.apply_listed_nodes(records)
                 self.log.write("nodes.read", count=len(records))
@@ -455,16 +464,44 @@
         own = self.mesh.membership.own.record
         if any(record.address == own.address for record in records):
             return records
-        departed = self.registry.departed
-        await self.store.put_node(
-            own if departed is None else self._make_stored_record(departed)
-        )
+        await self._write_own_record()
         if any(
             record.failure_domain == own.failure_domain for record in records
         ):
             return records
         return await self._list_nodes()
 
+    async def _write_own_record(self) -> None:
+        """Writes this node's record, with its last departure if any.
+
+        Raises:
+          StoreError: The record could not be written.
+        """
+        while True:
+            departed = self.registry.departed
+            await self.store.put_node(
+                self.mesh.membership.own.record
+                if departed is None
+                else self._make_stored_record(departed)
+            )
+            if self.registry.departed == departed:
+                return
+            # The record of a departure may have been replaced by this one.
+
+    def _choose_restore_delay(self) -> float:
+        return choose_restore_delay(
+            len(self.mesh.membership.peers),
+            self.settings.store_writes_per_s,
+            random.Random(),
+        )
+
+    def _handle_store_era(self, era: int) -> None:
+        """Restores what this node had stored before the store returned."""
+        self.metrics.set("store_era", era)
+        self.log.write("store.era", era=era)
+        if self.registered or self.departures.recorded is not None:
+            self.restorer.requested.set()
+
     async def _list_nodes(self) -> list[NodeRecord]:
         """Returns the records in the store that may name a node.
 
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -19,5 +19,6 @@
     "server_running": "Requests that the server runs.",
     "server_waiting": "Requests that wait for a slot of the server.",
     "store_connected": "1 if the store answered the last call, else 0.",
+    "store_era": "Returns of the store from an older copy that are known.",
     "store_reader": "1 if this node reads the store for its domain, else 0.",
 }
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/applied_operator_state.py
@@ -30,6 +30,7 @@
       metrics: Metrics.
       offset: Next offset to read in the operator's stream; -1 if the newest
         state has to be read as a whole.
+      era: Era of the store that the offset belongs to.
       snapshot: Newest configuration, None before the first one.
       compressed: The same, compressed for other nodes; empty until one asks.
     """
@@ -51,6 +52,7 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.offset = -1
+        self.era = 0
         self.snapshot: Snapshot | None = None
         self.compressed = b""
         mesh.get_operator_state = self.to_message
@@ -68,7 +70,8 @@
             )
             if version != spec.to_version or move_id != spec.move_id:
                 continue
-            self.moves.add_spec(spec, now)
+            if not self._renew_spec(spec):
+                self.moves.add_spec(spec, now)
             if state is not MoveState.ACTIVE:
                 share = 1.0 if state is MoveState.COMPLETE else 0.0
                 self.moves.apply_status(
@@ -80,14 +83,20 @@
                         share,
                         0.0,
                         recorded=True,
+                        era=spec.era,
                     ),
                     now,
                 )
 
     def apply_update(self, update: OperatorUpdate) -> bool:
-        """Applies an update of the store; returns whether anything changed."""
-        self.offset = max(self.offset, update.next_offset)
-        self.mesh.operator_offset = max(0, self.offset)
+        """Applies an update of the store; returns whether anything changed.
+
+        An update of an earlier era than the known one changes nothing. The
+        first one of a later era has to be a read of the whole state.
+        """
+        if update.era < self.era:
+            return False
+        self._advance(update.era, update.next_offset)
         changed = self._add_specs(update.move_specs)
         if update.snapshot is not None:
             changed = (
@@ -95,10 +104,37 @@
             )
         return changed
 
+    def _advance(self, era: int, offset: int) -> None:
+        """Moves the position in the operator's stream forward only."""
+        if era > self.era:
+            self.log.write(
+                "operator.era", era=era, previous=self.era, offset=offset
+            )
+        self.era, self.offset = max((self.era, self.offset), (era, offset))
+        self.mesh.operator_era = self.era
+        self.mesh.operator_offset = max(0, self.offset)
+
+    def _renew_spec(self, spec: MoveSpec) -> bool:
+        """Goes on with the known move if a later era has it as this spec."""
+        known = self.moves.by_service.get(spec.service)
+        previous = known.spec.move_id if known is not None else -1
+        if not self.moves.renew_spec(spec, self.loop.time()):
+            return False
+        self.log.write(
+            "move.renewed",
+            service=spec.service,
+            order=spec.move_id,
+            previous=previous,
+            era=spec.era,
+        )
+        return True
+
     def _add_specs(self, specs: list[MoveSpec]) -> bool:
         changed = False
         now = self.loop.time()
         for spec in specs:
+            if self._renew_spec(spec):
+                continue
             completed = self.moves.complete_spec(spec)
             if completed or self.moves.add_spec(spec, now):
                 changed = True
@@ -139,17 +175,21 @@
         if not self.compressed:
             self.compressed = compress(self.snapshot.raw)
         specs = [
-            (
-                move.spec.service,
-                move.spec.to_version,
-                move.spec.over_s,
-                move.spec.move_id,
-            )
+            move.spec
             for move in self.moves.by_service.values()
             if move.spec.over_s > 0.0
         ]
+        eras = [spec.era for spec in specs]
         return OperatorState(
-            max(0, self.offset), self.compressed, specs, self.moves.statuses()
+            max(0, self.offset),
+            self.compressed,
+            [
+                (spec.service, spec.to_version, spec.over_s, spec.move_id)
+                for spec in specs
+            ],
+            self.moves.statuses(),
+            self.era,
+            eras if any(eras) else [],
         )
 
     def apply_peer_state(self, state: OperatorState) -> None:
@@ -160,13 +200,20 @@
             self.log.write("operator.invalid", error=str(error), source="peer")
             return
         self._replace_snapshot(snapshot, "peer")
-        self._add_specs([MoveSpec(*fields) for fields in state.move_specs])
+        eras = state.move_eras or [0] * len(state.move_specs)
+        self._add_specs(
+            [
+                MoveSpec(service, version, over_s, move_id, era)
+                for (service, version, over_s, move_id), era in zip(
+                    state.move_specs, eras, strict=False
+                )
+            ]
+        )
         now = self.loop.time()
         for status in state.move_statuses:
             self.moves.apply_status(status, now)
-        if state.offset > 0:
-            self.offset = max(self.offset, state.offset)
-            self.mesh.operator_offset = self.offset
+        if state.offset > 0 or state.era > self.era:
+            self._advance(state.era, state.offset)
 
 
 def compress(raw: bytes) -> bytes:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -5,6 +5,7 @@
 
 from vanillamast_sidecar.errors import (
     InvalidConfigurationError,
+    StoreEraError,
     StoreError,
     StoreTruncatedError,
 )
@@ -19,7 +20,7 @@
 from vanillamast_sidecar.operator_state.applied_operator_state import (
     AppliedOperatorState,
 )
-from vanillamast_sidecar.operator_state.store import Store
+from vanillamast_sidecar.operator_state.store import OperatorUpdate, Store
 from vanillamast_sidecar.operator_state.store_reader_policy import (
     READER_FRESHNESS_S,
     StoreReaderPolicy,
@@ -148,22 +149,17 @@
                     # connection is monitored only while the store answers.
                     await self.store.probe()
                     self._set_connected(True, "")
-                if self.state.offset < 0:
-                    update = await self.store.read_operator_state()
-                    if update.move_specs:
-                        recorded = await self.store.read_move_states()
-                        self.state.apply_recorded_states(
-                            update.move_specs, recorded
-                        )
-                else:
-                    update = await self.store.poll_operator(
-                        self.state.offset, LONG_POLL_S
-                    )
+                update = await self._read_update()
                 failures = 0
                 self._set_connected(True, "")
                 self.fetch_at = 0.0
                 if self.state.apply_update(update):
                     await asyncio.sleep(COALESCE_DELAY_S)
+            except StoreEraError as error:
+                # The next read is one of the whole state, unless the answer
+                # was late and of an earlier era.
+                self.log.write("operator.era_changed", error=str(error))
+                await asyncio.sleep(FIRST_RETRY_S)
             except StoreTruncatedError as error:
                 self.log.write(
                     "operator.truncated",
@@ -180,6 +176,19 @@
                 await self._wait_for_store(failures)
                 failures += 1
 
+    async def _read_update(self) -> OperatorUpdate:
+        """Reads the changes, or the whole state at the start of an era."""
+        state = self.state
+        if state.offset >= 0 and state.era == self.store.era:
+            return await self.store.poll_operator(state.offset, LONG_POLL_S)
+        update = await self.store.read_operator_state()
+        if update.move_specs:
+            recorded = await self.store.read_move_states()
+            if recorded.era != update.era:
+                raise StoreEraError(f"states of moves of era {recorded.era}")
+            state.apply_recorded_states(update.move_specs, recorded)
+        return update
+
     async def _wait_for_store(self, failures: int) -> None:
         """Probes the store with exponential backoff until it answers."""
         while True:
@@ -221,11 +230,16 @@
     # From other nodes.
 
     def handle_versions(
-        self, peer: Peer, config_version: int, operator_offset: int
+        self,
+        peer: Peer,
+        config_version: int,
+        operator_offset: int,
+        operator_era: int = 0,
     ) -> None:
         """Fetches newer state from a peer that has it."""
         behind = config_version > self.mesh.config_version or (
-            operator_offset > max(0, self.state.offset)
+            (operator_era, operator_offset)
+            > (self.state.era, max(0, self.state.offset))
         )
         now = self.loop.time()
         if not behind:
@@ -246,4 +260,6 @@
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
         self.fetch_at = 0.0
+        # A node that the store refuses learns of its era here.
+        self.store.note_era(message.era)
         self.state.apply_peer_state(message)
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
@@ -1,6 +1,7 @@
 """Interface of the coordination store."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from vanillamast_sidecar.membership.node_record import NodeRecord
@@ -17,11 +18,13 @@
       next_offset: Offset of the next read.
       snapshot: Newest configuration, None if there is no new one.
       move_specs: New move specs.
+      era: Era of the store that the offsets belong to.
     """
 
     next_offset: int
     snapshot: Snapshot | None
     move_specs: list[MoveSpec]
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,14 +34,38 @@
     Attributes:
       states: State, new server version and move id, by service.
       end_offset: End of the stream, as the condition of a later write.
+      era: Era of the store that they were read in.
     """
 
     states: dict[str, tuple[MoveState, str, int]]
     end_offset: int
+    era: int = 0
 
 
 class Store(Protocol):
-    """Calls to the coordination store; each raises `StoreError` on failure."""
+    """Calls to the coordination store; each raises `StoreError` on failure.
+
+    The store may return from a copy that is some seconds old. Its era, a
+    number, rises with each return. Offsets of an earlier era say nothing
+    about records of a later one.
+
+    Attributes:
+      on_era: Called with the era when a higher one becomes known.
+    """
+
+    on_era: Callable[[int], None]
+
+    @property
+    def era(self) -> int:
+        """Returns the highest era that is known."""
+        ...
+
+    def note_era(self, era: int) -> None:
+        """Learns of an era from another node.
+
+        Answers of earlier eras fail with `StoreEraError` from then on.
+        """
+        ...
 
     async def read_operator_state(self) -> OperatorUpdate:
         """Returns the newest configuration and the newest move specs."""
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_controller.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_controller.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from vanillamast_sidecar.admission.server_executor import ServerExecutor
-from vanillamast_sidecar.errors import StoreConflictError, StoreError
+from vanillamast_sidecar.errors import (
+    StoreConflictError,
+    StoreEraError,
+    StoreError,
+)
 from vanillamast_sidecar.membership.peer import Peer
 from vanillamast_sidecar.mesh.mesh import Mesh
 from vanillamast_sidecar.mesh.messages import Evidence, MoveAnnouncement
@@ -13,6 +17,7 @@
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.store import Store
 from vanillamast_sidecar.rollouts.move_driver import MoveDriver
+from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
 from vanillamast_sidecar.rollouts.move_status import MoveStatus
 from vanillamast_sidecar.rollouts.move_table import Move, MoveTable
@@ -45,8 +50,8 @@
         service.
       excluded_until: When an unresponsive node may drive again, in loop time,
         by address.
-      recorded_states: Move id and state last known to be in the store, by
-        service.
+      recorded_states: Position of the move's record and state last known to
+        be in the store, by service.
       pending_writes: Services whose move state is being written.
       announced_at: When this node last announced a move status, in loop time,
         by service.
@@ -70,7 +75,7 @@
         self.loop = asyncio.get_running_loop()
         self.drivers: dict[str, MoveDriver] = {}
         self.excluded_until: dict[str, float] = {}
-        self.recorded_states: dict[str, tuple[int, MoveState]] = {}
+        self.recorded_states: dict[str, tuple[tuple[int, int], MoveState]] = {}
         self.pending_writes: set[str] = set()
         self.announced_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -96,17 +101,19 @@
             if evidence is not None:
                 self.mesh.send(
                     driver_address,
-                    Evidence(service, move.spec.move_id, evidence),
+                    Evidence(
+                        service, move.spec.move_id, evidence, move.spec.era
+                    ),
                 )
 
     def _has_ended(self, move: Move) -> bool:
         """Returns whether the move has ended and needs no more work."""
-        if move.state is MoveState.ACTIVE:
+        if move.state is MoveState.ACTIVE or move.must_record:
             return False
         if move.status is not None and move.status.recorded:
             return True
         known = self.recorded_states.get(move.spec.service)
-        if known == (move.spec.move_id, move.state):
+        if known == (move.spec.position, move.state):
             return True
         # Without a record, nodes accept the driver's status after this time.
         return self.loop.time() - move.status_at > DRIVER_EXCLUSION_S * 3
@@ -154,7 +161,8 @@
     def handle_evidence(self, sender: str, message: Evidence) -> None:
         """Stores the outcomes at another node's server."""
         move = self.moves.by_service.get(message.service)
-        if move is None or move.spec.move_id != message.move_id:
+        position = (message.era, message.move_id)
+        if move is None or move.spec.position != position:
             return
         self._get_driver(message.service, move).add_evidence(
             sender, message.evidence
@@ -194,9 +202,10 @@
         changed = self.moves.apply_status(status, now)
         if changed:
             self._announce(status, now)
-            self._start_recording(move, status.state)
         else:
             self._announce_if_due(move, now)
+        if changed or move.must_record:
+            self._start_recording(move, status.state)
 
     def _find_servers(self, service: str, move: Move) -> tuple[set[str], bool]:
         """Returns nodes with old servers and whether a new one is usable."""
@@ -231,7 +240,7 @@
         service = move.spec.service
         if service in self.pending_writes:
             return
-        if self.recorded_states.get(service) == (move.spec.move_id, state):
+        if self.recorded_states.get(service) == (move.spec.position, state):
             return
         self.pending_writes.add(service)
         task = self.loop.create_task(self._record_state(move, state))
@@ -243,15 +252,19 @@
         spec = move.spec
         try:
             stored = await self.store.read_move_states()
+            if stored.era != spec.era:
+                # The order has not been read in this era, and the operator
+                # may not have written it again yet.
+                raise StoreEraError(f"order of era {spec.era}")
             found = stored.states.get(spec.service)
             wanted = (spec.to_version, spec.move_id)
             if found is not None and found[1:] == wanted:
                 recorded = found[0]
                 if recorded is state or recorded is not MoveState.ACTIVE:
-                    self._apply_recorded_state(move, recorded)
+                    self._apply_recorded_state(move, spec, recorded)
                     return
             await self.store.put_move_state(spec, state, stored.end_offset)
-            self._apply_recorded_state(move, state)
+            self._apply_recorded_state(move, spec, state)
         except StoreConflictError:
             # Another write came first; the next attempt reads it.
             self.metrics.count("move_conflicts")
@@ -270,18 +283,23 @@
         finally:
             self.pending_writes.discard(spec.service)
 
-    def _apply_recorded_state(self, move: Move, state: MoveState) -> None:
+    def _apply_recorded_state(
+        self, move: Move, spec: MoveSpec, state: MoveState
+    ) -> None:
         """Applies and announces the state that the store has recorded."""
-        spec = move.spec
-        self.recorded_states[spec.service] = (spec.move_id, state)
+        if spec.position != move.spec.position:
+            return  # A later era has begun since; it is recorded again.
+        self.recorded_states[spec.service] = (spec.position, state)
         self.log.write(
             "move.recorded",
             service=spec.service,
             order=spec.move_id,
+            era=spec.era,
             to=spec.to_version,
             state=state,
         )
         if state is MoveState.ACTIVE:
+            move.must_record = False
             return
         now = self.loop.time()
         share = 1.0 if state is MoveState.COMPLETE else 0.0
@@ -293,6 +311,7 @@
             share,
             round(now - move.first_seen_at, 3),
             recorded=True,
+            era=spec.era,
         )
         self.moves.apply_status(status, now)
         self._announce(status, now)
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_driver.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_driver.py
@@ -86,6 +86,7 @@
             state,
             share,
             round(elapsed_s, 3),
+            era=spec.era,
         )
 
     def _find_regression(self) -> Badness | None:
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_status.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_status.py
@@ -16,6 +16,7 @@
       share: Fraction of the requests that the new version gets.
       elapsed_s: Time since the move spec was first seen, in seconds.
       recorded: Whether the store has recorded the state as the move's end.
+      era: Era of the store that the move id belongs to.
     """
 
     service: str
@@ -25,12 +26,19 @@
     share: float
     elapsed_s: float
     recorded: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Returns era and offset of the move's record."""
+        return self.era, self.move_id
 
     def log_fields(self) -> dict[str, object]:
         """Returns the status as fields of a log line."""
         return {
             "service": self.service,
             "order": self.move_id,
+            "era": self.era,
             "to": self.to_version,
             "state": self.state,
             "share": self.share,
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.rollouts.move_spec import MoveSpec
 from vanillamast_sidecar.rollouts.move_state import MoveState
@@ -17,6 +19,10 @@
     MoveState.COMPLETE: 2,
 }
 
+# Specs that are remembered of each service: more than the operator writes in
+# the seconds that a store can lose.
+MAX_REPLACED = 8
+
 
 @dataclasses.dataclass(slots=True)
 class Move:
@@ -29,6 +35,8 @@
       status_at: When the newest status arrived, in loop time.
       split: Chooses between the versions by the status's share.
       evidence: Outcomes at the local server, None if there are none.
+      must_record: Whether the store may have lost the state that it had
+        recorded.
     """
 
     spec: MoveSpec
@@ -37,6 +45,7 @@
     status_at: float = 0.0
     split: WeightedSplit | None = None
     evidence: VersionEvidence | None = None
+    must_record: bool = False
 
     @property
     def state(self) -> MoveState:
@@ -61,37 +70,109 @@
     Attributes:
       by_service: The newest move of each service.
       on_change: Called with the name of a service whose move changed.
+      replaced: The last specs of each service that a later one replaced, the
+        oldest first.
     """
 
     def __init__(self, on_change: Callable[[str], None]):
         self.by_service: dict[str, Move] = {}
         self.on_change = on_change
+        self.replaced: dict[str, list[MoveSpec]] = {}
 
     def add_spec(self, spec: MoveSpec, now: float) -> bool:
         """Adds a move spec; returns whether it is new."""
         known = self.by_service.get(spec.service)
-        if known is not None and known.spec.move_id >= spec.move_id:
-            return False
+        if known is not None:
+            if known.spec.position >= spec.position:
+                return False
+            if self._is_older_record(known, spec):
+                return False
+            self._remember_replaced(known.spec)
         self.by_service[spec.service] = Move(spec, now)
         self.on_change(spec.service)
         return True
 
+    def renew_spec(self, spec: MoveSpec, now: float) -> bool:
+        """Applies a spec that a later era has for the known move.
+
+        The store returned from an older copy. The known move's record is in
+        the copy, or the operator has written it again at another offset. The
+        move goes on; what was recorded of it may be lost. A further spec with
+        the same content in that era is a new order.
+
+        Returns:
+          Whether the spec is that of the known move.
+        """
+        move = self.by_service.get(spec.service)
+        if move is None or spec.era <= move.spec.era:
+            return False
+        if not spec.asks_the_same_as(move.spec):
+            return False
+        if spec.move_id != move.spec.move_id and self._is_older_record(
+            move, spec
+        ):
+            return False
+        self._renew(move, spec, now)
+        return True
+
+    def _renew(self, move: Move, spec: MoveSpec, now: float) -> None:
+        over_s = spec.over_s or move.spec.over_s
+        move.spec = dataclasses.replace(spec, over_s=over_s)
+        if move.status is not None:
+            move.status = msgspec.structs.replace(
+                move.status,
+                move_id=spec.move_id,
+                era=spec.era,
+                recorded=False,
+            )
+            move.status_at = now
+            move.must_record = True
+
+    def _is_older_record(self, known: Move, spec: MoveSpec) -> bool:
+        """Returns whether a spec of a later era is one that was replaced.
+
+        The copy still has that record, while the known one is lost until the
+        operator has written it again.
+        """
+        if spec.era == known.spec.era:
+            return False
+        return any(
+            spec.move_id == old.move_id and spec.asks_the_same_as(old)
+            for old in self.replaced.get(spec.service, ())
+        )
+
+    def _remember_replaced(self, spec: MoveSpec) -> None:
+        specs = self.replaced.setdefault(spec.service, [])
+        specs.append(spec)
+        del specs[:-MAX_REPLACED]
+
     def apply_status(self, status: MoveStatus, now: float) -> bool:
         """Applies a status of the driver; returns whether anything changed."""
         move = self.by_service.get(status.service)
-        if move is None or move.spec.move_id < status.move_id:
+        if move is not None and move.spec.era != status.era:
+            status = self._convert_era(move, status, now)
+            if status.era > move.spec.era:
+                # Only the spec tells a new order from one written again.
+                return False
+        if move is None or move.spec.position < status.position:
             # The status arrived before the spec.
             spec = MoveSpec(
-                status.service, status.to_version, 0.0, status.move_id
+                status.service,
+                status.to_version,
+                0.0,
+                status.move_id,
+                status.era,
             )
-            move = Move(spec, now)
-            self.by_service[status.service] = move
-        if move.spec.move_id > status.move_id:
+            self.add_spec(spec, now)
+            move = self.by_service[status.service]
+        if move.spec.position > status.position:
             return False
         move.first_seen_at = min(move.first_seen_at, now - status.elapsed_s)
         if _outranks(move, status) or _is_stale(move, status):
             return False
         move.status_at = now
+        if status.recorded:
+            move.must_record = False
         changed = (move.share, move.state) != (status.share, status.state)
         known = move.status
         changed = changed or known is None or known.recorded != status.recorded
@@ -102,18 +183,44 @@
             self.on_change(status.service)
         return changed
 
+    def _convert_era(
+        self, move: Move, status: MoveStatus, now: float
+    ) -> MoveStatus:
+        """Returns a status of another era as it applies to the known move.
+
+        Era and id differ from the move's if it is not about that move.
+        """
+        spec = move.spec
+        same = (
+            status.move_id == spec.move_id
+            and status.to_version == spec.to_version
+        )
+        if not same:
+            return status
+        if status.era > spec.era:
+            self._renew(move, dataclasses.replace(spec, era=status.era), now)
+            return status
+        # A node that has not heard of the new era yet knows of an end which
+        # this one does not know, and which the store may have lost.
+        if status.state is MoveState.ACTIVE or move.state is not (
+            MoveState.ACTIVE
+        ):
+            return status
+        move.must_record = True
+        return msgspec.structs.replace(status, era=spec.era, recorded=False)
+
     def known_elapsed_s(self, status: MoveStatus) -> float:
         """Returns the age of the move in the newest status; -1 without one."""
         move = self.by_service.get(status.service)
         if move is None or move.status is None:
             return -1.0
         known = move.status
-        return known.elapsed_s if known.move_id == status.move_id else -1.0
+        return known.elapsed_s if known.position == status.position else -1.0
 
     def complete_spec(self, spec: MoveSpec) -> bool:
         """Stores a spec if its status came first; returns whether it did."""
         move = self.by_service.get(spec.service)
-        if move is None or move.spec.move_id != spec.move_id:
+        if move is None or move.spec.position != spec.position:
             return False
         if move.spec.over_s > 0.0 or spec.over_s <= 0.0:
             return False
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -86,6 +86,8 @@
       response_limits: Limits on the responses of the local server.
       memory_bytes: Memory that the process may use; 0 if it is not limited.
       crashes: Protection against requests that end their servers.
+      store_writes_per_s: Writes that the store takes in a second, of all
+        nodes together.
     """
 
     node: str
@@ -105,3 +107,4 @@
     )
     memory_bytes: int = 0
     crashes: CrashSettings = dataclasses.field(default_factory=CrashSettings)
+    store_writes_per_s: float = 400.0
--- a/tests/platform_path/test_store_restore.py
+++ b/tests/platform_path/test_store_restore.py
@@ -49,7 +49,7 @@
         for name in ("one", "two"):
             await publish_route(fleet, name)
         end_offset = fleet.store.partition("keyed.op", 0).end_offset
-        fleet.block_store("m3")
+        fleet.block_store("m2")
         fleet.store.failure_mode = "reset"
         await asyncio.sleep(0.5)
         await fleet.operator.restore_store(copy)
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -57,7 +57,7 @@
 @pytest.fixture
 async def sync():
     """Returns the sync of a node that has a configuration."""
-    state = SimpleNamespace(offset=7, snapshot=object())
+    state = SimpleNamespace(offset=7, era=0, snapshot=object())
     log = EventLogger("m", os.open(os.devnull, os.O_WRONLY))
     found = OperatorStateSync(None, FakeMesh(), state, log, Metrics())
     found.loop = FakeClock()
@@ -100,11 +100,13 @@
     """Stands in for a store that answers nothing until it returns.
 
     Attributes:
+      era: Era of the store.
       returned: Whether it answers.
       polls: Long polls that it answered.
     """
 
     def __init__(self):
+        self.era = 0
         self.returned = False
         self.polls = 0
 
