--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -514,6 +514,18 @@
         accepted = changed or self.moves.known_elapsed_s(status) > known_s
         if self.is_hub and accepted:
             self.duty.pass_on(make_frame(message), peer.same_domain, connection)
+        end = self.moves.find_renewed_end(status)
+        if self.is_hub and end is not None:
+            self._answer(peer, connection, MoveAnnouncement(end))
+
+    def _answer(
+        self, peer: Peer, connection: PeerServer | None, message: Message
+    ) -> None:
+        """Answers on the connection that a message arrived on."""
+        if connection is not None:
+            connection.send(message)
+        elif peer.link is not None:
+            peer.link.send(message)
 
     def _handle_domain_status(self, peer: Peer, status: DomainStatus) -> None:
         now = self.loop.time()
--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_table.py
@@ -217,6 +217,20 @@
         known = move.status
         return known.elapsed_s if known.position == status.position else -1.0
 
+    def find_renewed_end(self, status: MoveStatus) -> MoveStatus | None:
+        """Returns the end of a move that a status describes as active.
+
+        The sender may have started after the store lost the recorded end, or
+        was cut off when it was announced. Without a return of the store, the
+        sender reads the end from the store, and None is returned.
+        """
+        move = self.by_service.get(status.service)
+        if move is None or move.spec.position != status.position:
+            return None
+        if not status.era or status.state is not MoveState.ACTIVE:
+            return None
+        return None if move.state is MoveState.ACTIVE else move.status
+
     def complete_spec(self, spec: MoveSpec) -> bool:
         """Stores a spec if its status came first; returns whether it did."""
         move = self.by_service.get(spec.service)
