--- a/tests/platform_adapter/test_store_era.py
+++ b/tests/platform_adapter/test_store_era.py
@@ -80,9 +80,7 @@
         with pytest.raises(StoreEraError):
             await asyncio.wait_for(poll, 5.0)
 
-    async def test_a_condition_of_the_old_era_is_not_met(
-        self, store, emulated
-    ):
+    async def test_a_condition_of_the_old_era_is_not_met(self, store, emulated):
         """Guards against a write that takes another era's end for its own."""
         copy = emulated.make_copy()
         await store.put_move_state(SPEC, MoveState.ACTIVE, 0)
