--- a/packages/testing/src/vanillamast_testing/soak/soak_actions.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak_actions.py
@@ -99,3 +99,18 @@
         store.failure_mode = soak.rng.choice(("unavailable", "reset"))
         await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
         store.failure_mode = ""
+
+
+@actions.register("store_return")
+async def return_store(soak: "Soak") -> None:
+    """Lets the store fail and return from a copy that is seconds old."""
+    store = soak.platform.store
+    partitions = store.make_copy()
+    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+    if store.failure_mode:
+        return
+    with soak.disturb("store_return"):
+        store.failure_mode = soak.rng.choice(("unavailable", "reset"))
+        await asyncio.sleep(soak.rng.uniform(0.5, 2.0))
+        await soak.platform.operator.restore_store(partitions)
+        store.failure_mode = ""
--- a/tests/sidecar/mesh/test_hub.py
+++ b/tests/sidecar/mesh/test_hub.py
@@ -1,5 +1,6 @@
 """Tests of what a hub knows of its failure domain."""
 
+import msgspec
 from vanillamast_sidecar.mesh.hub import (
     FIRST_HEARTBEAT_TIMEOUT_S,
     HEARTBEAT_TIMEOUT_S,
@@ -119,3 +120,17 @@
         hub.handle_heartbeat(address(2), heartbeat(store_age_s=0.2), 1.0)
         later = 1.0 + 2 * HEARTBEAT_TIMEOUT_S + 0.1
         assert hub.make_report(set(), [], 0, later).versions == []
+
+
+class TestVersions:
+    """How far the nodes have read the operator's stream."""
+
+    def test_the_era_of_an_offset_is_passed_on(self):
+        """Guards against offsets that are compared without their era."""
+        hub = make_hub()
+        sent = msgspec.structs.replace(
+            heartbeat(store_age_s=0.1), operator_era=2
+        )
+        hub.handle_heartbeat(address(2), sent, 5.0)
+        report = hub.make_report(set(), [], 0, 5.1)
+        assert [version.operator_era for version in report.versions] == [2]
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -6,7 +6,7 @@
 
 import pytest
 from vanillamast_sidecar.errors import StoreUnknownOutcomeError
-from vanillamast_sidecar.mesh.messages import FetchOperator
+from vanillamast_sidecar.mesh.messages import FetchOperator, OperatorState
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.operator_state_sync import (
@@ -87,6 +87,31 @@
             sync.handle_versions(peer, 40, 8)
         assert len(sync.mesh.sent) == 1
 
+    async def test_a_later_era_is_fetched(self, sync):
+        """Guards against a refused node that stays in the earlier era."""
+        peer = sync.mesh.membership.peers[address(1)]
+        sync.handle_versions(peer, 36, 2, 1)
+        sync.loop.now += PEER_FETCH_DELAY_S
+        sync.handle_versions(peer, 36, 2, 1)
+        assert len(sync.mesh.sent) == 1
+
+    async def test_an_earlier_era_is_not_fetched(self, sync):
+        """Guards against fetches from nodes that are behind themselves."""
+        sync.state.era = 1
+        peer = sync.mesh.membership.peers[address(1)]
+        for _ in range(5):
+            sync.handle_versions(peer, 36, 90, 0)
+            sync.loop.now += 0.2
+        assert sync.mesh.sent == []
+
+    async def test_the_store_client_learns_the_era_of_a_peer(self, sync):
+        """Guards against a late answer of the earlier era."""
+        eras = []
+        sync.store = SimpleNamespace(note_era=eras.append)
+        sync.state.apply_peer_state = lambda _: None
+        sync.handle_operator_state(OperatorState(2, b"", [], [], 3))
+        assert eras == [3]
+
     async def test_a_node_that_is_not_behind_does_not_fetch(self, sync):
         """Guards against fetches at rest."""
         peer = sync.mesh.membership.peers[address(1)]
