Let the emulated operator delete again what a return brought back

Cause: a key that was deleted after the copy came back with it for good. Change: EmulatedStore.restore names such keys with an empty value, which Operator.restore_store writes.

--- a/packages/testing/src/vanillamast_testing/emulator/store.py
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -118,22 +118,22 @@
     async def restore(self, partitions: Partitions) -> dict[str, bytes]:
         """Returns to an older copy, as after an outage.
 
-        Producers, groups and offsets return to it as well.
+        Producers and offsets return to it as well; groups stay.
 
         Returns:
           Newest values of the operator's keys that the copy lacks, in the
-          order of their offsets.
+          order of their offsets; empty for keys that were deleted since.
         """
         lost = self.partition("keyed.op", 0).newest
         self.partitions = copy.deepcopy(partitions)
         self.era += 1
         kept = self.partition("keyed.op", 0).newest
         await self._notify()
-        return {
+        deleted = dict.fromkeys(kept.keys() - lost.keys(), b"")
+        by_offset = sorted(lost.items(), key=lambda item: item[1][1])
+        return deleted | {
             key: value
-            for key, (value, _) in sorted(
-                lost.items(), key=lambda item: item[1][1]
-            )
+            for key, (value, _) in by_offset
             if kept.get(key) != lost[key]
         }
 
--- a/tests/platform_adapter/test_store_era.py
+++ b/tests/platform_adapter/test_store_era.py
@@ -89,6 +89,15 @@
             await store.put_move_state(SPEC, MoveState.COMPLETE, 1)
         assert (await store.read_move_states()).states == {}
 
+    async def test_the_operator_learns_what_was_lost(self, emulated):
+        """Guards against a deleted key that the emulator brings back."""
+        await emulated.put("keyed.op", "evacuate/a", b"{}")
+        copy = emulated.make_copy()
+        await emulated.put("keyed.op", "evacuate/a", b"")
+        await emulated.put("keyed.op", "evacuate/b", b"{}")
+        lost = await emulated.restore(copy)
+        assert lost == {"evacuate/a": b"", "evacuate/b": b"{}"}
+
     async def test_an_error_names_the_era_as_well(self, store, emulated):
         """Guards against a refused node that takes old answers for new."""
         await store.probe()
