Keep the state of a later order from a driver that is behind

It needs no return of the store. Change: nothing is recorded while the store has the state of a later order of the service.

--- a/packages/sidecar/src/vanillamast_sidecar/rollouts/move_controller.py
+++ b/packages/sidecar/src/vanillamast_sidecar/rollouts/move_controller.py
@@ -257,6 +257,9 @@
                 # may not have written it again yet.
                 raise StoreEraError(f"order of era {spec.era}")
             found = stored.states.get(spec.service)
+            if found is not None and found[2] > spec.move_id:
+                # Its state must not be replaced by that of an earlier order.
+                raise StoreError(f"order {found[2]} has a state already")
             wanted = (spec.to_version, spec.move_id)
             if found is not None and found[1:] == wanted:
                 recorded = found[0]
