Merge the return of a store from an older copy

Evacuations carry the era of their record. The first whole read of a later era withdraws none: the operator may not have written them again yet.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
@@ -1,6 +1,7 @@
 """Interface of the coordination store."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from vanillamast_sidecar.membership.node_record import NodeRecord
@@ -22,6 +23,7 @@
         domain.
       complete: Whether the operator's whole state was read: a failure domain
         without a record is not evacuated.
+      era: Era of the store that the offsets belong to.
     """
 
     next_offset: int
@@ -29,6 +31,7 @@
     move_specs: list[MoveSpec]
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     complete: bool = False
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,14 +41,38 @@
     Attributes:
       states: State, new server version and move id, by service.
       end_offset: End of the stream, as the condition of a later write.
+      era: Era of the store that they were read in.
     """
 
     states: dict[str, tuple[MoveState, str, int]]
     end_offset: int
+    era: int = 0
 
 
 class Store(Protocol):
-    """Calls to the coordination store; each raises `StoreError` on failure."""
+    """Calls to the coordination store; each raises `StoreError` on failure.
+
+    The store may return from a copy that is some seconds old. Its era, a
+    number, rises with each return. Offsets of an earlier era say nothing
+    about records of a later one.
+
+    Attributes:
+      on_era: Called with the era when a higher one becomes known.
+    """
+
+    on_era: Callable[[int], None]
+
+    @property
+    def era(self) -> int:
+        """Returns the highest era that is known."""
+        ...
+
+    def note_era(self, era: int) -> None:
+        """Learns of an era from another node.
+
+        Answers of earlier eras fail with `StoreEraError` from then on.
+        """
+        ...
 
     async def read_operator_state(self) -> OperatorUpdate:
         """Returns the newest configuration and the newest move specs."""
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -89,6 +89,8 @@
       max_fds: Descriptors that the process may open; 0 if they are not limited.
       crashes: Protection against requests that end their servers.
       balancing: How requests are spread over servers.
+      store_writes_per_s: Writes that the store takes in a second, of all
+        nodes together.
     """
 
     node: str
@@ -112,3 +114,4 @@
     balancing: BalancingSettings = dataclasses.field(
         default_factory=BalancingSettings
     )
+    store_writes_per_s: float = 400.0
--- a/tests/sidecar/operator_state/test_applied_operator_state.py
+++ b/tests/sidecar/operator_state/test_applied_operator_state.py
@@ -93,3 +93,11 @@
         state.apply_update(OperatorUpdate(9, None, [], [], True))
         assert not state.evacuations.is_evacuated("b")
         assert not state.mesh.handled[-1][0].active
+
+    async def test_a_returned_store_ends_no_evacuation_by_itself(self, state):
+        """Guards against requests while the operator writes records again."""
+        state.apply_update(OperatorUpdate(5, None, [], [EVACUATED]))
+        state.apply_update(OperatorUpdate(2, None, [], [], True, era=1))
+        assert state.evacuations.is_evacuated("b")
+        state.apply_update(OperatorUpdate(4, None, [], [], True, era=1))
+        assert not state.evacuations.is_evacuated("b")
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -57,7 +57,7 @@
 @pytest.fixture
 async def sync():
     """Returns the sync of a node that has a configuration."""
-    state = SimpleNamespace(offset=7, snapshot=object())
+    state = SimpleNamespace(offset=7, era=0, snapshot=object())
     log = EventLogger("m", os.open(os.devnull, os.O_WRONLY))
     found = OperatorStateSync(None, FakeMesh(), state, log, Metrics())
     found.loop = FakeClock()
@@ -90,6 +90,7 @@
     async def test_a_refused_state_is_not_fetched_at_once(self, sync):
         """Guards against a loop of fetches between nodes of two builds."""
         peer = sync.mesh.membership.peers[address(1)]
+        sync.store = SimpleNamespace(note_era=lambda era: None)
         sync.state.apply_peer_state = lambda message: False
         for _ in range(50):
             before = len(sync.mesh.sent)
@@ -99,6 +100,31 @@
             sync.loop.now += 0.1
         assert 4 <= len(sync.mesh.sent) <= 5
 
+    async def test_a_later_era_is_fetched(self, sync):
+        """Guards against a refused node that stays in the earlier era."""
+        peer = sync.mesh.membership.peers[address(1)]
+        sync.handle_versions(peer, 36, 2, 1)
+        sync.loop.now += PEER_FETCH_DELAY_S
+        sync.handle_versions(peer, 36, 2, 1)
+        assert len(sync.mesh.sent) == 1
+
+    async def test_an_earlier_era_is_not_fetched(self, sync):
+        """Guards against fetches from nodes that are behind themselves."""
+        sync.state.era = 1
+        peer = sync.mesh.membership.peers[address(1)]
+        for _ in range(5):
+            sync.handle_versions(peer, 36, 90, 0)
+            sync.loop.now += 0.2
+        assert sync.mesh.sent == []
+
+    async def test_the_store_client_learns_the_era_of_a_peer(self, sync):
+        """Guards against a late answer of the earlier era."""
+        eras = []
+        sync.store = SimpleNamespace(note_era=eras.append)
+        sync.state.apply_peer_state = lambda _: None
+        sync.handle_operator_state(OperatorState(2, b"", [], [], era=3))
+        assert eras == [3]
+
     async def test_a_node_that_is_not_behind_does_not_fetch(self, sync):
         """Guards against fetches at rest."""
         peer = sync.mesh.membership.peers[address(1)]
@@ -112,11 +138,13 @@
     """Stands in for a store that answers nothing until it returns.
 
     Attributes:
+      era: Era of the store.
       returned: Whether it answers.
       polls: Long polls that it answered.
     """
 
     def __init__(self):
+        self.era = 0
         self.returned = False
         self.polls = 0
 
