Start a node without the store while its domain is evacuated, in the test

A started node has to learn of the evacuation from the others before it sends anything. A changed bound in the settings now reaches the limiter as well.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -197,7 +197,10 @@
         now = self.loop.time()
         limiter = self.queue.warm_up
         cold_until = self.registry.cold_until
-        if limiter is None or not limiter.update(self.warm_up, cold_until, now):
+        if limiter is None:
+            return
+        limiter.bounds = self.settings.bounds
+        if not limiter.update(self.warm_up, cold_until, now):
             return
         self.metrics.set("server_warm_up_rate", limiter.limit_per_s or 0.0)
         self.log.write(
--- a/tests/platform_path/test_cold_servers.py
+++ b/tests/platform_path/test_cold_servers.py
@@ -114,6 +114,15 @@
             return all(line and line["evacuated"] for line in lines)
 
         await until(known, EVAC_S)
+        # A started node learns of it without the store.
+        machine = fleet.machines["m1"]
+        await machine.process.kill()
+        await machine.process.start()
+
+        async def ready():
+            return await fleet.is_ready(machine)
+
+        await until(ready)
         await asyncio.sleep(0.1)
         for backend in evacuated:
             backend.arrivals.clear()
