Limit the usage of organisations over the whole fleet

Cause: nodes decoded usage caps of organisations and ignored them, so that one organisation could take the capacity of all others. Change: the first hop counts requests asked for and admitted, and reports the counts in heartbeats. Hubs sum them, exchange the sums of failure domains in a new message (tag 19), keep a bucket for each organisation and report the share of requests to admit. A refused request gets 429 with Retry-After. Requests that did not run are given back.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -28,3 +28,4 @@
     NOT_CONFIRMED = "not_confirmed"
     HELD = "held"
     BUDGET_SPENT = "budget_spent"
+    OVER_CAP = "over_cap"
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from vanillamast_sidecar.membership.membership import Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.peer import Peer
@@ -12,11 +14,17 @@
 from vanillamast_sidecar.mesh.link_pool import LinkPool
 from vanillamast_sidecar.mesh.messages import (
     DomainStatus,
+    DomainUsage,
+    HubReport,
     NodeHeartbeat,
     Records,
 )
 from vanillamast_sidecar.mesh.peer_server import PeerServer
 from vanillamast_sidecar.mesh.record_relay import RecordRelay
+from vanillamast_sidecar.observability.event_logger import EventLogger
+from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.usage.usage_ledger import UsageLedger
+from vanillamast_sidecar.usage.usage_limiter import UsageLimiter
 
 # Interval of the statuses that hubs of different failure domains send each
 # other.
@@ -32,7 +40,11 @@
       membership: Known nodes.
       links: Connections that this node opened.
       view: What the hubs of the failure domain have reported.
+      usage: Admits requests of organisations with a usage cap on this node.
+      log: Event logger.
+      metrics: Metrics.
       hub: State of the failure domain, from the heartbeats of its nodes.
+      ledger: Fleet-wide usage of organisations with a cap.
       relay: Batches the records that this node passes on.
       active: Whether this node acts as a hub.
       subscribers: Connections of the nodes that use this one as a hub.
@@ -42,11 +54,25 @@
       status_sent_at: When the last status was sent, in loop time.
     """
 
-    def __init__(self, membership: Membership, links: LinkPool, view: HubView):
+    def __init__(
+        self,
+        membership: Membership,
+        links: LinkPool,
+        view: HubView,
+        usage: UsageLimiter,
+        log: EventLogger,
+        metrics: Metrics,
+    ):
         self.membership = membership
         self.links = links
         self.view = view
+        self.usage = usage
+        self.log = log
+        self.metrics = metrics
         self.hub = Hub(membership)
+        self.ledger = UsageLedger(
+            membership.own.record.failure_domain, usage.bounds
+        )
         self.relay = RecordRelay(self._relay_records)
         self.active = False
         self.subscribers: set[PeerServer] = set()
@@ -95,8 +121,11 @@
         lost_domains = self.find_lost_domains()
         self.view.apply_own(own, unheard, lost_domains, now)
         # A node that another hub hears is not silent.
-        self._send_status(silent & self.view.find_unheard(now), now)
+        confirmed = silent & self.view.find_unheard(now)
+        self._send_status(confirmed, now)
+        self._update_usage(confirmed, lost_domains, now)
         if self.ticks % HUBS_PER_DOMAIN == 0:
+            self._send_domain_usage(now)
             self._send_report(unheard, lost_domains, now)
 
     def _contact_silent_nodes(self, silent: set[str], now: float) -> None:
@@ -132,6 +161,40 @@
             if peer.link is not None:
                 peer.link.send(status)
 
+    def _update_usage(
+        self, silent: set[str], lost_domains: list[str], now: float
+    ) -> None:
+        """Brings the fleet-wide usage of organisations up to date."""
+        ledger = self.ledger
+        own = self.membership.own.record
+        counts = self.usage.make_counts(own.address, self)
+        ledger.handle_counts(own.address, own.incarnation, counts, False, now)
+        was_unheard = ledger.unheard
+        ledger.update(self.domain_hubs, lost_domains, silent, now)
+        if ledger.unheard != was_unheard:
+            self.log.write(
+                "usage.domains_unheard", domains=sorted(ledger.unheard)
+            )
+
+    def _send_domain_usage(self, now: float) -> None:
+        """Reports the domain's usage to the hubs of the other domains."""
+        ledger = self.ledger
+        hubs = {peer.record.address: peer.link for peer in self.other_hubs()}
+        ledger.changes.retain(set(hubs))
+        for address, link in hubs.items():
+            if link is not None:
+                counts = ledger.make_domain_usage(address, link, now)
+                if counts is not None:
+                    link.send(DomainUsage(counts))
+
+    def _add_shares(self, report: HubReport, now: float) -> HubReport:
+        """Returns a report with the shares of organisations."""
+        shares = self.ledger.get_shares(now)
+        if shares is None:
+            return report
+        self.metrics.set("limited_organisations", len(shares.shares))
+        return msgspec.structs.replace(report, usage=shares)
+
     def _send_report(
         self, unheard: set[str], lost_domains: list[str], now: float
     ) -> None:
@@ -143,6 +206,9 @@
         if reports % REPORTS_PER_DIGEST == 0:
             digest = self.membership.digest()
         report = self.hub.make_report(unheard, lost_domains, digest, now)
+        report = self._add_shares(report, now)
+        if report.usage is not None:
+            self.usage.apply_shares(report.usage, now)
         self.pass_on(make_frame(report), to_domains=False)
 
     def handle_heartbeat(
@@ -152,15 +218,24 @@
 
         A new subscriber gets a report on all nodes.
         """
-        self.hub.handle_heartbeat(connection.peer_address, heartbeat, now)
+        address = connection.peer_address
+        self.hub.handle_heartbeat(address, heartbeat, now)
+        self.ledger.handle_counts(
+            address,
+            self.membership.peers[address].record.incarnation,
+            heartbeat.usage,
+            connection not in self.subscribers,
+            now,
+        )
         if connection in self.subscribers:
             return False
         self.subscribers.add(connection)
         self.active = True
         silent = self.hub.find_silent(now) | self.hub.find_remote_silent(now)
-        connection.send(
-            self.hub.make_first_report(silent, self.find_lost_domains(), now)
+        report = self.hub.make_first_report(
+            silent, self.find_lost_domains(), now
         )
+        connection.send(self._add_shares(report, now))
         return True
 
     def pass_on(
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -1,7 +1,7 @@
 """How the nodes of the fleet hear of each other."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -20,6 +20,7 @@
 from vanillamast_sidecar.mesh.messages import (
     AnyMessage,
     DomainStatus,
+    DomainUsage,
     Evidence,
     FetchOperator,
     FetchRecords,
@@ -38,8 +39,10 @@
 from vanillamast_sidecar.mesh.peer_server import CallRunner, PeerServer
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
+from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.rollouts.move_table import MoveTable
 from vanillamast_sidecar.settings import Address, SidecarSettings
+from vanillamast_sidecar.usage.usage_limiter import UsageLimiter
 
 # Heartbeats go to the hubs in turn.
 MAINTENANCE_INTERVAL_S = HUB_INTERVAL_S / HUBS_PER_DOMAIN
@@ -71,6 +74,7 @@
       links: Connections that this node opened.
       monitor: Detects nodes that no longer answer.
       view: What the hubs of the failure domain have reported.
+      usage: Admits requests of organisations with a usage cap.
       duty: What this node does as a hub.
       hubs: The hubs that this node uses, in the order of their addresses.
       on_previous_record: Handles a record of this node's previous process.
@@ -115,7 +119,10 @@
         )
         self.monitor = PeerMonitor(self.membership, self.links, log, metrics)
         self.view = HubView(self.membership)
-        self.duty = HubDuty(self.membership, self.links, self.view)
+        self.usage = UsageLimiter(record.address, settings.bounds)
+        self.duty = HubDuty(
+            self.membership, self.links, self.view, self.usage, log, metrics
+        )
         self.hubs: list[Peer] = []
         self.on_previous_record: Callable[[InstanceRecord], None] = lambda _: (
             None
@@ -240,6 +247,12 @@
                 new.append(record)
         return new
 
+    def apply_organisations(
+        self, organisations: Iterable[Organisation]
+    ) -> None:
+        """Applies the usage caps of a configuration."""
+        self.duty.ledger.apply_organisations(organisations)
+
     def apply_listed_nodes(self, records: list[NodeRecord]) -> None:
         """Applies the list of nodes that the store has."""
         # Nodes that were cut off for long are tried again.
@@ -283,6 +296,7 @@
             self.ticks += 1
             self._select_hubs(now)
             heartbeat = self._make_heartbeat(now)
+            self._retain_usage_receivers()
             self._send_heartbeat(heartbeat)
             if self.is_hub:
                 self.duty.work(heartbeat, now)
@@ -315,7 +329,23 @@
         for position, peer in enumerate(self.hubs):
             turn = self.ticks % HUBS_PER_DOMAIN == position % HUBS_PER_DOMAIN
             if turn and peer.link is not None:
-                peer.link.send(heartbeat)
+                self._send_with_usage(heartbeat, peer.link)
+
+    def _send_with_usage(
+        self, heartbeat: NodeHeartbeat, link: PeerLink
+    ) -> None:
+        counts = self.usage.make_counts(link.address, link)
+        if counts is not None:
+            heartbeat = msgspec.structs.replace(heartbeat, usage=counts)
+        link.send(heartbeat)
+
+    def _retain_usage_receivers(self) -> None:
+        """Forgets what nodes were sent that are no longer hubs."""
+        self.usage.nodes = len(self.membership.peers)
+        receivers = {peer.record.address for peer in self.hubs}
+        if self.is_hub:
+            receivers.add(self.membership.own.record.address)
+        self.usage.changes.retain(receivers)
 
     def _maintain_links(self, now: float) -> None:
         max_quiet_s = {
@@ -350,7 +380,7 @@
             link.send(Records([self.membership.own.record]))
         if peer in self.hubs:
             # The hub answers with a report on the whole failure domain.
-            link.send(self._make_heartbeat(self.loop.time()))
+            self._send_with_usage(self._make_heartbeat(self.loop.time()), link)
         if self.is_hub and not peer.same_domain:
             for status in self.moves.statuses():
                 link.send(MoveAnnouncement(status))
@@ -402,6 +432,8 @@
         now = self.loop.time()
         address = peer.record.address
         self.view.apply_report(address, report, now)
+        if report.usage is not None:
+            self.usage.apply_shares(report.usage, now)
         for version in report.versions:
             source = self.membership.peers.get(version.address)
             if source is not None and not source.is_self:
@@ -443,6 +475,8 @@
             self._handle_move_status(message, peer, connection)
         elif isinstance(message, DomainStatus):
             self._handle_domain_status(peer, message)
+        elif isinstance(message, DomainUsage):
+            self._handle_domain_usage(peer, message)
         elif isinstance(message, Evidence):
             self.on_evidence(connection.peer_address, message)
         elif isinstance(message, FetchRecords):
@@ -507,6 +541,16 @@
         if self.view.needs_records(address, status.digest):
             self._fetch_records(peer)
 
+    def _handle_domain_usage(self, peer: Peer, message: DomainUsage) -> None:
+        record = peer.record
+        self.duty.ledger.handle_domain_usage(
+            record.failure_domain,
+            record.address,
+            record.incarnation,
+            message.counts,
+            self.loop.time(),
+        )
+
     def _handle_hello(self, connection: PeerServer, message: Hello) -> None:
         now = self.loop.time()
         address = message.record.address
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -13,6 +13,8 @@
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.rollouts.move_status import MoveStatus
 from vanillamast_sidecar.rollouts.version_evidence import VersionEvidence
+from vanillamast_sidecar.usage.usage_counts import UsageCounts
+from vanillamast_sidecar.usage.usage_shares import UsageShares
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True):
@@ -72,12 +74,15 @@
       operator_offset: Offset up to which it has read the operator's stream.
       store_age_s: Time since it last received a response of the store; None
         while it does not read the stream.
+      usage: Counts of organisations with a usage cap that have changed since
+        the sender's last heartbeat to this hub; None without any.
     """
 
     load: LoadReport
     config_version: int
     operator_offset: int
     store_age_s: float | None
+    usage: UsageCounts | None = None
 
 
 class Call(Message, tag=5, frozen=True):
@@ -265,6 +270,8 @@
       lost_domains: Failure domains that the hub cannot reach.
       versions: Versions of the hub and of the nodes that read the store.
       digest: Digest of the hub's records; 0 if the report has none.
+      usage: Shares of the organisations that ask for more than their cap;
+        None if no organisation has a cap.
     """
 
     names: list[tuple[int, str]]
@@ -273,6 +280,7 @@
     lost_domains: list[str]
     versions: list[VersionReport]
     digest: int
+    usage: UsageShares | None = None
 
 
 class DomainStatus(Message, tag=17, frozen=True):
@@ -291,6 +299,18 @@
     """Asks for all records that the receiver has."""
 
 
+class DomainUsage(Message, tag=19, frozen=True):
+    """Usage of a failure domain, from one of its hubs to other domains' hubs.
+
+    It is sent only while organisations with a usage cap are active.
+
+    Attributes:
+      counts: Sums over its nodes since the hub started.
+    """
+
+    counts: UsageCounts
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -310,4 +330,5 @@
     | HubReport
     | DomainStatus
     | FetchRecords
+    | DomainUsage
 )
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -288,6 +288,7 @@
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         self.gateway.apply_snapshot(snapshot)
+        self.mesh.apply_organisations(snapshot.organisations)
         self.callers.limits = snapshot.limits
         self.executor.apply_connection_limit(
             snapshot.connection_limits.get(self.settings.service)
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -4,6 +4,7 @@
     "caller_connections": "Open connections of callers.",
     "config_version": "Version of the configuration in force.",
     "held_requests": "Requests that are held, at the last end of a server.",
+    "limited_organisations": "Organisations above their usage cap, on a hub.",
     "move_conflicts": "Writes of a move's state that another record beat.",
     "peer_silences": "Nodes that stopped answering on an open connection.",
     "peers": "Other nodes that this node knows.",
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -66,6 +66,7 @@
 # Refusals by nodes after which the caller's request is refused.
 MAX_REFUSALS = 3
 
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -147,10 +148,15 @@
         if exchange.deadline > self.last_deadline:
             # The process might exit before the request has ended.
             return self._refuse_not_ready(request_id, Reason.STOPPING)
+        over_cap = self._apply_usage_cap(exchange)
+        if over_cap is not None:
+            return over_cap
         budget = self._get_budget(exchange.service)
         budget.count_request(arrived_at)
         try:
-            return await self._try_servers(exchange, budget)
+            response = await self._try_servers(exchange, budget)
+            self._give_back_usage(exchange)
+            return response
         except asyncio.CancelledError:
             self.metrics.count("requests", outcome=Reason.CALLER_GONE)
             self.log.write(
@@ -161,6 +167,34 @@
             )
             raise
 
+    def _apply_usage_cap(self, exchange: Exchange) -> HttpResponse | None:
+        """Returns a refusal if the organisation has used up its cap."""
+        organisation = exchange.organisation
+        if organisation is None:
+            return None
+        wait_s = self.mesh.usage.admit(organisation, self.loop.time())
+        if wait_s is None:
+            return None
+        self.log.write(
+            "request.over_cap",
+            request=exchange.request_id.decode("latin-1"),
+            route=exchange.route.name,
+            organisation=organisation.name,
+            retry_after_s=round(wait_s, 3),
+            hub_heard=self.mesh.usage.is_connected(self.loop.time()),
+        )
+        return self._refuse(
+            exchange.request_id, Reason.OVER_CAP, wait_s, TOO_MANY_REQUESTS
+        )
+
+    def _give_back_usage(self, exchange: Exchange) -> None:
+        """Does not count a request that has not run and never will.
+
+        A request whose caller disconnects is counted: it may be running.
+        """
+        if exchange.organisation is not None and not exchange.may_have_run:
+            self.mesh.usage.give_back(exchange.organisation)
+
     def _refuse_not_ready(
         self, request_id: bytes, reason: Reason
     ) -> HttpResponse:
@@ -550,11 +584,15 @@
         )
 
     def _refuse(
-        self, request_id: bytes, reason: Reason, wait_s: float
+        self,
+        request_id: bytes,
+        reason: Reason,
+        wait_s: float,
+        status: int = UNAVAILABLE,
     ) -> HttpResponse:
         """Returns a response that says that the request has not run."""
         self.metrics.count("requests", outcome=reason)
-        response = self._make_response(UNAVAILABLE, request_id, reason)
+        response = self._make_response(status, request_id, reason)
         retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         response.headers.append((b"Retry-After", b"%.3f" % retry_after_s))
         return response
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide usage caps of organisations."""
--- /dev/null
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
@@ -0,0 +1,349 @@
+"""Decides which share of an organisation's requests the fleet admits."""
+
+import math
+from collections.abc import Iterable
+
+from vanillamast_sidecar.organisations.organisation import Organisation
+from vanillamast_sidecar.settings import Bounds
+from vanillamast_sidecar.usage.change_tracker import ChangeTracker
+from vanillamast_sidecar.usage.domain_counter import DomainCounter
+from vanillamast_sidecar.usage.domain_demand import DomainDemand
+from vanillamast_sidecar.usage.ledger_account import LedgerAccount
+from vanillamast_sidecar.usage.organisation_id import compute_organisation_id
+from vanillamast_sidecar.usage.remote_usage import ACTIVE_S, RemoteUsage
+from vanillamast_sidecar.usage.usage_counts import UsageCounts
+from vanillamast_sidecar.usage.usage_limiter import BURST_SLACK_SHARE
+from vanillamast_sidecar.usage.usage_shares import SHARE_UNITS, UsageShares
+
+# Time in which a level other than zero is corrected. Shares take effect after
+# 0.4 s or so; much shorter, and the correction oscillates.
+CORRECTION_S = 1.0
+# A hub judges after it has heard its nodes for this time.
+SETTLING_S = 1.0
+# A hub without duty for this long starts again.
+MAX_PAUSE_S = 2.0
+# Debts beyond this many seconds of the cap are forgotten: what caused them has
+# left the window of the guarantee when they are repaid.
+MAX_DEBT_S = 2.5
+# Interval at which the weights of the failure domains are noted. The older of
+# two notes is used, so that it was taken before a partition that is noticed
+# after `QUIET_S`.
+WEIGHTS_INTERVAL_S = 0.8
+# Part of a cap that all failure domains together count as demand in addition
+# to what was asked for, so that one without demand keeps a part.
+WEIGHT_FLOOR = 0.05
+# Demand, as a share of the cap, below which an organisation is at rest.
+REST_SHARE = 0.001
+
+
+class UsageLedger:
+    """Fleet-wide usage of the organisations with a cap, on a hub.
+
+    Attributes:
+      domain: Failure domain of the hub.
+      bounds: Guarantees of the deployment.
+      organisations: Organisations with a cap, by id.
+      counter: Sums of the own failure domain.
+      remotes: Usage of the other failure domains.
+      accounts: Buckets and demand, by organisation id.
+      active: Ids of the accounts that are not at rest.
+      unheard: Failure domains that are not heard.
+      domains: All failure domains, the own one first.
+      changes: Sums that other hubs have not been sent.
+      changed_at: When a sum last changed, in seconds.
+      started_at: When the hub started, in seconds.
+      updated_at: When the accounts were updated, in seconds.
+      weights_at: When the weights were noted, in seconds.
+    """
+
+    def __init__(self, domain: str, bounds: Bounds):
+        self.domain = domain
+        self.bounds = bounds
+        self.organisations: dict[int, Organisation] = {}
+        self.counter = DomainCounter()
+        self.remotes: dict[str, RemoteUsage] = {}
+        self.accounts: dict[int, LedgerAccount] = {}
+        self.active: set[int] = set()
+        self.unheard: frozenset[str] = frozenset()
+        self.domains: tuple[str, ...] = (domain,)
+        self.changes = ChangeTracker()
+        self.changed_at = -math.inf
+        self.started_at = -math.inf
+        self.updated_at = -math.inf
+        self.weights_at = -math.inf
+
+    def apply_organisations(
+        self, organisations: Iterable[Organisation]
+    ) -> None:
+        """Applies the caps of a configuration.
+
+        A level above the bound of a lowered cap is cut to it.
+        """
+        self.organisations = {
+            compute_organisation_id(organisation.name): organisation
+            for organisation in organisations
+            if organisation.has_usage_cap
+        }
+        for number in self.accounts.keys() - self.organisations.keys():
+            del self.accounts[number]
+            self.active.discard(number)
+        for number, account in self.accounts.items():
+            organisation = self.organisations[number]
+            account.rate_per_s = organisation.rate_per_s
+            account.burst = self._get_burst(organisation)
+            account.level = min(account.level, account.burst * account.part)
+            self.active.add(number)
+
+    # Usage.
+
+    def handle_counts(
+        self,
+        address: str,
+        incarnation: int,
+        counts: UsageCounts | None,
+        is_new: bool,
+        now: float,
+    ) -> None:
+        """Applies the counts of a heartbeat of this failure domain.
+
+        Args:
+          address: Address of the node.
+          incarnation: Incarnation of the node.
+          counts: Its counts, None without any.
+          is_new: Whether this is the first heartbeat on a connection.
+          now: Current time, in seconds.
+        """
+        self._start_if_paused(now)
+        self.counter.handle_counts(address, incarnation, counts, is_new, now)
+
+    def handle_domain_usage(
+        self,
+        domain: str,
+        address: str,
+        incarnation: int,
+        usage: UsageCounts,
+        now: float,
+    ) -> None:
+        """Applies the sums of another failure domain.
+
+        Args:
+          domain: The failure domain.
+          address: Address of its hub that sent them.
+          incarnation: Incarnation of that hub's node.
+          usage: The sums.
+          now: Current time, in seconds.
+        """
+        remote = self.remotes.get(domain)
+        if remote is None:
+            remote = self.remotes[domain] = RemoteUsage()
+        remote.handle_usage(address, incarnation, usage, now)
+
+    def update(
+        self,
+        domains: Iterable[str],
+        lost_domains: Iterable[str],
+        silent: set[str],
+        now: float,
+    ) -> None:
+        """Brings all accounts up to date.
+
+        Args:
+          domains: The other failure domains.
+          lost_domains: Those that the hub cannot reach.
+          silent: Nodes of this failure domain that no hub hears.
+          now: Current time, in seconds.
+        """
+        self._start_if_paused(now)
+        elapsed_s = now - self.updated_at
+        if elapsed_s <= 0.0:
+            return
+        self.updated_at = now
+        self.domains = (self.domain, *domains)
+        self.counter.estimate_silent(silent, now)
+        was_unheard = self.unheard
+        unheard = frozenset(lost_domains) | {
+            domain
+            for domain, remote in self.remotes.items()
+            if domain in self.domains and remote.is_quiet(now)
+        }
+        if unheard != was_unheard:
+            self._apply_unheard(unheard)
+        increments = {self.domain: self.counter.take_increments()}
+        for number in increments[self.domain]:
+            self.changes.mark(number)
+            self.changed_at = now
+        for domain, remote in self.remotes.items():
+            new = remote.take_increments()
+            # What a domain used while it was not heard was its own part.
+            if domain not in unheard and domain not in was_unheard:
+                increments[domain] = new
+        for by_id in increments.values():
+            for number in by_id:
+                self._activate(number, now)
+        for number in list(self.active):
+            self._update_account(number, increments, elapsed_s)
+        self._note_weights(now)
+
+    def _start_if_paused(self, now: float) -> None:
+        """Starts without tokens if this node was no hub until now."""
+        if now - self.updated_at <= MAX_PAUSE_S:
+            return
+        self.started_at = now
+        self.updated_at = now
+        self.counter.reset()
+        self.accounts.clear()
+        self.active.clear()
+        for remote in self.remotes.values():
+            remote.take_increments()
+
+    def _activate(self, number: int, now: float) -> None:
+        organisation = self.organisations.get(number)
+        if organisation is None:
+            return
+        self.active.add(number)
+        if number not in self.accounts:
+            burst = self._get_burst(organisation)
+            earned = (now - self.started_at) * organisation.rate_per_s
+            account = LedgerAccount(
+                organisation.rate_per_s, burst, min(burst, earned)
+            )
+            account.part = self._get_part(account)
+            account.level *= account.part
+            self.accounts[number] = account
+
+    def _get_burst(self, organisation: Organisation) -> float:
+        return organisation.burst + self.bounds.quota_slack * BURST_SLACK_SHARE
+
+    def _update_account(
+        self,
+        number: int,
+        increments: dict[str, dict[int, tuple[float, float]]],
+        elapsed_s: float,
+    ) -> None:
+        account = self.accounts[number]
+        admitted = 0.0
+        for domain, by_id in increments.items():
+            new = by_id.get(number)
+            demand = account.demands.get(domain)
+            if demand is None:
+                if new is None:
+                    continue
+                demand = account.demands[domain] = DomainDemand()
+            asked = 0.0
+            if new is not None:
+                asked = new[0]
+                admitted += new[1]
+            demand.add(asked, elapsed_s)
+        rate_per_s = account.rate_per_s * account.part
+        bound = account.burst * account.part
+        level = account.level + rate_per_s * elapsed_s - admitted
+        max_debt = MAX_DEBT_S * rate_per_s + self.bounds.quota_slack
+        account.level = min(bound, max(-max_debt, level))
+        if account.level == bound and not self.unheard:
+            rest_per_s = REST_SHARE * account.rate_per_s
+            if all(
+                demand.slow_per_s < rest_per_s
+                for demand in account.demands.values()
+            ):
+                self.active.discard(number)
+
+    # Partitions.
+
+    def _note_weights(self, now: float) -> None:
+        """Notes the demand of the failure domains while all are heard."""
+        if (
+            now - self.weights_at < WEIGHTS_INTERVAL_S
+            or self.unheard
+            or not all(
+                remote.is_fresh(now)
+                for domain, remote in self.remotes.items()
+                if domain in self.domains
+            )
+        ):
+            return
+        self.weights_at = now
+        for number in self.active:
+            account = self.accounts[number]
+            account.older_weights = account.weights
+            account.weights = {
+                domain: demand.slow_per_s
+                for domain, demand in account.demands.items()
+            }
+
+    def _apply_unheard(self, unheard: frozenset[str]) -> None:
+        """Adapts the parts of the caps that this side may use."""
+        self.unheard = unheard
+        for number, account in self.accounts.items():
+            part = self._get_part(account)
+            # A side that is larger again does not know what the others saved.
+            if part < account.part:
+                account.level *= part / account.part
+            account.part = part
+            self.active.add(number)
+
+    def _get_part(self, account: LedgerAccount) -> float:
+        """Returns the part of a cap that the domains in contact use."""
+        if not self.unheard:
+            return 1.0
+        floor = WEIGHT_FLOOR * account.rate_per_s / len(self.domains)
+        weights = {
+            domain: floor + account.older_weights.get(domain, 0.0)
+            for domain in self.domains
+        }
+        heard = sum(
+            weight
+            for domain, weight in weights.items()
+            if domain not in self.unheard
+        )
+        return heard / sum(weights.values())
+
+    # Messages.
+
+    def get_shares(self, now: float) -> UsageShares | None:
+        """Returns the shares for the next report; None without any caps."""
+        if not self.organisations:
+            return None
+        shares = []
+        for number in self.active:
+            share = self._compute_share(self.accounts[number])
+            if share < 1.0:
+                shares.append((number, int(share * SHARE_UNITS)))
+        return UsageShares(now - self.started_at >= SETTLING_S, shares)
+
+    def _compute_share(self, account: LedgerAccount) -> float:
+        demand_per_s = sum(
+            demand.fast_per_s
+            for domain, demand in account.demands.items()
+            if domain not in self.unheard
+        )
+        allowed_per_s = (
+            account.rate_per_s * account.part + account.level / CORRECTION_S
+        )
+        if allowed_per_s >= demand_per_s:
+            return 1.0
+        return max(0.0, allowed_per_s) / demand_per_s
+
+    def make_domain_usage(
+        self, address: str, connection: object, now: float
+    ) -> UsageCounts | None:
+        """Returns the sums for a hub of another failure domain.
+
+        Args:
+          address: Address of the hub.
+          connection: Connection to it.
+          now: Current time, in seconds.
+
+        Returns:
+          None if no organisation with a cap is active.
+        """
+        if now - self.changed_at > ACTIVE_S:
+            return None
+        changed = self.changes.take(address, connection)
+        sums = self.counter.sums
+        return UsageCounts(
+            changed is None,
+            [
+                (number, round(sums[number][0]), round(sums[number][1]))
+                for number in (sums if changed is None else changed)
+            ],
+        )
