--- a/packages/sidecar/src/vanillamast_sidecar/usage/remote_usage.py
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/remote_usage.py
@@ -2,17 +2,19 @@
 
 import math
 
+from vanillamast_sidecar.usage.increments import Increments
 from vanillamast_sidecar.usage.usage_counts import UsageCounts
 from vanillamast_sidecar.usage.usage_source import UsageSource
 
 # A hub goes on sending for this long after the last change, so that the others
 # can tell a domain at rest from one that is cut off.
 ACTIVE_S = 3.0
-# A hub that sends is cut off after this time without a message: three are
-# missing.
-QUIET_S = 0.7
+# A failure domain whose hubs send is cut off after this time without a message:
+# two of each hub are missing. After 0.7 s, demand that rose together with a
+# partition of four domains broke the bound.
+QUIET_S = 0.45
 # Messages of all hubs are fresh up to this age.
-FRESH_S = 0.4
+FRESH_S = 0.3
 # A hub that was not heard for this long is compared with the others anew.
 SOURCE_LIFETIME_S = 2.0
 
@@ -29,14 +31,16 @@
       increments: The same since they were last taken.
       heard_at: When a hub was last heard, in seconds.
       changed_at: When a hub last reported a change, in seconds.
+      taken_at: Up to when the increments were taken, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float):
         self.sources: dict[str, UsageSource] = {}
         self.totals: dict[int, tuple[int, int]] = {}
         self.increments: dict[int, tuple[float, float]] = {}
         self.heard_at = -math.inf
         self.changed_at = -math.inf
+        self.taken_at = now
 
     def handle_usage(
         self, address: str, incarnation: int, usage: UsageCounts, now: float
@@ -92,11 +96,21 @@
                 new[1] + newest[1] - total[1],
             )
 
-    def take_increments(self) -> dict[int, tuple[float, float]]:
-        """Returns what was added since the last call."""
+    def take_increments(self, now: float) -> Increments | None:
+        """Returns what was added since the last increments.
+
+        Returns None while a message is missing: nothing is known of the time
+        since the last one, which is not the same as no requests.
+        """
+        if self.taken_at >= self.heard_at and not self._is_at_rest():
+            return None
+        elapsed_s = now - self.taken_at
+        if elapsed_s <= 0.0:
+            return None
+        self.taken_at = now
         increments = self.increments
         self.increments = {}
-        return increments
+        return Increments(elapsed_s, increments)
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether nothing is missing."""
--- a/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
@@ -8,16 +8,29 @@
 from vanillamast_sidecar.usage.change_tracker import ChangeTracker
 from vanillamast_sidecar.usage.domain_counter import DomainCounter
 from vanillamast_sidecar.usage.domain_demand import DomainDemand
+from vanillamast_sidecar.usage.increments import Increments
 from vanillamast_sidecar.usage.ledger_account import LedgerAccount
 from vanillamast_sidecar.usage.organisation_id import compute_organisation_id
-from vanillamast_sidecar.usage.remote_usage import ACTIVE_S, RemoteUsage
+from vanillamast_sidecar.usage.remote_usage import (
+    ACTIVE_S,
+    QUIET_S,
+    SOURCE_LIFETIME_S,
+    RemoteUsage,
+)
 from vanillamast_sidecar.usage.usage_counts import UsageCounts
-from vanillamast_sidecar.usage.usage_limiter import BURST_SLACK_SHARE
+from vanillamast_sidecar.usage.usage_limiter import (
+    BURST_SLACK_SHARE,
+    RATE_OVER_SHARE,
+)
 from vanillamast_sidecar.usage.usage_shares import SHARE_UNITS, UsageShares
 
 # Time in which a level other than zero is corrected. Shares take effect after
 # 0.4 s or so; much shorter, and the correction oscillates.
 CORRECTION_S = 1.0
+# Requests are not limited while the bucket holds more than this part of its
+# bound. Below it, the variation of a small organisation's calm demand was taken
+# for an excess.
+FREE_LEVEL = 0.5
 # A hub judges after it has heard its nodes for this time.
 SETTLING_S = 1.0
 # A hub without duty for this long starts again.
@@ -48,6 +61,7 @@
       accounts: Buckets and demand, by organisation id.
       active: Ids of the accounts that are not at rest.
       unheard: Failure domains that are not heard.
+      unheard_since: Since when any is not heard, in seconds.
       domains: All failure domains, the own one first.
       changes: Sums that other hubs have not been sent.
       changed_at: When a sum last changed, in seconds.
@@ -65,6 +79,7 @@
         self.accounts: dict[int, LedgerAccount] = {}
         self.active: set[int] = set()
         self.unheard: frozenset[str] = frozenset()
+        self.unheard_since = -math.inf
         self.domains: tuple[str, ...] = (domain,)
         self.changes = ChangeTracker()
         self.changed_at = -math.inf
@@ -89,7 +104,7 @@
             self.active.discard(number)
         for number, account in self.accounts.items():
             organisation = self.organisations[number]
-            account.rate_per_s = organisation.rate_per_s
+            account.rate_per_s = self._get_rate_per_s(organisation)
             account.burst = self._get_burst(organisation)
             account.level = min(account.level, account.burst * account.part)
             self.active.add(number)
@@ -135,7 +150,7 @@
         """
         remote = self.remotes.get(domain)
         if remote is None:
-            remote = self.remotes[domain] = RemoteUsage()
+            remote = self.remotes[domain] = RemoteUsage(now)
         remote.handle_usage(address, incarnation, usage, now)
 
     def update(
@@ -167,18 +182,21 @@
             if domain in self.domains and remote.is_quiet(now)
         }
         if unheard != was_unheard:
-            self._apply_unheard(unheard)
-        increments = {self.domain: self.counter.take_increments()}
-        for number in increments[self.domain]:
+            self._apply_unheard(unheard, now)
+        own = Increments(elapsed_s, self.counter.take_increments())
+        increments = {self.domain: own}
+        for number in own.counts:
             self.changes.mark(number)
             self.changed_at = now
         for domain, remote in self.remotes.items():
-            new = remote.take_increments()
-            # What a domain used while it was not heard was its own part.
-            if domain not in unheard and domain not in was_unheard:
+            if domain in unheard:
+                continue
+            new = remote.take_increments(now)
+            # What a domain used in a long partition was its own part.
+            if new is not None and new.elapsed_s <= SOURCE_LIFETIME_S:
                 increments[domain] = new
-        for by_id in increments.values():
-            for number in by_id:
+        for new in increments.values():
+            for number in new.counts:
                 self._activate(number, now)
         for number in list(self.active):
             self._update_account(number, increments, elapsed_s)
@@ -194,7 +212,7 @@
         self.accounts.clear()
         self.active.clear()
         for remote in self.remotes.values():
-            remote.take_increments()
+            remote.take_increments(now)
 
     def _activate(self, number: int, now: float) -> None:
         organisation = self.organisations.get(number)
@@ -203,39 +221,40 @@
         self.active.add(number)
         if number not in self.accounts:
             burst = self._get_burst(organisation)
-            earned = (now - self.started_at) * organisation.rate_per_s
-            account = LedgerAccount(
-                organisation.rate_per_s, burst, min(burst, earned)
-            )
+            rate_per_s = self._get_rate_per_s(organisation)
+            earned = (now - self.started_at) * rate_per_s
+            account = LedgerAccount(rate_per_s, burst, min(burst, earned))
             account.part = self._get_part(account)
             account.level *= account.part
             self.accounts[number] = account
 
+    def _get_rate_per_s(self, organisation: Organisation) -> float:
+        over = self.bounds.quota_over * RATE_OVER_SHARE
+        return organisation.rate_per_s * (1.0 + over)
+
     def _get_burst(self, organisation: Organisation) -> float:
         return organisation.burst + self.bounds.quota_slack * BURST_SLACK_SHARE
 
     def _update_account(
         self,
         number: int,
-        increments: dict[str, dict[int, tuple[float, float]]],
+        increments: dict[str, Increments],
         elapsed_s: float,
     ) -> None:
         account = self.accounts[number]
         admitted = 0.0
-        for domain, by_id in increments.items():
-            new = by_id.get(number)
+        for domain, new in increments.items():
+            asked, used = new.counts.get(number, (0.0, 0.0))
+            admitted += used
             demand = account.demands.get(domain)
             if demand is None:
-                if new is None:
+                if not asked:
                     continue
                 demand = account.demands[domain] = DomainDemand()
-            asked = 0.0
-            if new is not None:
-                asked = new[0]
-                admitted += new[1]
-            demand.add(asked, elapsed_s)
+            demand.add(asked, new.elapsed_s)
         rate_per_s = account.rate_per_s * account.part
         bound = account.burst * account.part
+        account.joint_level += account.rate_per_s * elapsed_s - admitted
         level = account.level + rate_per_s * elapsed_s - admitted
         max_debt = MAX_DEBT_S * rate_per_s + self.bounds.quota_slack
         account.level = min(bound, max(-max_debt, level))
@@ -270,17 +289,57 @@
                 for domain, demand in account.demands.items()
             }
 
-    def _apply_unheard(self, unheard: frozenset[str]) -> None:
+    def _apply_unheard(self, unheard: frozenset[str], now: float) -> None:
         """Adapts the parts of the caps that this side may use."""
+        if not self.unheard:
+            self.unheard_since = now
+            for account in self.accounts.values():
+                account.joint_level = account.level
+        # After a short time, what the others used is known and is subtracted.
+        is_known = now - self.unheard_since < SOURCE_LIFETIME_S - QUIET_S
+        new = unheard - self.unheard
+        shares = {
+            number: self._compute_share(account)
+            for number, account in self.accounts.items()
+        }
         self.unheard = unheard
         for number, account in self.accounts.items():
             part = self._get_part(account)
-            # A side that is larger again does not know what the others saved.
             if part < account.part:
-                account.level *= part / account.part
+                ratio = part / account.part
+                missed = self._estimate_missed(account, new, ratio)
+                account.level = (account.level - shares[number] * missed) * (
+                    ratio
+                )
+            elif not unheard and is_known:
+                account.level = account.joint_level
+            # Else this side is larger and does not know what the others saved.
             account.part = part
             self.active.add(number)
 
+    def _estimate_missed(
+        self, account: LedgerAccount, domains: frozenset[str], ratio: float
+    ) -> float:
+        """Returns what domains asked for before their silence was noticed.
+
+        Demand here may have risen since they were last heard; it is assumed
+        to have risen there as well.
+
+        Args:
+          account: Account of the organisation.
+          domains: The domains.
+          ratio: Part of the cap that the others keep.
+        """
+        last_per_s = 0.0
+        heard_per_s = 0.0
+        for domain, demand in account.demands.items():
+            if domain in domains:
+                last_per_s += demand.fast_per_s
+            elif domain not in self.unheard:
+                heard_per_s += demand.fast_per_s
+        alike_per_s = heard_per_s * (1.0 - ratio) / ratio
+        return max(last_per_s, alike_per_s) * QUIET_S
+
     def _get_part(self, account: LedgerAccount) -> float:
         """Returns the part of a cap that the domains in contact use."""
         if not self.unheard:
@@ -316,6 +375,9 @@
             for domain, demand in account.demands.items()
             if domain not in self.unheard
         )
+        bound = account.burst * account.part
+        if account.level >= bound * FREE_LEVEL:
+            return 1.0
         allowed_per_s = (
             account.rate_per_s * account.part + account.level / CORRECTION_S
         )
--- a/packages/sidecar/src/vanillamast_sidecar/usage/usage_limiter.py
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/usage_limiter.py
@@ -23,6 +23,9 @@
 # Part of the slack of the guarantee that is added to a burst. Without it, the
 # variation of a small organisation's calm traffic is refused.
 BURST_SLACK_SHARE = 0.25
+# Part of the share by which a cap may be exceeded that is added to its rate. It
+# makes up for what is refused too much while a demand falls.
+RATE_OVER_SHARE = 0.2
 # Retry-After. Room is never known to come sooner than the next report of a
 # hub; beyond the upper limit the demand is likely to have changed.
 MIN_RETRY_AFTER_S = 0.3
@@ -44,8 +47,8 @@
         counts are cumulative.
       shares: Shares of organisations that are limited, by id.
       heard_at: When the shares arrived, in seconds.
-      settled_at: When a hub that can judge was first heard, in seconds; None
-        before.
+      connected_at: Since when hubs that can judge are heard without a gap, or
+        were until the last one, in seconds; None before the first.
       changes: Counts that the hubs have not been sent.
     """
 
@@ -56,7 +59,7 @@
         self.accounts: dict[str, NodeAccount] = {}
         self.shares: dict[int, float] = {}
         self.heard_at = -math.inf
-        self.settled_at: float | None = None
+        self.connected_at: float | None = None
         self.changes = ChangeTracker()
 
     def admit(self, organisation: Organisation, now: float) -> float | None:
@@ -108,9 +111,9 @@
         self.shares = {
             number: units / SHARE_UNITS for number, units in shares.shares
         }
+        if not self.is_connected(now):
+            self.connected_at = now
         self.heard_at = now
-        if self.settled_at is None:
-            self.settled_at = now
 
     def is_connected(self, now: float) -> bool:
         """Returns whether the node has recent shares."""
@@ -152,8 +155,8 @@
         phase = compute_organisation_id(f"{self.address}/{organisation.name}")
         spare = self._get_spare()
         level = 0.0
-        if self.settled_at is not None:
-            earned = (now - self.settled_at) * organisation.rate_per_s
+        if self.connected_at is not None:
+            earned = (now - self.connected_at) * organisation.rate_per_s
             level = spare + min(organisation.burst, earned)
         account = NodeAccount(
             number,
@@ -175,19 +178,26 @@
     def _apply_limits(self, account: NodeAccount, now: float) -> None:
         """Sets the limits of the node's bucket."""
         organisation = account.organisation
-        rate_per_s = organisation.rate_per_s
+        over = self.bounds.quota_over * RATE_OVER_SHARE
+        rate_per_s = organisation.rate_per_s * (1.0 + over)
         burst = organisation.burst + self._get_spare()
         if not self.is_connected(now):
             part = min(START_PART, 1.0 / max(1, self.nodes))
-            if self.settled_at is not None:
+            if self.connected_at is not None:
                 last_per_s = account.usage.value(self.heard_at)
                 part = max(part, CUT_OFF_FACTOR * last_per_s / rate_per_s)
             part = min(1.0, part)
             rate_per_s *= part
             burst = max(1.0, burst * part)
         bucket = account.bucket
+        asked_at = bucket.updated_at
         if (bucket.rate_per_s, bucket.burst) != (rate_per_s, burst):
+            was_part = bucket.rate_per_s < rate_per_s
             bucket.set_limits(rate_per_s, burst, now)
+            if was_part and self.connected_at is not None:
+                # The organisation may have asked for nothing since then.
+                full_s = min(now - self.connected_at, now - asked_at)
+                bucket.level = min(burst, bucket.level + rate_per_s * full_s)
 
     def _get_retry_after_s(
         self, account: NodeAccount, share: float, now: float
