--- a/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
@@ -197,7 +197,7 @@
                 increments[domain] = new
         for new in increments.values():
             for number in new.counts:
-                self._activate(number, now)
+                self._activate(number, now - elapsed_s)
         for number in list(self.active):
             self._update_account(number, increments, elapsed_s)
         self._note_weights(now)
@@ -214,7 +214,8 @@
         for remote in self.remotes.values():
             remote.take_increments(now)
 
-    def _activate(self, number: int, now: float) -> None:
+    def _activate(self, number: int, since: float) -> None:
+        """Makes an organisation active, which was at rest until a time."""
         organisation = self.organisations.get(number)
         if organisation is None:
             return
@@ -222,7 +223,7 @@
         if number not in self.accounts:
             burst = self._get_burst(organisation)
             rate_per_s = self._get_rate_per_s(organisation)
-            earned = (now - self.started_at) * rate_per_s
+            earned = (since - self.started_at) * rate_per_s
             account = LedgerAccount(rate_per_s, burst, min(burst, earned))
             account.part = self._get_part(account)
             account.level *= account.part
