--- a/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
@@ -171,7 +171,7 @@
         ledger.handle_counts(own.address, own.incarnation, counts, False, now)
         was_unheard = ledger.unheard
         ledger.update(self.domain_hubs, lost_domains, silent, now)
-        if ledger.unheard != was_unheard:
+        if ledger.organisations and ledger.unheard != was_unheard:
             self.log.write(
                 "usage.domains_unheard", domains=sorted(ledger.unheard)
             )
--- a/packages/sidecar/src/vanillamast_sidecar/observability/event_logger.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/event_logger.py
@@ -18,6 +18,7 @@
 REQUEST_END_KINDS = frozenset(
     (
         "request.failed",
+        "request.over_cap",
         "request.refused",
         "request.no_route",
         "request.caller_gone",
--- a/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
+++ b/packages/sidecar/src/vanillamast_sidecar/usage/usage_ledger.py
@@ -384,7 +384,9 @@
         )
         if allowed_per_s >= demand_per_s:
             return 1.0
-        return max(0.0, allowed_per_s) / demand_per_s
+        if allowed_per_s <= 0.0:
+            return 0.0
+        return allowed_per_s / demand_per_s
 
     def make_domain_usage(
         self, address: str, connection: object, now: float
--- a/tests/sidecar/usage/test_usage_ledger.py
+++ b/tests/sidecar/usage/test_usage_ledger.py
@@ -79,6 +79,16 @@
             domain.tick((50, 50 * share))
         assert abs(domain.account.level) < 60.0
 
+    def test_a_debt_without_demand_admits_nothing(self):
+        """Guards against a division by the demand of zero on a cut-off side."""
+        domain = Domain()
+        for _ in range(20):
+            domain.tick((0, 0), (50, 50))
+        for _ in range(8):
+            domain.tick()
+            assert domain.ledger.unheard or domain.share == 0.0
+        assert domain.ledger.unheard and domain.share == 0.0
+
     def test_a_lowered_cap_cuts_the_level(self):
         """Guards against tokens of the old cap that outlast it."""
         domain = Domain(organisation(RATE, 1000.0))
