--- a/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
@@ -93,6 +93,8 @@
         self.active = is_selected or bool(self.subscribers)
         if self.active and not was_active:
             self.hub.reset()
+        if was_active and not self.active and self.ledger.organisations:
+            self.metrics.set("limited_organisations", 0)
         own_domain = self.membership.own.record.failure_domain
         self.domain_hubs = {
             domain: select_hubs(peers, now)
