--- a/packages/sidecar/src/vanillamast_sidecar/admission/decaying_rate.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/decaying_rate.py
@@ -9,12 +9,12 @@
     """Amount per second, exponentially weighted by age.
 
     Attributes:
-      half_life_s: Time after which an amount counts half.
+      half_life_s: Age at which an amount counts half.
       decayed_total: Weighted sum of the amounts when the last one was added.
       updated_at: When the last amount was added, in loop time.
     """
 
-    def __init__(self, half_life_s: float = HALF_LIFE_S) -> None:
+    def __init__(self, half_life_s: float = HALF_LIFE_S):
         self.half_life_s = half_life_s
         self.decayed_total = 0.0
         self.updated_at = 0.0
--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -31,3 +31,4 @@
     HELD = "held"
     EVACUATED = "evacuated"
     BUDGET_SPENT = "budget_spent"
+    OVER_CAP = "over_cap"
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -332,6 +332,7 @@
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         self.gateway.apply_snapshot(snapshot)
+        self.mesh.apply_organisations(snapshot.organisations)
         self.callers.limits = snapshot.limits
         self.executor.fair_share.apply_organisations(snapshot.organisations)
         self.executor.apply_connection_limit(
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -7,6 +7,7 @@
     "evacuated_domains": "Failure domains that the operator has evacuated.",
     "held_requests": "Requests that are held, at the last end of a server.",
     "key_refusals": "Requests refused for lack of a known API key, by reason.",
+    "limited_organisations": "Organisations above their usage cap, on a hub.",
     "move_conflicts": "Writes of a move's state that another record beat.",
     "organisations": "Organisations of the configuration in force.",
     "peer_silences": "Nodes that stopped answering on an open connection.",
