--- a/tests/platform_path/test_usage_caps.py
+++ b/tests/platform_path/test_usage_caps.py
@@ -1,9 +1,6 @@
 """Tests of usage caps with nodes on the emulated platform."""
 
 import asyncio
-import json
-import pathlib
-import sys
 import time
 
 import pytest
@@ -11,7 +8,6 @@
 
 from tests.platform_path.fleet_checks import until
 
-NODE_SCRIPT = pathlib.Path(__file__).parent / "identified_node.py"
 RATE_PER_S = 20.0
 BURST = 10.0
 WINDOW_S = 5.0
@@ -19,44 +15,25 @@
 LOAD_S = 8.0
 
 
-async def publish_organisations(platform):
-    """Publishes two organisations, one of them with a cap."""
-    config = json.loads(platform.store.newest("keyed.op", "config"))
-    platform.operator.version = config["version"] = config["version"] + 1
-    for name, caps in (
-        ("acme", {"rate_per_s": RATE_PER_S, "burst": BURST}),
-        ("other", {}),
-    ):
-        config["resources"].append(
-            {
-                "entry_type": "tenants",
-                "metadata": {"name": name},
-                "spec": {"api_keys": [f"key-{name}"], **caps},
-            }
-        )
-    await platform.store.put("keyed.op", "config", json.dumps(config).encode())
-
-
 @pytest.fixture
 async def fleet(tmp_path):
     """Starts one service on four machines in two failure domains."""
     async with EmulatedPlatform(tmp_path, "127.41") as platform:
         platform.operator.set_route("page", "browse")
+        platform.operator.set_organisation(
+            "acme", "key-acme", rate_per_s=RATE_PER_S, burst=BURST
+        )
+        platform.operator.set_organisation("other", "key-other")
         await platform.operator.publish()
-        await publish_organisations(platform)
         for zone in (0, 0, 1, 1):
-            machine = await platform.add_machine(zone, "browse")
-            await machine.process.kill()
-            machine.process.arguments = (sys.executable, str(NODE_SCRIPT))
-            await machine.process.start()
+            await platform.add_machine(zone, "browse")
         await platform.wait_until_ready()
         yield platform
 
 
 def send(fleet, machine, name):
     """Sends a request of an organisation."""
-    headers = {"Authorization": f"Bearer key-{name}"}
-    return fleet.caller.send(machine, "/page/1", headers=headers)
+    return fleet.caller.send(machine, "/page/1", key=f"key-{name}")
 
 
 async def send_load(fleet, name, interval_s, times, answers):
--- a/tests/sidecar/usage/test_gateway_usage.py
+++ b/tests/sidecar/usage/test_gateway_usage.py
@@ -105,7 +105,7 @@
     async def test_requests_that_may_have_run_count(self, gateway):
         """Guards against a cap that failing servers enlarge."""
 
-        async def attempt(exchange, peer):
+        async def attempt(exchange, peer, may_wait):
             exchange.may_have_run = True
             return CallResult(
                 Outcome.ANSWERED, Reason.NONE, HttpResponse(200, []), True
@@ -119,7 +119,7 @@
     async def test_requests_whose_caller_has_gone_count(self, gateway):
         """Guards against running requests that are given back."""
 
-        async def attempt(exchange, peer):
+        async def attempt(exchange, peer, may_wait):
             await asyncio.sleep(60.0)
 
         gateway.selector.choose = lambda *_: object()
