Test each limit on clients on its own

Cause: the tests of whole processes do not tell which limit ended a client. A trailer field without end gets 431 and not 400.

--- a/packages/sidecar/src/vanillamast_sidecar/http/request_reader.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/request_reader.py
@@ -135,7 +135,11 @@
             )
             allowed = limit + self._body_bytes * FRAMING_PER_BODY_BYTE
             if self._framing_bytes > allowed + PIECE_BYTES:
-                self.reject(BAD_REQUEST, "framing")
+                if progress:
+                    self.reject(BAD_REQUEST, "framing")
+                else:
+                    # A trailer field or a chunk extension without end.
+                    self.reject(FIELDS_TOO_LARGE, "header")
                 return
         self._settle(self._unparsed_bytes)
 
--- a/tests/sidecar/http/test_http_listener.py
+++ b/tests/sidecar/http/test_http_listener.py
@@ -456,3 +456,67 @@
         """Guards against a host that is taken from the user part."""
         caller.send("GET http://a@b/x")
         assert (await caller.read())[0] == 400
+
+
+class TestLimits:
+    """Each limit on a client ends in a refusal or a close, and is reported."""
+
+    CHUNKED = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    CASES = {
+        "preamble": (400, b"\r\n" * 8192),
+        "fields": (431, b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 60 + b"\r\n"),
+        "header": (431, CHUNKED + b"1\r\nx\r\n0\r\na: " + b"x" * 8192),
+        "framing": (
+            400,
+            CHUNKED
+            + b"1;e=x\r\nx\r\n"
+            + b"1;eeeeeeeeeeeeeeeee=x\r\nx\r\n" * 1000,
+        ),
+        "malformed": (400, b"NONSENSE\r\n\r\n"),
+        "slow_header": (408, b"GET / HTT"),
+        "slow_body": (408, b"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nx"),
+    }
+
+    @pytest.fixture
+    async def listener(self):
+        """Returns a listener with low limits, and what it reports."""
+        reported = []
+
+        async def handle(request, arrived_at):
+            return HttpResponse(200, [], bytes(1 << 20))
+
+        listener = HttpListener(
+            handle,
+            CallerLimits(512, 1 << 20, 0.3, 0.3, 50),
+            on_limit=lambda kind, transport: reported.append(kind),
+        )
+        listener.reported = reported
+        server = await listener.listen(HOST, 0)
+        listener.port = server.sockets[0].getsockname()[1]
+        yield listener
+        server.close()
+
+    @pytest.mark.parametrize("kind", CASES)
+    async def test_the_request_is_refused(self, listener, kind):
+        """Guards against a refusal that is missing, or of another kind."""
+        status, data = self.CASES[kind]
+        reader, writer = await asyncio.open_connection(HOST, listener.port)
+        writer.write(data)
+        line = await asyncio.wait_for(reader.readline(), 5.0)
+        assert line.startswith(b"HTTP/1.1 %d " % status)
+        assert listener.reported == [kind]
+        writer.close()
+        await until(lambda: not listener.connections)
+        assert listener.account.used == 0
+
+    async def test_an_unread_answer_ends(self, listener):
+        """Guards against answers that are kept for clients that never read."""
+        _, writer = await asyncio.open_connection(HOST, listener.port, limit=1)
+        writer.transport.pause_reading()
+        for _ in range(40):
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await until(lambda: listener.reported)
+        assert listener.reported == ["unread"]
+        await until(lambda: not listener.connections)
+        assert listener.account.used == 0
+        writer.transport.abort()
