Test that a legal head of the shortest lines is served by a process

Cause: the tests of crowds do not show that a client inside `header_bytes` is served. Each line was counted with a byte too many, so 16,384 bytes of lines of 4 bytes were refused with 431. Change: one more test with a node's process, and a server that accepts as many fields (the emulated one accepts 128).

--- a/tests/platform_path/test_untrusted_clients.py
+++ b/tests/platform_path/test_untrusted_clients.py
@@ -249,3 +249,32 @@
         print(f"{kind}: {before_mb:.0f} to {peak_mb:.0f} MB, {max(counts)} fds")
         assert peak_mb < MEMORY_MB
         assert max(counts) <= MAX_FDS - FILE_FDS
+
+    async def test_a_single_legal_head_is_served(self, fleet):
+        """Guards against limits that a client inside `header_bytes` meets."""
+        room = HEADER_BYTES - len(START) - 2
+        head = START + b"a:\r\n" * (room // 4) + b"\r\n"
+        machine = fleet.machines["m1"]
+        fields = []
+
+        async def serve(reader, writer):
+            text = await reader.readuntil(b"\r\n\r\n")
+            fields.append(text.count(b"\r\na: "))
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Vanillamast-Response-Signature: x\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        # The emulated server accepts 128 fields.
+        await fleet.backends["m1"].site.stop()
+        server = await asyncio.start_server(serve, machine.host, PORTS["app"])
+        reader, writer = await asyncio.open_connection(
+            machine.host, PORTS["outbound"]
+        )
+        writer.write(head)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            line = await reader.readline()
+        writer.close()
+        server.close()
+        assert line.startswith(b"HTTP/1.1 200 ")
+        assert fields == [room // 4]
