Pace downloads to the bandwidth of the link

Pings took over half a second, 1,163 attempts ended as peer_silent in 14 s, and their retries added to the load.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_call.py
@@ -30,6 +30,7 @@
         not come from another node.
       organisation: Name of the organisation that sent it, "" without one.
       may_wait: Whether it may wait for a slot; else it is refused without one.
+      remote: Whether another node has sent it.
     """
 
     request_id: bytes
@@ -47,6 +48,7 @@
     confirm: Confirm | None = None
     organisation: str = ""
     may_wait: bool = True
+    remote: bool = False
 
     @property
     def host(self) -> bytes:
--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from vanillamast_sidecar.admission.admission_queue import AdmissionQueue
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.decaying_rate import DecayingRate
 from vanillamast_sidecar.admission.decaying_share import DecayingShare
 from vanillamast_sidecar.admission.fair_share import FairShare
+from vanillamast_sidecar.admission.link_pacer import LinkPacer
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.admission.server_call import ServerCall
@@ -44,6 +45,7 @@
 from vanillamast_sidecar.operator_state.evacuations import Evacuations
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 from vanillamast_sidecar.rollouts.move_table import MoveTable
+from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.settings import SidecarSettings
 from vanillamast_sidecar.warmup.warm_up_limiter import WarmUpLimiter
 
@@ -94,6 +96,8 @@
         time.
       pace: How fast the server works now, compared with its usual speed.
       fair_share: What organisations use of the server.
+      link: Paces downloads to the bandwidth of the link.
+      download_routes: Names of the routes with large responses.
       running_alone: Whether the server runs a request that must not run
         beside another such one.
       grant_timer: Grants slots when the rate limit allows the next request;
@@ -138,6 +142,8 @@
         self.running_alone = False
         self.pace = PaceTracker()
         self.fair_share = FairShare()
+        self.link = LinkPacer(settings.link_mbps)
+        self.download_routes: frozenset[str] = frozenset()
         self.grant_timer: asyncio.TimerHandle | None = None
 
     def get_load(self) -> LoadReport:
@@ -428,6 +434,7 @@
         result: CallResult | None = None
         try:
             result = await self._attempt(call, queue)
+            await self._wait_for_link(call, result)
             return result
         finally:
             queue.release_slot(result is None or result.sent_to_server)
@@ -437,6 +444,31 @@
             self.fair_share.add(call.organisation, ended - started, ended)
             self._record_result(call, result, queue, ended - started)
 
+    async def _wait_for_link(
+        self, call: ServerCall, result: CallResult
+    ) -> None:
+        """Keeps the slot until the link may carry a download.
+
+        The queue thereby sees how many downloads the link carries, and refuses
+        those that it cannot carry in time.
+        """
+        response = result.response
+        if (
+            response is None
+            or not call.remote
+            or call.route not in self.download_routes
+        ):
+            return
+        now = self.loop.time()
+        delay_s = self.link.reserve(len(response.body), now)
+        await asyncio.sleep(min(delay_s, max(0.0, call.deadline - now)))
+
+    def apply_routes(self, routes: Iterable[Route]) -> None:
+        """Applies which routes have large responses."""
+        self.download_routes = frozenset(
+            route.name for route in routes if route.is_download
+        )
+
     def _record_result(
         self,
         call: ServerCall,
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -208,6 +208,7 @@
                     None if call.idempotent else confirm,
                     call.organisation,
                     call.may_wait,
+                    remote=True,
                 )
             )
         except Exception:
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -334,6 +334,7 @@
         self.gateway.apply_snapshot(snapshot)
         self.mesh.apply_organisations(snapshot.organisations)
         self.callers.limits = snapshot.limits
+        self.executor.apply_routes(snapshot.routes)
         self.executor.fair_share.apply_organisations(snapshot.organisations)
         self.executor.apply_connection_limit(
             snapshot.connection_limits.get(self.settings.service)
--- a/packages/sidecar/src/vanillamast_sidecar/routing/route.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/route.py
@@ -19,6 +19,7 @@
       split: Services and their weights.
       requires_key: Whether a request needs an API key if the configuration
         has organisations.
+      is_download: Whether its responses are large.
     """
 
     name: str
@@ -31,3 +32,4 @@
     max_attempts: int
     split: tuple[tuple[str, float], ...]
     requires_key: bool = True
+    is_download: bool = False
--- a/packages/sidecar/src/vanillamast_sidecar/settings.py
+++ b/packages/sidecar/src/vanillamast_sidecar/settings.py
@@ -91,6 +91,7 @@
       balancing: How requests are spread over servers.
       store_writes_per_s: Writes that the store takes in a second, of all
         nodes together.
+      link_mbps: Bandwidth of the node's link, in Mbit/s; 0 if it is unknown.
     """
 
     node: str
@@ -115,3 +116,4 @@
         default_factory=BalancingSettings
     )
     store_writes_per_s: float = 400.0
+    link_mbps: float = 0.0
