Answer questions for a free slot without a task and a log line

Change: a busy node refuses such a call while it reads it; the next attempt's line has the number of servers asked.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -355,6 +355,16 @@
             return Reason.TIMEOUT
         return Reason.NONE
 
+    def refuse_if_busy(self) -> CallResult | None:
+        """Returns the refusal of a call that may not wait; None with a slot.
+
+        Such calls are frequent under load, and this answer needs no task.
+        """
+        queue = self.queue
+        if queue.running < queue.slots and not queue.size:
+            return None
+        return self._refuse_busy()
+
     def _refuse_busy(self) -> CallResult:
         """Refuses a call that looks for a free slot; it asks another node."""
         self.metrics.count("server_refusals", reason=Reason.BUSY)
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -38,7 +38,11 @@
 )
 from vanillamast_sidecar.mesh.peer_link import PeerLink
 from vanillamast_sidecar.mesh.peer_monitor import PeerMonitor
-from vanillamast_sidecar.mesh.peer_server import CallRunner, PeerServer
+from vanillamast_sidecar.mesh.peer_server import (
+    BusyCheck,
+    CallRunner,
+    PeerServer,
+)
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.organisations.organisation import Organisation
@@ -86,6 +90,7 @@
         era.
       on_operator_state: Handles the operator's state as another node has it.
       on_server_end: Handles the end of a server; returns whether it is new.
+      refuse_if_busy: Refuses a call that may not wait, if there is no slot.
       get_operator_state: Returns the operator's state as this node has it.
       get_evacuations: Returns the part of it on evacuations; None without
         one.
@@ -140,6 +145,7 @@
         )
         self.on_operator_state: Callable[[OperatorState], None] = lambda _: None
         self.on_server_end: Callable[[ServerEnd], bool] = lambda _: False
+        self.refuse_if_busy: BusyCheck = lambda: None
         self.get_operator_state: Callable[[], OperatorState | None] = lambda: (
             None
         )
@@ -170,6 +176,7 @@
                 self._handle_inbound_message,
                 self._handle_inbound_closed,
                 self.limiter,
+                lambda: self.refuse_if_busy(),
             ),
             address.host,
             address.port,
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -48,6 +48,7 @@
 NO_RESPONSE = HttpResponse(0, [])
 
 CallRunner = Callable[[ServerCall], Awaitable[CallResult]]
+BusyCheck = Callable[[], CallResult | None]
 
 
 class PeerServer(asyncio.Protocol):
@@ -60,6 +61,7 @@
         connection.
       on_closed: Called when the connection has ended.
       limiter: Limits the connections of this kind.
+      refuse_if_busy: Refuses a call that may not wait, if there is no slot.
       greeted: Whether the hello, the first message, has arrived.
       peer_address: Address of the node, empty before its hello.
       transport: The connection; None while there is none.
@@ -77,6 +79,7 @@
         on_message: Callable[["PeerServer", AnyMessage], None],
         on_closed: Callable[["PeerServer"], None],
         limiter: InboundLimiter | None = None,
+        refuse_if_busy: BusyCheck = lambda: None,
     ):
         self.run_call = run_call
         self.get_load = get_load
@@ -84,6 +87,7 @@
         self.on_closed = on_closed
         self.loop = asyncio.get_running_loop()
         self.limiter = limiter or InboundLimiter()
+        self.refuse_if_busy = refuse_if_busy
         self.greeted = False
         self.peer_address = ""
         self.transport: asyncio.Transport | None = None
@@ -179,6 +183,11 @@
         if delay_s > MAX_EXCESS_DELAY_S:
             self._send_reply(call.id, CallResult(Outcome.NOT_RUN, Reason.STALE))
             return
+        if not call.may_wait:
+            refusal = self.refuse_if_busy()
+            if refusal is not None:
+                self._send_reply(call.id, refusal)
+                return
         task = self.loop.create_task(self._handle_call(call, now - delay_s))
         self.tasks[call.id] = task
 
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -184,6 +184,7 @@
         )
         self.mesh.on_previous_record = self._handle_previous_record
         self.mesh.on_server_end = self._apply_server_end
+        self.mesh.refuse_if_busy = self.executor.refuse_if_busy
         self.gateway = Gateway(
             settings,
             self.mesh,
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -488,6 +488,10 @@
         finally:
             peer.outstanding -= 1
         ended = self.loop.time()
+        if result.reason is Reason.BUSY:
+            # The next attempt's line counts the servers that were asked.
+            self._record_attempt(exchange, peer, result, ended)
+            return result
         self.log.write(
             "request.attempt",
             request=exchange.request_id.decode("latin-1"),
@@ -502,6 +506,7 @@
             reason=result.reason,
             status=result.response.status if result.response else 0,
             took_s=round(ended - now, 4),
+            asked=len(exchange.search.busy) if exchange.search else 0,
         )
         if wait_s <= 0.0 and _is_success(result) and now >= peer.cold_until:
             self.durations.add(
