--- a/tests/sidecar/admission/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -7,6 +7,7 @@
 import random
 
 import pytest
+from vanillamast_sidecar.admission.link_pacer import LinkPacer
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.admission.server_call import ServerCall
@@ -562,3 +563,38 @@
         evacuations.apply([Evacuation("a", False, 3)])
         backend.executor.refuse_if_evacuated()
         assert (await run(backend)).outcome is Outcome.ANSWERED
+
+
+class TestDownloads:
+    """Responses that the node's link carries slowly."""
+
+    async def test_they_keep_their_slot_until_the_link_is_free(self, backend):
+        """Guards against downloads that fill a link faster than it empties."""
+        executor = backend.executor
+        executor.download_routes = frozenset(("route",))
+        executor.link = LinkPacer(4e-6)
+        now = asyncio.get_running_loop().time()
+        call = ServerCall(
+            b"1",
+            "i-1",
+            1,
+            "route",
+            1,
+            True,
+            now + 60.0,
+            now + 60.0,
+            "GET",
+            "/",
+            [(b"x-id", b"1")],
+            b"",
+            remote=True,
+        )
+        assert (await executor.run(call)).outcome is Outcome.ANSWERED
+        second = asyncio.create_task(executor.run(call))
+        await asyncio.sleep(0.1)
+        assert not second.done()
+        assert executor.queue.running == 1
+        second.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await second
+        assert executor.queue.running == 0
--- a/tests/sidecar/mesh/test_calls_between_nodes.py
+++ b/tests/sidecar/mesh/test_calls_between_nodes.py
@@ -5,6 +5,7 @@
 import pytest
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.outcome import Outcome
+from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.http.http_message import HttpResponse
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.node_record import NodeRecord
@@ -243,3 +244,22 @@
         pair.slot.clear()
         reply = await send(pair, True, timeout_s=0.2)
         assert reply.outcome is Outcome.EXPIRED
+
+
+class TestQuestionsForSlots:
+    """Calls that may not wait, at a node whose server is busy."""
+
+    async def test_they_are_refused_without_running(self, pair):
+        """Guards against a question that runs or waits at a busy node."""
+        pair.server_side.refuse_if_busy = lambda: CallResult(
+            Outcome.NOT_RUN, Reason.BUSY
+        )
+
+        def make(number, body):
+            now = asyncio.get_running_loop().time()
+            fields = (number, now, 5.0, 5.0, b"id", "i-1", 1, "route", 1, True)
+            return Call(*fields, "GET", "/x", [], body, may_wait=False)
+
+        reply = await pair.link.send_call(make, b"", True, 5.0)
+        assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, Reason.BUSY)
+        assert not pair.calls
