--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -101,10 +101,10 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        peer = writer.get_extra_info("peername")
+        own = writer.get_extra_info("sockname")[0]
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_message(reader)) is not None:
-                reply = await handler(request, peer[0] if peer else "")
+                reply = await handler(request, own)
                 if reply is None:
                     writer.transport.abort()
                     break
@@ -127,7 +127,7 @@
 
     Attributes:
       mode: "up", "busy" (503), or "silent" (no answer while it lasts).
-      refused: Addresses of machines whose calls get 503.
+      refused: Addresses of the store on which calls get 503.
       records: Raw records of each topic.
       newest: Newest value and offset of each key, by topic.
     """
@@ -159,9 +159,9 @@
                 keys.pop(key, None)
         records.append(record)
 
-    async def handle(self, request: Message, peer: str) -> Reply | None:
-        """Answers a call."""
-        if self.mode == "busy" or peer in self.refused:
+    async def handle(self, request: Message, own: str) -> Reply | None:
+        """Answers a call that arrived at an address of the store."""
+        if self.mode == "busy" or own in self.refused:
             return Reply(503)
         while self.mode == "silent":
             await asyncio.sleep(0.05)
@@ -329,9 +329,9 @@
                 await self.call("heartbeat", self.make_ping())
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def handle(self, request: Message, peer: str) -> Reply | None:
+    async def handle(self, request: Message, own: str) -> Reply | None:
         """Runs a request."""
-        del peer
+        del own
         request_id = request.headers.get(REQUEST_ID, "")
         headers = {"X-Vanillamast-Request-Id": request_id}
         expected = request.headers.get(EXPECTED_INSTANCE)
@@ -397,6 +397,7 @@
       name: Its name.
       ip: Its loopback address.
       zone: Its zone.
+      store_ip: Address at which it reaches the store.
       service: Service of its server.
       memory_mb: Memory that the node may use.
       process: The node's process; None before its first start.
@@ -408,6 +409,7 @@
         self.name = name
         self.ip = ip
         self.zone = zone
+        self.store_ip = ""
         self.service = ""
         self.memory_mb = 300
         self.server: Server | None = None
@@ -464,7 +466,7 @@
             "quota_over = 0.1",
             "quota_slack = 20",
             "[platform]",
-            f'addr = "{self.fleet.store_ip}:{ports["store"]}"',
+            f'addr = "{self.store_ip}:{ports["store"]}"',
             'form = "log"',
             "writes_per_s = 400",
             "reads_per_s = 2000",
@@ -579,16 +581,9 @@
         self.prefix = secrets.token_hex(4)
         self.numbers = itertools.count(1)
         self.network = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
-        self.store_ip = f"{self.network}.250"
         self.ports = _find_ports(self.network)
         self.listeners: list[asyncio.Server] = []
 
-    async def start_store(self) -> None:
-        """Starts the store."""
-        self.listeners.append(
-            await listen(self.store_ip, self.ports["store"], self.store.handle)
-        )
-
     async def add(
         self, name: str, zone: str, service: str, memory_mb: int = 300
     ) -> Machine:
@@ -597,6 +592,13 @@
         machine = Machine(self, name, ip, zone)
         machine.service = service
         machine.memory_mb = memory_mb
+        # Each machine has its own, which shows whose calls arrive.
+        machine.store_ip = f"{self.network}.{100 + len(self.machines)}"
+        self.listeners.append(
+            await listen(
+                machine.store_ip, self.ports["store"], self.store.handle
+            )
+        )
         self.machines[name] = machine
         machine.server = Server(machine, service)
         await machine.start()
@@ -700,7 +702,6 @@
         with tempfile.TemporaryDirectory() as temporary:
             fleet = Fleet(record, pathlib.Path(temporary))
             try:
-                await fleet.start_store()
                 async with asyncio.timeout(115.0):
                     held = await case(fleet, trouble)
                 record.close("the rule held" if held else "RULE BROKEN")
