Read the newest state in place of what a node has missed

Cause: a node that had read once followed the operator's stream record by record, up to 1 MB a call, so that its reads grew with what it had missed; the same held after a cut, an outage and a return of the store. A read also had to end within 1 s, and a probe that waited behind it counted as a lost store, which aborted the read: on a slow link it began again without end.

If the stream has more, the node reads the newest record of each key. The pause after a change counts from when it was noticed. A node that starts to read polls once without waiting, which tells whether it is behind.

--- a/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
@@ -14,6 +14,7 @@
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
+from vanillamast_sidecar.http.arrival import Arrival
 from vanillamast_sidecar.http.byte_budget import ByteBudget
 from vanillamast_sidecar.http.http_message import Body, HttpResponse
 from vanillamast_sidecar.http.response_limits import ResponseLimits
@@ -108,6 +109,17 @@
         self._head_bytes = 0
         self._framing_bytes = 0
         self._interim_responses = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._arrival: Arrival | None = None
+        self._began_at = 0.0
+        self._received_bytes = 0
+
+    @property
+    def receiving(self) -> bool:
+        """Returns whether a response has begun to arrive."""
+        waiter = self._waiter
+        pending = waiter is not None and not waiter.done()
+        return pending and self._received_bytes > 0
 
     async def open(self, host: str, port: int, timeout_s: float) -> None:
         """Connects.
@@ -130,15 +142,18 @@
         expected_id: bytes = b"",
         head_only: bool = False,
         body: Body = b"",
+        arrival: Arrival | None = None,
     ) -> HttpResponse:
         """Sends a request and returns the whole response.
 
         Args:
           data: The encoded request, or its head if `body` follows.
-          timeout_s: Longest wait for the end of the response, in seconds.
+          timeout_s: Longest wait for the end of the response, in seconds; for
+            its beginning if `arrival` is given.
           expected_id: Id that the response must echo; others are discarded.
           head_only: Whether the response has no body (HEAD).
           body: Long body that follows `data`.
+          arrival: How long the response may take from its first byte.
 
         Raises:
           ConnectionLostError: The connection ended first.
@@ -157,7 +172,9 @@
         self._framing_bytes = 0
         self._interim_responses = 0
         self.requests_sent += 1
-        timer = self.loop.call_later(timeout_s, self._expire)
+        self._arrival = arrival
+        self._received_bytes = 0
+        self._timer = self.loop.call_later(timeout_s, self._expire)
         self.writer.write(data)
         if body:
             self.writer.write(body)
@@ -167,14 +184,33 @@
             self.close()
             raise
         finally:
-            timer.cancel()
+            self._timer.cancel()
             self._waiter = None
             self._drop_body()
             self.idle_since = self.loop.time()
 
     def _expire(self) -> None:
+        arrival = self._arrival
+        if arrival is not None and self._received_bytes:
+            deadline = arrival.get_deadline(
+                self._began_at, self._received_bytes
+            )
+            if self.loop.time() < deadline:
+                self._timer = self.loop.call_at(deadline, self._expire)
+                return
         self._fail(ResponseTimeoutError("no complete response in time"))
 
+    def _count_received(self, size: int) -> None:
+        """Counts bytes; the first ones start the time for the response."""
+        if self._arrival is not None and not self._received_bytes:
+            self._began_at = self.loop.time()
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self.loop.call_later(
+                self._arrival.base_s, self._expire
+            )
+        self._received_bytes += size
+
     def close(self) -> None:
         """Closes the connection with a reset."""
         self.reusable = False
@@ -217,6 +253,7 @@
             # They belong to no request.
             self.close()
             return
+        self._count_received(len(data))
         body_bytes = self._body_bytes
         in_body = self._in_body
         try:
--- a/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/observability/metric_texts.py
@@ -9,6 +9,7 @@
     "key_refusals": "Requests refused for lack of a known API key, by reason.",
     "limited_organisations": "Organisations above their usage cap, on a hub.",
     "move_conflicts": "Writes of a move's state that another record beat.",
+    "operator_skips": "Reads of the newest state by a node that was behind.",
     "organisations": "Organisations of the configuration in force.",
     "peer_silences": "Nodes that stopped answering on an open connection.",
     "peers": "Other nodes that this node knows.",
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -29,8 +29,8 @@
 # Close to the longest wait that stores allow, since each long poll that ends
 # without a change costs a call.
 LONG_POLL_S = 28.0
-# Changes within this time of each other are read in one call; a third of the
-# time in which a change has to be applied.
+# Changes within this time of each other are read together; a third of the time
+# in which a change has to be applied.
 COALESCE_DELAY_S = 0.6
 # Interval of the cheap calls that check whether the store answers; a quarter
 # of the time in which a change has to be applied.
@@ -64,6 +64,8 @@
       log: Event logger.
       metrics: Metrics.
       connected: Whether the store answered the last call.
+      up_to_date: Whether the last read reached the end of the stream.
+      noticed_at: When the last read found changes, in loop time.
       reader_policy: Decides whether this node reads the store.
       read_task: Task that reads the store, None while only other nodes do.
       fetch_at: When to fetch newer state from a peer, in loop time; 0 if no
@@ -85,6 +87,8 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.connected = False
+        self.up_to_date = False
+        self.noticed_at = 0.0
         self.reader_policy = StoreReaderPolicy(
             mesh.membership, self.loop.time()
         )
@@ -117,6 +121,7 @@
     def _start_reading(self, now: float) -> None:
         # Other nodes do not rely on this one before the store has answered.
         self.mesh.store_contact_at = now - READER_FRESHNESS_S
+        self.up_to_date = False
         self.read_task = self.loop.create_task(self._read_store())
         self._report_reader_state(True)
 
@@ -154,13 +159,17 @@
                     self._set_connected(True, "")
                 update = await self._read_update()
                 failures = 0
+                changed = self.state.apply_update(update)
+                self.up_to_date = True
                 self._set_connected(True, "")
                 self.fetch_at = 0.0
-                if self.state.apply_update(update):
-                    await asyncio.sleep(COALESCE_DELAY_S)
+                if changed:
+                    next_read_at = self.noticed_at + COALESCE_DELAY_S
+                    await asyncio.sleep(next_read_at - self.loop.time())
             except StoreEraError as error:
                 # The next read is one of the whole state, unless the answer
                 # was late and of an earlier era.
+                self.up_to_date = False
                 self.log.write("operator.era_changed", error=str(error))
                 await asyncio.sleep(FIRST_RETRY_S)
             except StoreTruncatedError as error:
@@ -169,6 +178,7 @@
                     offset=self.state.offset,
                     first_offset=error.first_offset,
                 )
+                self.up_to_date = False
                 self.state.offset = -1
             except InvalidConfigurationError as error:
                 self.log.write("operator.invalid", error=str(error))
@@ -180,10 +190,33 @@
                 failures += 1
 
     async def _read_update(self) -> OperatorUpdate:
-        """Reads the changes, or the whole state at the start of an era."""
+        """Reads the changes, or the whole state if there are many.
+
+        A node that is behind thus reads about as much as one that is not,
+        whatever it has missed: newer records replace older ones.
+        """
         state = self.state
         if state.offset >= 0 and state.era == self.store.era:
-            return await self.store.poll_operator(state.offset, LONG_POLL_S)
+            # A long poll does not tell that there is nothing to read.
+            wait_s = LONG_POLL_S if self.up_to_date else 0.0
+            update = await self.store.poll_operator(state.offset, wait_s)
+            self.noticed_at = self.loop.time()
+            if not update.is_partial:
+                return update
+            self.up_to_date = False
+            self.metrics.count("operator_skips")
+            self.log.write(
+                "operator.behind",
+                offset=state.offset,
+                end_offset=update.end_offset,
+            )
+        else:
+            self.noticed_at = self.loop.time()
+        return await self._read_whole_state()
+
+    async def _read_whole_state(self) -> OperatorUpdate:
+        """Reads the newest records and the recorded states of moves."""
+        state = self.state
         update = await self.store.read_operator_state()
         if update.move_specs:
             recorded = await self.store.read_move_states()
@@ -210,7 +243,8 @@
         """Aborts long polls on connections that no longer work."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            if not self.connected:
+            if not self.connected or self.store.receiving:
+                # On a slow link, a probe would wait behind the response.
                 continue
             try:
                 await self.store.probe()
@@ -221,7 +255,9 @@
                 self._set_connected(True, "")
 
     def _set_connected(self, connected: bool, error: str) -> None:
-        if connected and self.mesh.store_contact_at is not None:
+        if not connected:
+            self.up_to_date = False
+        elif self.mesh.store_contact_at is not None:
             self.mesh.store_contact_at = self.loop.time()
         if connected == self.connected:
             return
@@ -248,18 +284,21 @@
         if not behind:
             return
         if not self.fetch_at:
-            wait_s = PEER_FETCH_DELAY_S
-            if self.state.snapshot is None:
-                wait_s = 0.0
-            elif self.read_task is None:
-                wait_s = random.uniform(0.0, FETCH_JITTER_S)
-            self.fetch_at = now + wait_s
+            self.fetch_at = now + self._choose_fetch_delay()
         if now < self.fetch_at:
             return
         if self.mesh.send(peer.record.address, FetchOperator()):
             # Without an answer in time, a later report triggers a retry.
             self.fetch_at = now + PEER_FETCH_DELAY_S
 
+    def _choose_fetch_delay(self) -> float:
+        """Returns how long to wait for a newer state from the store, if any."""
+        if self.state.snapshot is None:
+            return 0.0
+        if self.read_task is None:
+            return random.uniform(0.0, FETCH_JITTER_S)
+        return PEER_FETCH_DELAY_S
+
     def handle_operator_state(self, message: OperatorState) -> None:
         """Applies the state that a peer has sent."""
         # A node that the store refuses learns of its era here.
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store.py
@@ -24,6 +24,7 @@
       complete: Whether the operator's whole state was read: a failure domain
         without a record is not evacuated.
       era: Era of the store that the offsets belong to.
+      end_offset: End of the stream at the time of the read, 0 if unknown.
     """
 
     next_offset: int
@@ -32,6 +33,12 @@
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     complete: bool = False
     era: int = 0
+    end_offset: int = 0
+
+    @property
+    def is_partial(self) -> bool:
+        """Returns whether the stream had records that were not read."""
+        return self.end_offset > self.next_offset
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +74,11 @@
         """Returns the highest era that is known."""
         ...
 
+    @property
+    def receiving(self) -> bool:
+        """Returns whether a response of the store is arriving."""
+        ...
+
     def note_era(self, era: int) -> None:
         """Learns of an era from another node.
 
@@ -79,7 +91,11 @@
         ...
 
     async def poll_operator(self, offset: int, wait_s: float) -> OperatorUpdate:
-        """Returns what was published from an offset on; waits for a change."""
+        """Returns what was published from an offset on; waits for a change.
+
+        The size of a response is limited, whatever was published meanwhile:
+        `OperatorUpdate.is_partial` says that records are left.
+        """
         ...
 
     async def put_node(self, record: NodeRecord) -> None:
--- a/packages/testing/src/vanillamast_testing/emulator/store.py
+++ b/packages/testing/src/vanillamast_testing/emulator/store.py
@@ -17,6 +17,7 @@
 )
 
 OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
+READ_MAX_KB = 1024
 PAGE_MAX_ITEMS = 500
 PAGE_MAX_BYTES = 1_000_000
 MAX_WAIT_S = 30.0
@@ -34,6 +35,7 @@
       groups: Generation and members of each group; members with the time at
         which they expire.
       calls: Number of calls by path.
+      sent_bytes: Bytes of the response bodies by path.
       failure_mode: How all calls fail: "" for not at all, "unavailable"
         (status 503), "reset" (closed connections) or "unresponsive" (delayed
         by `MAX_WAIT_S`).
@@ -51,6 +53,7 @@
         self.partitions: Partitions = {}
         self.groups: dict[str, tuple[int, dict[str, float]]] = {}
         self.calls: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.failure_mode = ""
         self.blocked_hosts: set[str] = set()
         self.delay_s = 0.0
@@ -67,6 +70,7 @@
             middlewares=[self._inject_fault], client_max_size=4 << 20
         )
         app.on_response_prepare.append(self._add_era)
+        app.on_response_prepare.append(self._count_bytes)
         app.router.add_post("/api/log-append", self._append)
         app.router.add_get("/api/log-read", self._read)
         app.router.add_get("/api/log-newest", self._newest)
@@ -144,6 +148,11 @@
         if self.names_era:
             response.headers["Store-Era"] = str(self.era)
 
+    async def _count_bytes(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        self.sent_bytes[request.path] += response.content_length or 0
+
     async def _notify(self) -> None:
         async with self.changed:
             self.changed.notify_all()
@@ -226,8 +235,13 @@
                 {"first_offset": partition.first_offset}, status=410
             )
         head = struct.pack(">QQ", partition.end_offset, partition.first_offset)
-        records = partition.records[max(0, start - partition.first_offset) :]
-        body = b"".join(struct.pack(">I", len(r)) + r for r in records)
+        limit = int(query.get("max_kb", READ_MAX_KB)) * 1024
+        body = b""
+        for record in partition.records[start - partition.first_offset :]:
+            # At least one record is returned, however long it is.
+            if body and len(body) + 4 + len(record) > limit:
+                break
+            body += struct.pack(">I", len(record)) + record
         return web.Response(body=head + body)
 
     async def _newest(self, request: web.Request) -> web.StreamResponse:
--- a/tests/sidecar/http/test_client_connection.py
+++ b/tests/sidecar/http/test_client_connection.py
@@ -11,6 +11,7 @@
     ResponseTimeoutError,
     ResponseTooLargeError,
 )
+from vanillamast_sidecar.http.arrival import Arrival
 from vanillamast_sidecar.http.byte_budget import ByteBudget
 from vanillamast_sidecar.http.client_connection import ClientConnection
 from vanillamast_sidecar.http.response_limits import ResponseLimits
@@ -323,3 +324,61 @@
         )
         response = await ask(connection, timeout_s=2.0)
         assert response.status == status
+
+
+class TestArrival:
+    """A long response takes as long as its bytes need on a slow link."""
+
+    PIECES = 12
+    PIECE = b"x" * 100
+    TIMEOUT_S = 0.3
+    PAUSE_S = 0.05
+    # Each piece extends the time by far more than the pause before it.
+    ARRIVAL = Arrival(TIMEOUT_S, 100.0)
+
+    def respond(self, pieces: int):
+        """Returns a script that sends some of the pieces and stops."""
+
+        async def script(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            size = self.PIECES * len(self.PIECE)
+            writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+            for _ in range(pieces):
+                await asyncio.sleep(self.PAUSE_S)
+                writer.write(self.PIECE)
+                await writer.drain()
+            await asyncio.sleep(30.0)
+
+        return script
+
+    async def test_a_slow_response_is_read_to_its_end(self, serve):
+        """Guards against reads that start over and never end."""
+        connection = await serve(self.respond(self.PIECES))
+        response = await connection.send_request(
+            b"GET / HTTP/1.1\r\n\r\n", self.TIMEOUT_S, arrival=self.ARRIVAL
+        )
+        assert len(response.body) == self.PIECES * len(self.PIECE)
+
+    async def test_a_stalled_response_is_given_up(self, serve):
+        """Guards against a call that waits for ever for its last bytes."""
+        connection = await serve(self.respond(1))
+        with pytest.raises(ResponseTimeoutError):
+            await connection.send_request(
+                b"GET / HTTP/1.1\r\n\r\n",
+                self.TIMEOUT_S,
+                arrival=self.ARRIVAL,
+            )
+
+    async def test_a_response_that_never_begins_is_given_up(self, serve):
+        """Guards against the time for a response that has not begun."""
+
+        async def script(reader, writer):
+            await asyncio.sleep(30.0)
+
+        connection = await serve(script)
+        with pytest.raises(ResponseTimeoutError):
+            await connection.send_request(
+                b"GET / HTTP/1.1\r\n\r\n",
+                self.TIMEOUT_S,
+                arrival=self.ARRIVAL,
+            )
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -11,8 +11,10 @@
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.operator_state_sync import (
     PEER_FETCH_DELAY_S,
+    PROBE_INTERVAL_S,
     OperatorStateSync,
 )
+from vanillamast_sidecar.operator_state.store import OperatorUpdate
 
 from tests.sidecar.hub_fixture import address, membership
 
@@ -139,12 +141,14 @@
 
     Attributes:
       era: Era of the store.
+      receiving: Whether a response is arriving.
       returned: Whether it answers.
       polls: Long polls that it answered.
     """
 
     def __init__(self):
         self.era = 0
+        self.receiving = False
         self.returned = False
         self.polls = 0
 
@@ -180,3 +184,65 @@
             while not sync.store.polls:
                 await asyncio.sleep(0.01)
         sync._stop_reading()
+
+
+class SlowStore:
+    """Stands in for a store that answers probes; reads wait for the test.
+
+    Attributes:
+      era: Era of the store.
+      receiving: Whether a response is arriving.
+      updates: Responses to reads.
+    """
+
+    def __init__(self):
+        self.era = 0
+        self.receiving = False
+        self.updates = asyncio.Queue()
+
+    async def probe(self):
+        """Answers at once."""
+
+    async def poll_operator(self, offset, wait_s):
+        """Returns the next response."""
+        del offset, wait_s
+        return await self.updates.get()
+
+    async def read_operator_state(self):
+        """Returns the next response."""
+        return await self.updates.get()
+
+    def reset(self):
+        """Closes all connections; there are none."""
+
+
+class TestSlowLinks:
+    """A node whose link is slow for what it reads."""
+
+    @pytest.fixture
+    async def reader(self, sync):
+        """Returns a node that has begun to read a slow store."""
+        sync.loop = asyncio.get_running_loop()
+        sync.store = SlowStore()
+        sync.state.apply_update = lambda update: False
+        sync._start_reading(sync.loop.time())
+        yield sync
+        sync._stop_reading()
+
+    async def wait_for_read(self, reader):
+        """Waits until the node has read."""
+        async with asyncio.timeout(10.0):
+            while not reader.up_to_date:
+                await asyncio.sleep(0.01)
+
+    async def test_a_response_that_arrives_is_no_lost_store(self, reader):
+        """Guards against long responses that a probe behind them ends."""
+        reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
+        await self.wait_for_read(reader)
+        reader.store.receiving = True
+        probes = []
+        reader.store.probe = lambda: probes.append(1)
+        probing = asyncio.create_task(reader._probe_store())
+        await asyncio.sleep(3 * PROBE_INTERVAL_S)
+        probing.cancel()
+        assert not probes
--- a/tests/sidecar/operator_state/test_store_restore_fuzz.py
+++ b/tests/sidecar/operator_state/test_store_restore_fuzz.py
@@ -67,8 +67,10 @@
         return {k: v for k, v in lost.items() if kept.get(k) != v}
 
     async def poll_operator(self, offset, wait_s):
-        """Returns the records from an offset on."""
-        return self.update(list(enumerate(self.records))[offset:])
+        """Returns one record, however many follow it."""
+        del wait_s
+        found = list(enumerate(self.records))[offset : offset + 1]
+        return self.update(found, offset + len(found))
 
     async def read_operator_state(self):
         """Returns the newest record of each key."""
@@ -76,13 +78,13 @@
             key: (offset, (key, content))
             for offset, (key, content) in enumerate(self.records)
         }
-        return self.update(sorted(newest.values()))
+        return self.update(sorted(newest.values()), len(self.records))
 
-    def update(self, records):
+    def update(self, records, next_offset):
         """Returns records as an update."""
         version = [c for _, (key, c) in records if key == "config"]
         return OperatorUpdate(
-            len(self.records),
+            next_offset,
             make_snapshot(str(version[-1]).encode()) if version else None,
             [
                 MoveSpec(SERVICE, f"v{content}", 9.0, offset, self.era)
@@ -90,6 +92,7 @@
                 if key == "rollout"
             ],
             era=self.era,
+            end_offset=len(self.records),
         )
 
     async def read_move_states(self):
@@ -133,6 +136,9 @@
             self.mesh, self.moves, lambda _: None, make_snapshot, log, Metrics()
         )
         self.store = store
+        self.sync = OperatorStateSync(
+            store, self.mesh, self.state, log, Metrics()
+        )
         self.controller = MoveController(
             self.mesh, self.moves, None, store, log, Metrics()
         )
@@ -144,9 +150,7 @@
         """Reads the store as `OperatorStateSync` does."""
         if self.state.offset > len(self.store.records):
             self.state.offset = -1
-        reader = SimpleNamespace(store=self.store, state=self.state)
-        update = await OperatorStateSync._read_update(reader)
-        self.state.apply_update(update)
+        self.state.apply_update(await self.sync._read_update())
 
     async def record(self, state):
         """Records a state of the newest move."""
