Send each version of the operator's state once on a connection

Nodes on slow links would get new routes later the more often they ask.

Cause: a node without the state 0.3 s after its question asks again at the next report, and the hub answered each question with another copy, up to 64 KB of unsent ones. On a slow link of a hub the copies for all nodes delay each other.

Change: the hub notes which version it has sent on a connection and does not send it again there: the connection delivers it or ends.

Evidence: tests/sidecar/mesh/test_mesh.py::TestOperatorState: five questions got five copies before, and get one now.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -521,12 +521,23 @@
                 # The sender may have records that this node lacks.
                 connection.send(FetchRecords())
         elif isinstance(message, FetchOperator):
-            state = self.get_operator_state()
-            if state is not None and connection.may_answer():
-                connection.send(state)
+            self._send_operator_state(connection)
         elif isinstance(message, OperatorState):
             self.on_operator_state(message)
 
+    def _send_operator_state(self, connection: PeerServer) -> None:
+        """Sends the operator's state, each version once on a connection.
+
+        On a slow link, a node asks again while the answer is on its way.
+        """
+        version = (self.operator_era, self.operator_offset, self.config_version)
+        if connection.sent_operator_version == version:
+            return
+        state = self.get_operator_state()
+        if state is not None and connection.may_answer():
+            connection.sent_operator_version = version
+            connection.send(state)
+
     def _handle_heartbeat(
         self, connection: PeerServer, peer: Peer, heartbeat: NodeHeartbeat
     ) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_server.py
@@ -88,6 +88,8 @@
       calls: Calls that have been taken in, by id.
       charged: What the connection costs, of the memory account.
       last_received_at: When bytes last arrived, in loop time.
+      sent_operator_version: Era, offset and configuration version of the
+        operator's state that was sent last, None if none was.
       confirmations: Resolved with the body when the sender confirms the call,
         by id; None if there is no memory for the body.
     """
@@ -123,6 +125,7 @@
         self.answers = AnswerBudget()
         self.charged = 0
         self.last_received_at = 0.0
+        self.sent_operator_version: tuple[int, int, int] | None = None
         # When the unfinished frame began to arrive, in loop time.
         self._frame_since = 0.0
         # What has been charged for the frame being received, for the call
--- a/tests/sidecar/mesh/test_mesh.py
+++ b/tests/sidecar/mesh/test_mesh.py
@@ -13,7 +13,11 @@
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.mesh.mesh import Mesh
-from vanillamast_sidecar.mesh.messages import MoveAnnouncement
+from vanillamast_sidecar.mesh.messages import (
+    FetchOperator,
+    MoveAnnouncement,
+    OperatorState,
+)
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.applied_operator_state import (
@@ -289,6 +293,30 @@
         )
 
 
+class TestOperatorState:
+    """Nodes fetch the operator's state from each other."""
+
+    async def test_a_repeated_question_gets_no_second_copy(self, make_mesh):
+        """Guards against copies that pile up on the slow link of a hub."""
+        hub = await make_mesh("127.23.0.8", "a")
+        node = await make_mesh("127.23.0.9", "a")
+        node.apply_records([hub.membership.own.record])
+        await until(lambda: node.membership.other_peers()[0].connected)
+        received = []
+        node.on_operator_state = received.append
+        for offset in (4, 5):
+            hub.operator_offset = offset
+            state = OperatorState(offset, b"x" * 1000, [], [])
+            hub.get_operator_state = lambda state=state: state
+            for _ in range(5):
+                node.send(hub.membership.own.record.address, FetchOperator())
+            await until(
+                lambda at=offset: received and received[-1].offset == at
+            )
+        # An answer of the same connection shows that all were handled.
+        assert [state.offset for state in received] == [4, 5]
+
+
 class TestMesh:
     """Announcements reach every node, whenever they are made."""
 
