Count a node as a store reader only while it has the newest state

Cause: a probe of the store refreshed the time that other nodes go by. A node that had only probed, or was still reading what it had missed, counted as one that has the newest version; the others stopped reading and waited for it.

Change: the time is refreshed only when the last read reached the end of the stream; a start, a loss of the store, a truncation, a new era and a partial read end that.

Evidence: test_operator_state_sync.py::TestReaders: two of three tests failed before (the age told after probes alone was 0.00 s; a node that was behind refreshed its time) and pass now.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -64,7 +64,8 @@
       log: Event logger.
       metrics: Metrics.
       connected: Whether the store answered the last call.
-      up_to_date: Whether the last read reached the end of the stream.
+      up_to_date: Whether the last read reached the end of the stream. Other
+        nodes do not rely on this one while it is False.
       noticed_at: When the last read found changes, in loop time.
       reader_policy: Decides whether this node reads the store.
       read_task: Task that reads the store, None while only other nodes do.
@@ -119,7 +120,7 @@
                 self.read_task.cancel()
 
     def _start_reading(self, now: float) -> None:
-        # Other nodes do not rely on this one before the store has answered.
+        # Other nodes do not rely on this one before it has read the store.
         self.mesh.store_contact_at = now - READER_FRESHNESS_S
         self.up_to_date = False
         self.read_task = self.loop.create_task(self._read_store())
@@ -257,7 +258,7 @@
     def _set_connected(self, connected: bool, error: str) -> None:
         if not connected:
             self.up_to_date = False
-        elif self.mesh.store_contact_at is not None:
+        elif self.up_to_date and self.mesh.store_contact_at is not None:
             self.mesh.store_contact_at = self.loop.time()
         if connected == self.connected:
             return
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -15,6 +15,9 @@
     OperatorStateSync,
 )
 from vanillamast_sidecar.operator_state.store import OperatorUpdate
+from vanillamast_sidecar.operator_state.store_reader_policy import (
+    READER_FRESHNESS_S,
+)
 
 from tests.sidecar.hub_fixture import address, membership
 
@@ -216,8 +219,8 @@
         """Closes all connections; there are none."""
 
 
-class TestSlowLinks:
-    """A node whose link is slow for what it reads."""
+class TestReaders:
+    """Other nodes rely on a reader only if it has the newest version."""
 
     @pytest.fixture
     async def reader(self, sync):
@@ -229,12 +232,39 @@
         yield sync
         sync._stop_reading()
 
+    def contact_age(self, reader):
+        """Returns the age that other nodes are told."""
+        return reader.loop.time() - reader.mesh.store_contact_at
+
     async def wait_for_read(self, reader):
         """Waits until the node has read."""
         async with asyncio.timeout(10.0):
             while not reader.up_to_date:
                 await asyncio.sleep(0.01)
 
+    async def test_a_node_that_has_only_probed_is_no_reader(self, reader):
+        """Guards against a domain that relies on nodes without a read."""
+        for _ in range(3):
+            reader._set_connected(True, "")
+            await asyncio.sleep(0)
+        assert self.contact_age(reader) >= READER_FRESHNESS_S
+        reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
+        await self.wait_for_read(reader)
+        assert self.contact_age(reader) < READER_FRESHNESS_S
+
+    async def test_a_node_that_is_behind_is_no_reader(self, reader):
+        """Guards against a domain that relies on a reader on a slow link."""
+        reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
+        await self.wait_for_read(reader)
+        behind = OperatorUpdate(9, None, [], end_offset=12)
+        reader.store.updates.put_nowait(behind)
+        async with asyncio.timeout(10.0):
+            while reader.up_to_date:
+                await asyncio.sleep(0.01)
+        known_at = reader.mesh.store_contact_at
+        reader._set_connected(True, "")
+        assert reader.mesh.store_contact_at == known_at
+
     async def test_a_response_that_arrives_is_no_lost_store(self, reader):
         """Guards against long responses that a probe behind them ends."""
         reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
