Tell the hubs of other failure domains which version a domain has

Cause: configurations crossed failure domains through the store only; the status between their hubs named no version.

Change: the status names configuration version, offset and era, and is sent at once when they change. A hub that has lost the store fetches the newer state after 0.3 s, one that reads it after 1.2 s, so that the store remains the way for changes at rest. Nodes of older builds leave the new fields out.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/hub_duty.py
@@ -51,6 +51,7 @@
       domain_hubs: Hubs of the other failure domains, by failure domain.
       ticks: Number of heartbeat intervals since the start.
       reported_silent: Silent nodes in the last status.
+      reported_version: Configuration version, offset and era in it.
       status_sent_at: When the last status was sent, in loop time.
     """
 
@@ -79,6 +80,7 @@
         self.domain_hubs: dict[str, list[Peer]] = {}
         self.ticks = 0
         self.reported_silent: set[str] = set()
+        self.reported_version = (-1, 0, 0)
         self.status_sent_at = 0.0
 
     def update(self, is_selected: bool, now: float) -> None:
@@ -124,7 +126,7 @@
         self.view.apply_own(own, unheard, lost_domains, now)
         # A node that another hub hears is not silent.
         confirmed = silent & self.view.find_unheard(now)
-        self._send_status(confirmed, now)
+        self._send_status(confirmed, heartbeat, now)
         self._update_usage(confirmed, lost_domains, now)
         if self.ticks % HUBS_PER_DOMAIN == 0:
             self._send_domain_usage(now)
@@ -148,16 +150,27 @@
             )
         )
 
-    def _send_status(self, silent: set[str], now: float) -> None:
-        """Reports silent nodes to the hubs of the other failure domains."""
+    def _send_status(
+        self, silent: set[str], heartbeat: NodeHeartbeat, now: float
+    ) -> None:
+        """Reports silent nodes and versions to the other domains' hubs."""
+        version = (
+            heartbeat.config_version,
+            heartbeat.operator_offset,
+            heartbeat.operator_era,
+        )
         if (
             silent == self.reported_silent
+            and version == self.reported_version
             and now - self.status_sent_at < STATUS_INTERVAL_S
         ):
             return
         self.reported_silent = silent
+        self.reported_version = version
         self.status_sent_at = now
-        status = DomainStatus(sorted(silent), self.membership.digest())
+        status = DomainStatus(
+            sorted(silent), self.membership.digest(), *version
+        )
         for peer in self.other_hubs():
             if peer.link is not None:
                 peer.link.send(status)
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -88,9 +88,8 @@
       hubs: The hubs that this node uses, in the order of their addresses.
       on_previous_record: Handles a record of this node's previous process.
       on_evidence: Handles evidence on a move, with the sender's address.
-      on_versions: Handles the operator state's version that another node of
-        the failure domain has: the node, configuration version, offset and
-        era.
+      on_versions: Handles the operator state's version that another node
+        has: the node, configuration version, offset and era.
       on_operator_state: Handles the operator's state as another node has it.
       on_server_end: Handles the end of a server; returns whether it is new.
       refuse_if_busy: Refuses a call that may not wait, if there is no slot.
@@ -608,6 +607,13 @@
         self.duty.hub.handle_status(address, status, now)
         if self.view.needs_records(address, status.digest):
             self._fetch_records(peer)
+        if self.is_hub:
+            self.on_versions(
+                peer,
+                status.config_version,
+                status.operator_offset,
+                status.operator_era,
+            )
 
     def _handle_domain_usage(self, peer: Peer, message: DomainUsage) -> None:
         record = peer.record
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -343,10 +343,16 @@
     Attributes:
       silent: Addresses of its nodes that the hub does not hear.
       digest: Digest of the hub's records.
+      config_version: Version of the hub's configuration, -1 without one.
+      operator_offset: Offset up to which it has read the operator's stream.
+      operator_era: Era of the store that the offset belongs to.
     """
 
     silent: list[str]
     digest: int
+    config_version: int = -1
+    operator_offset: int = 0
+    operator_era: int = 0
 
 
 class FetchRecords(Message, tag=18, frozen=True):
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -42,6 +42,9 @@
 # A store reader fetches a change from a peer if the store has not delivered it
 # this long after the peer announced it.
 PEER_FETCH_DELAY_S = 0.3
+# Nodes of different failure domains pass on changes only if the store does not:
+# these bytes cost more. A store reader waits this long for the store.
+REMOTE_FETCH_DELAY_S = 1.2
 # Other nodes fetch a change after a random delay up to this one, so that the
 # first of them can pass it on to the rest.
 FETCH_JITTER_S = 0.2
@@ -286,7 +289,10 @@
             return
         if not self.fetch_at:
             self.fetch_at = now + self._choose_fetch_delay()
-        if now < self.fetch_at:
+        wait_s = 0.0
+        if not peer.same_domain and self.connected:
+            wait_s = REMOTE_FETCH_DELAY_S - PEER_FETCH_DELAY_S
+        if now < self.fetch_at + wait_s:
             return
         if self.mesh.send(peer.record.address, FetchOperator()):
             # Without an answer in time, a later report triggers a retry.
--- a/tests/platform_path/test_operator_readers.py
+++ b/tests/platform_path/test_operator_readers.py
@@ -1,6 +1,7 @@
 """Tests of the nodes that read the store for their failure domain."""
 
 import asyncio
+import contextlib
 
 import pytest
 from vanillamast_testing.emulator import EmulatedPlatform
@@ -14,15 +15,29 @@
 @pytest.fixture
 async def fleet(tmp_path):
     """Starts five machines in one failure domain; two of them read."""
-    async with EmulatedPlatform(tmp_path, "127.25") as platform:
+    async with start_fleet(tmp_path, [0] * NODES) as platform:
+        yield platform
+
+
+@pytest.fixture
+async def two_domains(tmp_path):
+    """Starts three machines in each of two failure domains."""
+    async with start_fleet(tmp_path, [0, 0, 0, 1, 1, 1]) as platform:
+        yield platform
+
+
+@contextlib.asynccontextmanager
+async def start_fleet(folder, zones):
+    """Starts a machine in each of the zones; waits for two readers a zone."""
+    async with EmulatedPlatform(folder, "127.25") as platform:
         platform.operator.set_route("page", "browse")
         await platform.operator.publish()
-        for _ in range(NODES):
-            await platform.add_machine(0, "browse")
+        for zone in zones:
+            await platform.add_machine(zone, "browse")
         await platform.wait_until_ready()
 
         async def settled():
-            return len(readers(platform)) == READERS
+            return len(readers(platform)) == READERS * len(set(zones))
 
         await until(settled)
         yield platform
@@ -89,3 +104,23 @@
             )
 
         await until(known)
+
+
+class TestRefusedDomain:
+    """The store turns away one failure domain and serves the other."""
+
+    async def test_changes_come_from_the_other_domain(self, two_domains):
+        """Guards against old routes for as long as the store refuses."""
+        refused = [
+            name
+            for name, machine in two_domains.machines.items()
+            if machine.zone == "z1"
+        ]
+        for name in refused:
+            two_domains.block_store(name)
+        for route in ("first", "second", "third"):
+            # The pending polls of the refused readers still get the first.
+            await publish_route(two_domains, route)
+        for name in refused:
+            line = two_domains.last_log_line(name, "config.applied")
+            assert line["source"] == "peer"
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -10,8 +10,10 @@
 from vanillamast_sidecar.observability.event_logger import EventLogger
 from vanillamast_sidecar.observability.metrics import Metrics
 from vanillamast_sidecar.operator_state.operator_state_sync import (
+    FETCH_JITTER_S,
     PEER_FETCH_DELAY_S,
     PROBE_INTERVAL_S,
+    REMOTE_FETCH_DELAY_S,
     OperatorStateSync,
 )
 from vanillamast_sidecar.operator_state.store import OperatorUpdate
@@ -276,3 +278,31 @@
         await asyncio.sleep(3 * PROBE_INTERVAL_S)
         probing.cancel()
         assert not probes
+
+
+class TestOtherDomains:
+    """A failure domain that the store turns away hears of changes."""
+
+    def peer(self, sync):
+        """Returns a hub of another failure domain."""
+        peer = sync.mesh.membership.peers[address(1)]
+        peer.same_domain = False
+        return peer
+
+    async def test_a_domain_without_the_store_fetches_at_once(self, sync):
+        """Guards against old routes while the store refuses one domain."""
+        sync.handle_versions(self.peer(sync), 40, 8)
+        sync.loop.now += PEER_FETCH_DELAY_S
+        sync.handle_versions(self.peer(sync), 40, 8)
+        assert len(sync.mesh.sent) == 1
+
+    async def test_a_domain_with_the_store_waits_for_it(self, sync):
+        """Guards against each change crossing domains for nothing."""
+        sync.connected = True
+        waited_s = 0.0
+        while not sync.mesh.sent:
+            sync.handle_versions(self.peer(sync), 40, 8)
+            sync.loop.now += 0.1
+            waited_s += 0.1
+            assert waited_s < 2 * REMOTE_FETCH_DELAY_S
+        assert waited_s > REMOTE_FETCH_DELAY_S - FETCH_JITTER_S
