Merge what servers have said by one rule, whichever side connects

Cause: what other nodes remembered of a restarted node's server was told in the answer to its hello only. While the store is away that node knows no one, the others connect to it, and their memory stayed with them. The same held for the rate limit that the server had named. A departure that other nodes had told was not stored; one of a server without a heartbeat since a restart was not announced; one in a record that came late was dropped.

Change: records carry facts on the newest four incarnations of a machine's servers: leaving, which is final, and the rate limit with a rising counter. Facts are merged by a join, kept by address, and told to a node whose record lacks them: at once on a connection opened by either side, else by hubs and later by others. The recorder of departures is now the recorder of facts. Two tests changed with the interface: the bound on memory is now four incarnations a machine (4,096 in all before), and "the server knows better than a peer" checks the merged result, as the limit has to be announced again.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import time
 from collections.abc import Callable, Iterable
 
 from vanillamast_sidecar.admission.admission_queue import AdmissionQueue
@@ -755,7 +756,10 @@
         else:
             self._apply_rate_limit(call.instance_id, limit)
             limit = self.queue.limiter.limit_per_s
-            changed = self.registry.apply_rate_limit(*key, limit) or changed
+            wall_ms = int(time.time() * 1000)
+            changed = (
+                self.registry.apply_rate_limit(*key, limit, wall_ms) or changed
+            )
         if changed:
             self.on_response()
 
--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -4,14 +4,16 @@
 
 import msgspec
 
+from vanillamast_sidecar.membership.instance_facts import (
+    Facts,
+    InstanceFacts,
+    merge_facts,
+)
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.peer import Peer
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
-# Incarnations that are remembered as leaving: more than leave while one of
-# them still runs.
-MAX_LEAVING = 4096
 # Known nodes: more than three times the design target. Whoever connects may
 # name any number of them.
 MAX_NODES = 4096
@@ -20,23 +22,27 @@
 
 
 class Membership:
-    """Keeps the newest record of each node.
+    """Keeps the newest record of each node, and what is certain of servers.
 
-    Leaving is final for an incarnation of a server, also if its node has
-    restarted and announces it as ready.
+    A record replaces an older one; facts are merged, whichever record they
+    come with. Leaving is thus final for an incarnation of a server, also if its
+    node has restarted and announces it as ready.
 
     Attributes:
       own: This node.
       peers: All nodes by address, including this one.
       removed: Incarnation and revision of the removed nodes, by address.
-      leaving: Id and start of incarnations that leave, oldest first.
+      facts: What is certain of the servers beside other nodes, by address;
+        also of nodes that were removed.
+      untold: Addresses of nodes whose newest record lacks some of it.
     """
 
     def __init__(self, own: NodeRecord):
         self.own = Peer(own, same_domain=True, is_self=True)
         self.peers: dict[str, Peer] = {own.address: self.own}
         self.removed: dict[str, tuple[int, int]] = {}
-        self.leaving: dict[tuple[str, int], None] = {}
+        self.facts: dict[str, Facts] = {}
+        self.untold: set[str] = set()
         self._changed = True
         self._by_service: dict[str, list[Peer]] = {}
         self._by_domain: dict[str, list[Peer]] = {}
@@ -76,7 +82,9 @@
             return None
         if _has_long_name(record):
             return None
-        record = self._keep_leaving(record)
+        stated = record.get_facts()
+        facts = self._remember(record.address, stated)
+        record = record.with_facts(facts)
         peer = self.peers.get(record.address)
         if peer is None:
             if len(self.peers) >= MAX_NODES:
@@ -95,7 +103,8 @@
         elif direct or record.is_newer_than(peer.record):
             peer.record = record
         else:
-            return None
+            return self._add_facts(peer, facts)
+        self._note_untold(record.address, stated != facts)
         if record.instance is not None:
             peer.cold_until = now + record.instance.cold_s
         self._changed = True
@@ -123,34 +132,44 @@
         """
         if peer.is_self:
             return
-        self._remember_leaving((instance.id, instance.born_ms))
-        peer.record = self._keep_leaving(peer.record)
-
-    def _keep_leaving(self, record: NodeRecord) -> NodeRecord:
-        """Returns the record with a server that leaves marked as such."""
-        instance = record.instance
-        if instance is None:
-            return record
-        key = (instance.id, instance.born_ms)
-        if instance.leaving:
-            self._remember_leaving(key)
-        elif key in self.leaving:
-            return msgspec.structs.replace(
-                record,
-                instance=msgspec.structs.replace(
-                    instance, ready=False, leaving=True
-                ),
-            )
-        return record
+        leaving = InstanceFacts(instance.id, instance.born_ms, leaving=True)
+        facts = self._remember(peer.record.address, (leaving,))
+        # Its node has had the same response, unless it has ended since.
+        self._add_facts(peer, facts)
+
+    def _remember(self, address: str, facts: Facts) -> Facts:
+        """Merges facts with those that are known; returns them all."""
+        merged = merge_facts(self.facts.pop(address, ()), facts)
+        if merged:
+            self.facts[address] = merged
+            if len(self.facts) > MAX_NODES:
+                del self.facts[next(iter(self.facts))]
+        return merged
+
+    def _add_facts(self, peer: Peer, facts: Facts) -> Peer | None:
+        """Adds facts to a node's record; returns it if they were new.
+
+        The node itself has not stated them.
+        """
+        record = peer.record.with_facts(facts)
+        if record == peer.record:
+            return None
+        peer.record = record
+        self._note_untold(record.address, True)
+        self._changed = True
+        return peer
 
-    def _remember_leaving(self, key: tuple[str, int]) -> None:
-        self.leaving[key] = None
-        if len(self.leaving) > MAX_LEAVING:
-            del self.leaving[next(iter(self.leaving))]
+    def _note_untold(self, address: str, untold: bool) -> None:
+        """Notes whether a node has to be told what it does not state."""
+        if untold:
+            self.untold.add(address)
+        else:
+            self.untold.discard(address)
 
     def remove(self, address: str) -> None:
         """Removes a node until it announces itself again."""
         peer = self.peers.pop(address, None)
+        self.untold.discard(address)
         if peer is not None:
             record = peer.record
             self.removed[address] = (record.incarnation, record.revision)
@@ -210,4 +229,5 @@
             instance.version,
             instance.address,
         ]
+    names += [facts.id for facts in record.facts]
     return any(len(name) > MAX_NAME for name in names)
--- a/packages/sidecar/src/vanillamast_sidecar/membership/node_record.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/node_record.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from vanillamast_sidecar.membership.instance_facts import (
+    Facts,
+    apply_facts,
+    get_stated_facts,
+    merge_facts,
+)
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 
 
@@ -18,6 +24,7 @@
       instance: The node's backend server, None while none is known.
       serves_while_stopping: Whether a stopping node still accepts requests
         from other nodes.
+      facts: What is certain of the newest incarnations of its server.
     """
 
     address: str
@@ -27,12 +34,24 @@
     stopping: bool
     instance: InstanceRecord | None
     serves_while_stopping: bool = False
+    facts: Facts = ()
 
     @property
     def accepts_calls(self) -> bool:
         """Returns whether the node accepts requests from other nodes."""
         return not self.stopping or self.serves_while_stopping
 
+    def get_facts(self) -> Facts:
+        """Returns all facts that the record states."""
+        return merge_facts(self.facts, get_stated_facts(self.instance))
+
+    def with_facts(self, facts: Facts) -> "NodeRecord":
+        """Returns the record with facts that its server agrees with."""
+        instance = self.instance
+        if instance is not None:
+            instance = apply_facts(instance, facts)
+        return msgspec.structs.replace(self, instance=instance, facts=facts)
+
     def is_newer_than(self, other: "NodeRecord") -> bool:
         """Returns whether this record replaces another of the same node."""
         return (self.incarnation, self.revision) > (
--- a/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
@@ -3,6 +3,12 @@
 import msgspec
 
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.instance_facts import (
+    Facts,
+    InstanceFacts,
+    find_facts,
+    merge_facts,
+)
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
@@ -21,7 +27,9 @@
     """Orders heartbeats, deregistrations and failures of the local server.
 
     Leaving is final for an incarnation: a late heartbeat cannot undo it.
-    Newer incarnations replace older ones, in whatever order they arrive.
+    Newer incarnations replace older ones, in whatever order they arrive. What
+    an earlier process of this node was told binds this one once another node
+    or the store tells it.
 
     Attributes:
       heartbeat_s: Interval of heartbeats.
@@ -43,8 +51,7 @@
         affected.
       departed: The newest incarnation that drains, has deregistered or says
         in its responses that it leaves; None without one.
-      rate_limit: Rate limit to announce, None without one.
-      limited: Incarnation that it belongs to.
+      facts: What is certain of the newest incarnations.
       responded: Newest incarnation that has sent a response to this process.
     """
 
@@ -61,15 +68,19 @@
         self.leaving: set[tuple[str, int]] = set()
         self.leaving_before: dict[str, int] = {}
         self.departed: InstanceRecord | None = None
-        self.rate_limit: float | None = None
-        self.limited: tuple[str, int] | None = None
+        self.facts: Facts = ()
         self.responded: tuple[str, int] | None = None
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Applies a heartbeat; returns whether the server's state changed."""
+        noted = False
         if heartbeat.draining:
-            self.leaving.add((heartbeat.id, heartbeat.born_ms))
+            noted = self._note_leaving(heartbeat.id, heartbeat.born_ms)
             self._set_departed(self._build_record(heartbeat))
+        return self._apply_heartbeat(heartbeat, now) or noted
+
+    def _apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Applies a heartbeat's state; returns whether it changed anything."""
         previous = self.current
         if previous is not None and heartbeat.born_ms < previous.born_ms:
             return False
@@ -141,23 +152,64 @@
             born_ms = current.born_ms
         if born_ms == 0:
             self.leaving_before[instance_id] = wall_ms
-        self.leaving.add((instance_id, born_ms))
+        noted = self._note_leaving(instance_id, born_ms)
         self._set_departed(self._build_departed(instance_id, born_ms))
-        return self._update_flags()
+        return self._update_flags() or noted
 
-    def apply_peer_record(self, record: InstanceRecord) -> bool:
-        """Applies another node's record; returns whether the state changed.
+    def apply_facts(self, facts: Facts) -> bool:
+        """Applies what others know; returns whether the state changed.
 
         Leaving is taken over, and the rate limit until the server responds
         to this process: heartbeats bring everything else.
         """
-        key = (record.id, record.born_ms)
-        if record.leaving:
-            self.leaving.add(key)
-        if record.rate_limit is not None and self.responded != key:
-            self.rate_limit = record.rate_limit
-            self.limited = key
-        return self._update_flags()
+        known = self.facts
+        self.facts = merge_facts(known, facts)
+        self._restore_own_limit(known)
+        for found in self.facts:
+            if found.leaving and found.key not in self.leaving:
+                self.leaving.add(found.key)
+                self._set_departed(self._build_departed(*found.key))
+        return self._update_flags() or self.facts != known
+
+    def _restore_own_limit(self, known: Facts) -> None:
+        """Keeps the limit that the server named to this process.
+
+        Others only know limits that it named to earlier processes, although
+        they may have counted more changes.
+        """
+        if self.responded is None:
+            return
+        merged = find_facts(self.facts, self.responded)
+        own = find_facts(known, self.responded)
+        limit = own.rate_limit if own is not None else None
+        if merged is not None and merged.rate_limit != limit:
+            self._note_limit(merged, limit)
+
+    def _note_limit(
+        self, facts: InstanceFacts, limit: float | None, wall_ms: int = 0
+    ) -> None:
+        changed = msgspec.structs.replace(
+            facts,
+            rate_limit=limit,
+            limit_revision=max(facts.limit_revision + 1, wall_ms),
+        )
+        self.facts = merge_facts(self.facts, (changed,))
+
+    def _note_leaving(self, instance_id: str, born_ms: int) -> bool:
+        """Notes that an incarnation leaves.
+
+        Returns:
+          Whether that is news; not if a newer incarnation is known.
+        """
+        known = self.facts
+        self.leaving.add((instance_id, born_ms))
+        leaving = InstanceFacts(instance_id, born_ms, leaving=True)
+        self.facts = merge_facts(known, (leaving,))
+        return self.facts != known and not self._is_replaced(born_ms)
+
+    def _is_replaced(self, born_ms: int) -> bool:
+        """Returns whether a newer incarnation is known."""
+        return self.current is not None and born_ms < self.current.born_ms
 
     def mark_leaving(self, instance_id: str, born_ms: int) -> bool:
         """Applies a response that says that the server leaves.
@@ -165,26 +217,35 @@
         Returns:
           Whether the state changed.
         """
-        self.leaving.add((instance_id, born_ms))
+        noted = self._note_leaving(instance_id, born_ms)
         self._set_departed(self._build_departed(instance_id, born_ms))
-        return self._update_flags()
+        return self._update_flags() or noted
 
     def apply_rate_limit(
-        self, instance_id: str, born_ms: int, limit: float | None
+        self,
+        instance_id: str,
+        born_ms: int,
+        limit: float | None,
+        wall_ms: int = 0,
     ) -> bool:
         """Applies the rate limit that the server's response names.
 
+        Args:
+          instance_id: Id of the server.
+          born_ms: Its incarnation.
+          limit: Requests a second; None without a limit.
+          wall_ms: Current time, in Unix milliseconds.
+
         Returns:
           Whether it has changed so much that it is announced.
         """
         key = (instance_id, born_ms)
         self.responded = key
-        known = self.rate_limit if self.limited == key else None
-        if not _differ(limit, known):
+        known = find_facts(self.facts, key) or InstanceFacts(*key)
+        if not _differ(limit, known.rate_limit):
             return False
-        self.rate_limit = limit
-        self.limited = key
-        return self._update_flags()
+        self._note_limit(known, limit, wall_ms)
+        return self._update_flags() or not self._is_replaced(born_ms)
 
     def mark_unreachable(self) -> bool:
         """Marks a server as down that refused a connection.
@@ -239,9 +300,8 @@
         return True
 
     def _get_rate_limit(self, instance_id: str, born_ms: int) -> float | None:
-        if self.limited != (instance_id, born_ms):
-            return None
-        return self.rate_limit
+        found = find_facts(self.facts, (instance_id, born_ms))
+        return found.rate_limit if found is not None else None
 
     def _set_departed(self, record: InstanceRecord) -> None:
         """Keeps a departure; one without an incarnation can't be told apart."""
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -1,6 +1,7 @@
 """How the nodes of the fleet hear of each other."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -10,6 +11,7 @@
 from vanillamast_sidecar.admission.reason import Reason
 from vanillamast_sidecar.crashes.server_end import ServerEnd
 from vanillamast_sidecar.http.listening import listen
+from vanillamast_sidecar.membership.instance_facts import Facts
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.membership import Membership
@@ -60,6 +62,9 @@
 # A hub is pinged after two missing reports, and hubs of other failure domains
 # after this time without a message.
 HUB_QUIET_S = 0.45
+# A node that is no hub waits up to this time before it tells another one what
+# that one has forgotten: hubs tell it first.
+REMIND_JITTER_S = 2.0
 DOMAIN_HUB_QUIET_S = 1.0
 
 
@@ -86,7 +91,7 @@
       usage: Admits requests of organisations with a usage cap.
       duty: What this node does as a hub.
       hubs: The hubs that this node uses, in the order of their addresses.
-      on_previous_record: Handles a record of this node's previous process.
+      on_facts: Handles what others know of this node's own server.
       on_evidence: Handles evidence on a move, with the sender's address.
       on_versions: Handles the operator state's version that another node
         has: the node, configuration version, offset and era.
@@ -99,6 +104,8 @@
         one.
       limiter: Limits the connections that others open.
       inbound: Connections that other nodes opened.
+      reminders: When to tell nodes what their records lack, in loop time, by
+        address.
       wants_nodes: Whether the list of nodes has not been read yet.
       config_version: Version of the node's configuration, -1 without one.
       operator_offset: Offset up to which the node has read the operator's
@@ -139,9 +146,7 @@
             self.membership, self.links, self.view, self.usage, log, metrics
         )
         self.hubs: list[Peer] = []
-        self.on_previous_record: Callable[[InstanceRecord], None] = lambda _: (
-            None
-        )
+        self.on_facts: Callable[[Facts], None] = lambda _: None
         self.on_evidence: Callable[[str, Evidence], None] = lambda *_: None
         self.on_versions: Callable[[Peer, int, int, int], None] = lambda *_: (
             None
@@ -159,6 +164,7 @@
         self.loop = asyncio.get_running_loop()
         self.limiter = InboundLimiter()
         self.inbound: set[PeerServer] = set()
+        self.reminders: dict[str, float] = {}
         self.wants_nodes = True
         self.config_version = -1
         self.operator_offset = 0
@@ -196,6 +202,7 @@
         instance: InstanceRecord | None,
         stopping: bool,
         serves_while_stopping: bool = False,
+        facts: Facts = (),
     ) -> NodeRecord:
         """Announces a change of this node or its server to all nodes.
 
@@ -209,6 +216,7 @@
             stopping=stopping,
             instance=instance,
             serves_while_stopping=serves_while_stopping,
+            facts=facts,
         )
         self._replace_own(record)
         return record
@@ -269,8 +277,10 @@
         for record in records:
             if record.address == own.address:
                 self._handle_previous_record(record)
-            elif self.membership.apply_record(record, direct=False, now=now):
-                new.append(record)
+                continue
+            peer = self.membership.apply_record(record, direct=False, now=now)
+            if peer is not None:
+                new.append(peer.record)
         return new
 
     def apply_organisations(
@@ -309,8 +319,9 @@
             self._replace_own(
                 msgspec.structs.replace(own, incarnation=record.incarnation + 1)
             )
-        if record.instance is not None:
-            self.on_previous_record(record.instance)
+        facts = record.get_facts()
+        if facts:
+            self.on_facts(facts)
 
     # Periodic maintenance.
 
@@ -330,6 +341,41 @@
             for address in self.monitor.apply_unheard(unheard, now):
                 self.duty.hub.remove(address)
             self._maintain_links(now)
+            self._remind_nodes(now)
+
+    def _remind_nodes(self, now: float) -> None:
+        """Tells nodes what their records lack of what this node knows."""
+        untold = self.membership.untold
+        for address in self.reminders.keys() - untold:
+            del self.reminders[address]
+        for address in list(untold):
+            due = self.reminders.get(address)
+            if due is None:
+                jitter_s = 0.0 if self.is_hub else REMIND_JITTER_S
+                due = now + random.uniform(0.0, jitter_s)
+                self.reminders[address] = due
+            if now >= due:
+                untold.discard(address)
+                record = self.membership.peers[address].record
+                self.log.write("peer.reminded", peer=address)
+                self.send(address, Records([record]))
+
+    def _take_reminders(
+        self, previous: NodeRecord | None, record: NodeRecord
+    ) -> list[NodeRecord]:
+        """Returns what a node that has just connected has to know of itself.
+
+        Args:
+          previous: Record of the node before it connected, None without one.
+          record: Record that it has sent.
+        """
+        if previous is not None and previous.incarnation != record.incarnation:
+            return [previous]
+        address = record.address
+        if address not in self.membership.untold:
+            return []
+        self.membership.untold.discard(address)
+        return [self.membership.peers[address].record]
 
     def _select_hubs(self, now: float) -> None:
         """Chooses the hubs and connects to them."""
@@ -426,7 +472,7 @@
     def _handle_link_message(self, link: PeerLink, message: AnyMessage) -> None:
         peer = self.membership.peers.get(link.address)
         if isinstance(message, Welcome):
-            self._handle_welcome(message)
+            self._handle_welcome(link, message)
             return
         if peer is None or peer.link is not link:
             return
@@ -445,14 +491,19 @@
         elif isinstance(message, OperatorState):
             self.on_operator_state(message)
 
-    def _handle_welcome(self, message: Welcome) -> None:
+    def _handle_welcome(self, link: PeerLink, message: Welcome) -> None:
         now = self.loop.time()
+        known = self.membership.peers.get(message.record.address)
+        previous = known.record if known is not None else None
         peer = self.membership.apply_record(
             message.record, direct=True, now=now
         )
         if peer is not None:
             peer.apply_load_report(message.load, now)
-            self.duty.relay.add([message.record], peer.same_domain)
+            self.duty.relay.add([peer.record], peer.same_domain)
+            reminders = self._take_reminders(previous, message.record)
+            if reminders:
+                link.send(Records(reminders))
         for status in message.move_statuses:
             self.moves.apply_status(status, now)
         self.duty.relay.add(
@@ -629,11 +680,8 @@
         now = self.loop.time()
         address = message.record.address
         known = self.membership.peers.get(address)
+        previous = known.record if known is not None else None
         others: list[NodeRecord] = []
-        if known is not None:
-            previous = known.record
-            if previous.incarnation != message.record.incarnation:
-                others.append(previous)
         if message.wants_nodes:
             others.extend(
                 peer.record
@@ -646,9 +694,10 @@
         if peer is not None:
             peer.last_received_at = now
             peer.next_connect_at = 0.0
-            if known is None or previous != message.record:
-                self._log_record(message.record)
-                self.duty.relay.add([message.record], peer.same_domain)
+            others += self._take_reminders(previous, message.record)
+            if previous != peer.record:
+                self._log_record(peer.record)
+                self.duty.relay.add([peer.record], peer.same_domain)
         self.inbound.add(connection)
         connection.send(
             Welcome(
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -28,9 +28,9 @@
 from vanillamast_sidecar.http.memory_account import MemoryAccount
 from vanillamast_sidecar.http.memory_costs import get_memory_room
 from vanillamast_sidecar.http.memory_pool import MemoryPool
-from vanillamast_sidecar.membership.departure_recorder import DepartureRecorder
+from vanillamast_sidecar.membership.facts_recorder import FactsRecorder
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
-from vanillamast_sidecar.membership.instance_record import InstanceRecord
+from vanillamast_sidecar.membership.instance_facts import Facts
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.membership.node_record_check import find_defect
 from vanillamast_sidecar.membership.record_restorer import RecordRestorer
@@ -107,7 +107,7 @@
       log: Event logger.
       metrics: Metrics.
       registry: State of the local server.
-      departures: Records in the store that the local server leaves.
+      facts_recorder: Records in the store what is certain of the server.
       restorer: Writes the node's record again when the store lost it.
       registered: Whether the store has had the node's record.
       moves: Moves of traffic between server versions.
@@ -149,7 +149,7 @@
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.registry = ServerRegistry(settings.heartbeat_s)
-        self.departures = DepartureRecorder(
+        self.facts_recorder = FactsRecorder(
             store, self._make_stored_record, log
         )
         self.restorer = RecordRestorer(
@@ -189,7 +189,7 @@
             log,
             self.metrics,
         )
-        self.mesh.on_previous_record = self._handle_previous_record
+        self.mesh.on_facts = self._handle_facts
         self.mesh.on_server_end = self._apply_server_end
         self.mesh.refuse_if_busy = self.executor.refuse_if_busy
         self.gateway = Gateway(
@@ -420,8 +420,8 @@
         )
         return True
 
-    def _handle_previous_record(self, record: InstanceRecord) -> None:
-        if self.registry.apply_peer_record(record):
+    def _handle_facts(self, facts: Facts) -> None:
+        if self.registry.apply_facts(facts):
             self._handle_server_change("remembered_by_peer")
 
     def _handle_server_change(self, cause: str) -> None:
@@ -429,7 +429,9 @@
         self.registry.refresh_cold_time(self.loop.time())
         current = self.registry.current
         self._announce()
-        self._record_departure()
+        if self.nodes_known:
+            # The list of nodes tells which facts the store has.
+            self.facts_recorder.start(self.registry.facts)
         self.log.write(
             "server.changed",
             cause=cause,
@@ -443,14 +445,16 @@
             rate_limit=current.rate_limit if current is not None else None,
         )
 
-    def _record_departure(self) -> None:
-        if self.registry.departed is not None:
-            self.departures.start(self.registry.departed)
+    def _make_stored_record(self) -> NodeRecord:
+        """Returns this node's record as the store has to have it.
 
-    def _make_stored_record(self, departed: InstanceRecord) -> NodeRecord:
-        """Returns this node's record in the store after a departure."""
+        Nodes of older builds read the last departure in its server.
+        """
+        own = self.mesh.membership.own.record
         return msgspec.structs.replace(
-            self.mesh.membership.own.record, instance=departed
+            own,
+            instance=self.registry.departed or own.instance,
+            facts=self.registry.facts,
         )
 
     def _handle_client_limit(
@@ -488,8 +492,8 @@
         else:
             self._handle_heartbeat(call, arrived)
         if isinstance(call, Deregistration) or call.draining:
-            self._record_departure()
-            await self.departures.wait(DEPARTURE_WAIT_S)
+            self.facts_recorder.start(self.registry.facts)
+            await self.facts_recorder.wait(DEPARTURE_WAIT_S)
         return HttpResponse(OK, [(b"Content-Type", b"application/json")], b"{}")
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, arrived: float) -> None:
@@ -541,7 +545,9 @@
                     records = await self._register(records)
                     self.registered = True
                 self.nodes_known = True
+                self._note_recorded_facts(records)
                 self.mesh.apply_listed_nodes(records)
+                self.facts_recorder.start(self.registry.facts)
                 self.log.write("nodes.read", count=len(records))
             except StoreError as error:
                 self.log.write("nodes.not_read", error=str(error))
@@ -572,22 +578,26 @@
             return records
         return await self._list_nodes()
 
+    def _note_recorded_facts(self, records: list[NodeRecord]) -> None:
+        """Notes which facts the store has on this node's server."""
+        own = self.mesh.membership.own.record.address
+        for record in records:
+            if record.address == own:
+                self.facts_recorder.recorded = record.get_facts()
+
     async def _write_own_record(self) -> None:
-        """Writes this node's record, with its last departure if any.
+        """Writes this node's record, with what is certain of its server.
 
         Raises:
           StoreError: The record could not be written.
         """
         while True:
-            departed = self.registry.departed
-            await self.store.put_node(
-                self.mesh.membership.own.record
-                if departed is None
-                else self._make_stored_record(departed)
-            )
-            if self.registry.departed == departed:
+            record = self._make_stored_record()
+            await self.store.put_node(record)
+            self.facts_recorder.recorded = record.facts
+            if self.registry.facts == record.facts:
                 return
-            # The record of a departure may have been replaced by this one.
+            # A record with newer facts may have been replaced by this one.
 
     def _choose_restore_delay(self) -> float:
         return choose_restore_delay(
@@ -600,8 +610,10 @@
         """Restores what this node had stored before the store returned."""
         self.metrics.set("store_era", era)
         self.log.write("store.era", era=era)
-        if self.registered or self.departures.recorded is not None:
+        if self.registered or self.facts_recorder.recorded:
             self.restorer.requested.set()
+        # The copy may lack them.
+        self.facts_recorder.recorded = ()
 
     async def _list_nodes(self) -> list[NodeRecord]:
         """Returns the records in the store that may name a node.
@@ -718,7 +730,10 @@
         """Announces the state of this node and its server."""
         try:
             self.mesh.announce(
-                self.registry.current, self.stopping, self.serves_while_stopping
+                self.registry.current,
+                self.stopping,
+                self.serves_while_stopping,
+                self.registry.facts,
             )
         except FrameError as error:
             # Requests in progress and a planned stop go on without it.
--- a/tests/platform_path/test_departures.py
+++ b/tests/platform_path/test_departures.py
@@ -114,3 +114,100 @@
         await leaving.heartbeat()
         assert await send_to_all(fleet) <= {200, 503}
         assert leaving.arrivals == []
+
+
+@pytest.mark.parametrize("connects", ["other", "restarted"])
+class TestRestartInOutage:
+    """A node ends while the store is away; another one remembers."""
+
+    async def restart(self, fleet, connects):
+        """Kills the first node; it restarts without the store's list.
+
+        The other node connects to it, or hears of it first from the store.
+        """
+        machine = fleet.machines["m1"]
+        await machine.process.kill()
+        if connects == "restarted":
+            # It reads the list once, and is the first one to connect.
+            fleet.store.failure_mode = ""
+        await machine.process.start()
+        if connects == "restarted":
+            await fleet.wait_until_ready()
+        else:
+            await asyncio.sleep(2.0)
+
+    async def test_a_departure_binds(self, fleet, connects):
+        """Guards against a server that left in an outage, in use again."""
+        leaving = fleet.backends["m1"]
+        leaving.heartbeat_task.cancel()
+        fleet.store.failure_mode = "unavailable"
+        assert await leaving.deregister()
+        await self.restart(fleet, connects)
+        leaving.arrivals.clear()
+        await leaving.heartbeat()
+        fleet.store.failure_mode = ""
+        await asyncio.sleep(1.0)
+        assert await send_to_all(fleet) <= {200, 503}
+        assert leaving.arrivals == []
+
+    async def test_the_store_has_it_afterwards(self, fleet, connects):
+        """Guards against a departure that the next kill of all forgets."""
+        leaving = fleet.backends["m1"]
+        leaving.heartbeat_task.cancel()
+        fleet.store.failure_mode = "unavailable"
+        assert await leaving.deregister()
+        await self.restart(fleet, connects)
+        fleet.store.failure_mode = ""
+
+        async def recorded():
+            stored = fleet.store.partition("keyed.vanillamast-nodes", 0).newest
+            return any(
+                leaving.id.encode() in value for value, _ in stored.values()
+            )
+
+        await until(recorded)
+        await fleet.wait_until_ready()
+        await kill_all(fleet)
+        leaving.arrivals.clear()
+        await leaving.heartbeat()
+        assert await send_to_all(fleet) <= {200, 503}
+        assert leaving.arrivals == []
+
+    async def test_a_rate_limit_binds(self, fleet, connects):
+        """Guards against a limit that a restart in an outage lifts."""
+        limited = fleet.backends["m1"]
+        limited.rate_limit = 1.0
+        await send_to_all(fleet, 2)
+        fleet.store.failure_mode = "unavailable"
+        await self.restart(fleet, connects)
+        fleet.store.failure_mode = ""
+
+        async def restored():
+            line = fleet.last_log_line("m1", "server.changed")
+            return line is not None and line["rate_limit"] == 1.0
+
+        await until(restored)
+
+
+class TestReplacedServer:
+    """The next server of a machine is used, whatever the last one said."""
+
+    async def test_it_is_used_after_a_restart_in_an_outage(self, fleet):
+        """Guards against a machine that an old departure keeps out of use."""
+        backend = fleet.backends["m1"]
+        backend.heartbeat_task.cancel()
+        fleet.store.failure_mode = "unavailable"
+        assert await backend.deregister()
+        await fleet.machines["m1"].process.kill()
+        await fleet.machines["m1"].process.start()
+        backend.born_ms += 1
+        fleet.store.failure_mode = ""
+        await fleet.wait_until_ready()
+        await backend.heartbeat()
+        backend.arrivals.clear()
+
+        async def used():
+            await send_to_all(fleet, 2)
+            return bool(backend.arrivals)
+
+        await until(used)
--- a/tests/sidecar/membership/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -2,8 +2,9 @@
 
 import msgspec
 import pytest
+from vanillamast_sidecar.membership.instance_facts import MAX_FACTS
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
-from vanillamast_sidecar.membership.membership import MAX_LEAVING, Membership
+from vanillamast_sidecar.membership.membership import MAX_NODES, Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
@@ -102,7 +103,34 @@
 
     def test_memory_is_bounded(self, membership):
         """Guards against a set that grows with each release for ever."""
-        for born_ms in range(2, 2 * MAX_LEAVING):
+        for born_ms in range(2, 2 * MAX_NODES):
             record = node(server(born_ms, leaving=True), 1, born_ms)
             membership.apply_record(record, True, 0.0)
-        assert len(membership.leaving) == MAX_LEAVING
+        assert len(membership.facts[ADDRESS]) == MAX_FACTS
+
+    def test_memory_of_removed_nodes_is_bounded(self, membership):
+        """Guards against nodes that are gone but remembered for ever."""
+        record = node(server(leaving=True))
+        for number in range(2 * MAX_NODES):
+            other = msgspec.structs.replace(record, address=f"h{number}:1")
+            membership.apply_record(other, True, 0.0)
+            membership.remove(other.address)
+        assert len(membership.facts) <= MAX_NODES
+
+    def test_an_older_record_still_has_its_facts(self, membership):
+        """Guards against a departure that arrives after a newer record."""
+        membership.apply_record(node(server(), 2, 0), True, 0.0)
+        late = node(server(leaving=True), 1, 5)
+        assert membership.apply_record(late, False, 0.0) is not None
+        assert not self.is_usable(membership)
+        assert membership.peers[ADDRESS].record.incarnation == 2
+        assert membership.apply_record(late, False, 0.0) is None
+
+    def test_a_node_that_has_forgotten_is_noted(self, membership):
+        """Guards against a node that no one tells what it has said before."""
+        membership.apply_record(node(server(leaving=True), 1, 1), True, 0.0)
+        assert membership.untold == set()
+        membership.apply_record(node(server(), 2, 0), False, 0.0)
+        assert membership.untold == {ADDRESS}
+        membership.apply_record(node(server(leaving=True), 2, 1), False, 0.0)
+        assert membership.untold == set()
--- a/tests/sidecar/membership/test_server_registry.py
+++ b/tests/sidecar/membership/test_server_registry.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
+from vanillamast_sidecar.membership.instance_facts import merge_facts
 from vanillamast_sidecar.membership.server_registry import ServerRegistry
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
@@ -99,7 +100,7 @@
         before = ServerRegistry(1.5)
         before.handle_heartbeat(make_heartbeat(4, draining=True), 0.0)
         after = ServerRegistry(1.5)
-        after.apply_peer_record(before.current)
+        after.apply_facts(before.facts)
         after.handle_heartbeat(make_heartbeat(3), 1.0)
         assert after.current.leaving
 
@@ -150,7 +151,7 @@
         before = self.registry()
         before.apply_rate_limit("i-1", 100, 20.0)
         after = ServerRegistry(1.5)
-        after.apply_peer_record(before.current)
+        after.apply_facts(before.facts)
         after.handle_heartbeat(make_heartbeat(3), 1.0)
         assert after.current.rate_limit == 20.0
 
@@ -160,8 +161,10 @@
         before.apply_rate_limit("i-1", 100, 20.0)
         after = self.registry()
         after.apply_rate_limit("i-1", 100, None)
-        assert not after.apply_peer_record(before.current)
+        after.apply_facts(before.facts)
         assert after.current.rate_limit is None
+        # The other nodes learn that it is the newer one.
+        assert merge_facts(before.facts, after.facts) == after.facts
 
 
 class TestColdTime:
--- a/tests/sidecar/test_node_tasks.py
+++ b/tests/sidecar/test_node_tasks.py
@@ -57,7 +57,7 @@
         node.log = SimpleNamespace(
             write=lambda kind, **fields: lines.append(kind)
         )
-        node.registry = SimpleNamespace(current=None)
+        node.registry = SimpleNamespace(current=None, facts=())
         node.stopping = node.serves_while_stopping = False
 
         def announce(*_):
