Let the next nodes read the store before all others do

Cause: a node without a known reader read at once, whatever its rank.

Change: without a reader, the next two nodes by address read at once, the two after them once these have not had the store, and all others after 0.6 s.

Evidence: test_store_reader_policy.py, two new tests; the first one failed before.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store_reader_policy.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store_reader_policy.py
@@ -1,5 +1,7 @@
 """Decides which nodes read the operator's stream from the store."""
 
+import math
+
 from vanillamast_sidecar.membership.membership import Membership
 from vanillamast_sidecar.membership.peer import Peer
 
@@ -15,23 +17,29 @@
 # the list of nodes, to connect, and to get a report and the state. The first
 # nodes of the list may be gone, and callers wait.
 START_WAIT_S = 0.5
+# The first nodes without a reader get this long to read the store before all
+# others read as well: on slow links, reads of many nodes delay each other.
+TAKEOVER_S = 0.6
 
 
 class StoreReaderPolicy:
     """Ranks the nodes of the failure domain by address.
 
     The first ones read the store. A node that knows of no reader with a
-    working connection to the store reads as well, whatever its rank, unless
-    it has just started: then it first waits for the readers' state.
+    working connection to the store for a while reads as well, whatever its
+    rank; if it has just started, it first waits for the readers' state.
 
     Attributes:
       membership: Nodes.
       started_at: When this node started, in loop time.
+      reader_seen_at: When it last knew of another reader with a working
+        connection to the store, in loop time.
     """
 
     def __init__(self, membership: Membership, started_at: float):
         self.membership = membership
         self.started_at = started_at
+        self.reader_seen_at = -math.inf
 
     def must_read(self, now: float, nodes_known: bool) -> bool:
         """Returns whether this node has to read the store itself.
@@ -47,7 +55,9 @@
         ]
         if now - self.started_at < START_WAIT_S:
             return nodes_known and self._is_among_first(candidates, now)
-        if not any(_is_active_reader(peer, now) for peer in candidates):
+        if any(_is_active_reader(peer, now) for peer in candidates):
+            self.reader_seen_at = now
+        elif now - self.reader_seen_at >= TAKEOVER_S:
             return True
         return self._is_among_first(candidates, now)
 
--- a/tests/sidecar/operator_state/test_store_reader_policy.py
+++ b/tests/sidecar/operator_state/test_store_reader_policy.py
@@ -9,6 +9,7 @@
     READER_FRESHNESS_S,
     READERS_PER_DOMAIN,
     START_WAIT_S,
+    TAKEOVER_S,
     StoreReaderPolicy,
 )
 
@@ -64,6 +65,30 @@
         """Guards against a domain in which all nodes wait for one another."""
         assert Fleet(HOSTS[4]).must_read()
 
+    def test_a_loss_of_all_readers_does_not_make_all_nodes_read(self):
+        """Guards against reads of many nodes that delay each other."""
+        fleet = Fleet(HOSTS[4])
+        policy = StoreReaderPolicy(fleet.membership, 0.0)
+        for host in HOSTS[:READERS_PER_DOMAIN]:
+            fleet.set_reader(host, 0.1)
+        assert not policy.must_read(NOW, True)
+        for host in HOSTS[:READERS_PER_DOMAIN]:
+            fleet.set_reader(host, READER_FRESHNESS_S + 0.1)
+        assert not policy.must_read(NOW + 0.1, True)
+        # None of the nodes before it has taken over.
+        assert policy.must_read(NOW + TAKEOVER_S + 0.01, True)
+
+    def test_the_next_nodes_read_at_once(self):
+        """Guards against a domain without readers for longer than needed."""
+        fleet = Fleet(HOSTS[2])
+        policy = StoreReaderPolicy(fleet.membership, 0.0)
+        for host in HOSTS[:READERS_PER_DOMAIN]:
+            fleet.set_reader(host, 0.1)
+        assert not policy.must_read(NOW, True)
+        for host in HOSTS[:READERS_PER_DOMAIN]:
+            fleet.set_reader(host, READER_FRESHNESS_S + 0.1)
+        assert policy.must_read(NOW + 0.1, True)
+
     def test_readers_that_lost_the_store_do_not_count(self):
         """Guards against nodes that rely on a reader without a connection."""
         fleet = Fleet(HOSTS[4])
