Parse responses a few kilobytes at a time

What callers saw: nothing yet; with memory_mb 80 the node beside a server that sends header or trailer lines without end would be ended by the platform, with all requests of its machine.

Cause: the limits on a response were checked after each read of the socket, up to 256 KB, and the parser had made objects of every line in it by then, some 60 times their bytes.

Change: the parser gets 4 KB at a time, as for requests, and the limits are checked in between. What follows a complete response closes the connection, as before.

--- a/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
+++ b/packages/sidecar/src/vanillamast_sidecar/http/client_connection.py
@@ -29,6 +29,8 @@
 MIN_STATUS = 100
 MAX_STATUS = 599
 SWITCHING_PROTOCOLS = 101
+# The parser makes objects of all header lines that it gets at once.
+PARSED_BYTES = 4096
 NO_LINGER = struct.pack("ii", 1, 0)  # Makes close() send a reset.
 
 
@@ -254,6 +256,17 @@
             self.close()
             return
         self._count_received(len(data))
+        view = memoryview(data)
+        for start in range(0, len(data), PARSED_BYTES):
+            self._parse(view[start : start + PARSED_BYTES])
+            if waiter.done() or self.transport is None:
+                # A response has ended; more bytes belong to no request.
+                if start + PARSED_BYTES < len(data):
+                    self.close()
+                return
+
+    def _parse(self, data: memoryview) -> None:
+        """Passes a few bytes to the parser and checks the limits."""
         body_bytes = self._body_bytes
         in_body = self._in_body
         try:
