Take memory for a reply of another node before it is read

What callers saw: nothing yet; a node that was sent requests and answered with frames of 40 or 90 MB took its caller's node to 260 and 559 MB (80 allowed).

Cause: a frame of up to 96 MB was buffered for each connection that a node had opened. The memory account only counted what was there already.

Change: a reply of more than 64 KB needs room in the callers' account, twice its size, before it is read. Without it the call fails and the bytes are skipped; a reply to no call is skipped; calls are not taken on such connections.

--- a/packages/sidecar/src/vanillamast_sidecar/mesh/peer_link.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/peer_link.py
@@ -17,8 +17,14 @@
 from vanillamast_sidecar.http.memory_account import MemoryAccount
 from vanillamast_sidecar.http.transport_writer import TransportWriter
 from vanillamast_sidecar.membership.load_report import LoadReport
-from vanillamast_sidecar.mesh.frame_codec import FrameCodec
+from vanillamast_sidecar.mesh.frame_codec import (
+    LONG_TAGS,
+    MAX_FRAME_BYTES,
+    FrameCodec,
+)
+from vanillamast_sidecar.mesh.frame_gate import CallSize
 from vanillamast_sidecar.mesh.messages import (
+    REPLY_TAG,
     AnyMessage,
     Call,
     Cancel,
@@ -32,6 +38,8 @@
 
 CONNECT_TIMEOUT_S = 0.6  # Above two round trips between failure domains.
 NO_LOAD = LoadReport(0, 0, 0.0, 0.0)
+# How often the bytes of a reply are held: in the received frame and decoded.
+REPLY_COPIES = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,7 +112,7 @@
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.writer = TransportWriter()
-        self.codec = FrameCodec()
+        self.codec = FrameCodec(MAX_FRAME_BYTES, self)
         self.welcomed = False
         self.pending: dict[int, PendingCall] = {}
         self.last_received_at = 0.0
@@ -113,6 +121,8 @@
         self.closed_as_idle = False
         self.account = account or MemoryAccount(sys.maxsize)
         self.charged = 0
+        # What has been charged for the reply being received.
+        self._reply_charge = 0
         self.next_id = 0
         self._welcome_received: asyncio.Future[None] = self.loop.create_future()
 
@@ -156,10 +166,35 @@
 
     def _charge_buffers(self) -> None:
         """Charges unfinished frames and bytes that the node does not take."""
-        size = self.writer.get_backlog() + len(self.codec.buffer)
+        size = self.writer.get_backlog() + self._reply_charge
+        if not self._reply_charge:
+            size += len(self.codec.buffer)
         self.account.charge(size - self.charged)
         self.charged = size
 
+    # Memory.
+
+    def admit_frame(self, tag: int, call_id: int, length: int) -> bool:
+        """Takes memory for a long reply; fails its call without enough."""
+        if tag != REPLY_TAG:
+            # Nodes send no calls on connections that others opened.
+            return tag not in LONG_TAGS
+        pending = self.pending.get(call_id)
+        if pending is None:
+            return False
+        size = length * REPLY_COPIES
+        if self.account.try_charge(size, self.charged):
+            self.charged += size
+            self._reply_charge = size
+            return True
+        pending.fail(call_id, Outcome.UNKNOWN, Reason.TOO_LARGE)
+        return False
+
+    def admit_call(self, size: CallSize) -> bool:
+        """Returns False: nodes send no calls on connections of others."""
+        del size
+        return False
+
     async def send_call(
         self,
         make_call: Callable[[int, Body], Call],
@@ -263,6 +298,7 @@
 
     def _handle_message(self, message: AnyMessage) -> None:
         if isinstance(message, Reply):
+            self._reply_charge = 0
             pending = self.pending.get(message.id)
             if pending is not None and not pending.future.done():
                 pending.future.set_result(message)
@@ -288,7 +324,7 @@
         self.transport = None
         self.writer.close()
         self.account.release(self.charged)
-        self.charged = 0
+        self.charged = self._reply_charge = 0
         self.codec.buffer = bytearray()
         if not self._welcome_received.done():
             self._welcome_received.set_exception(ConnectionResetError())
--- a/tests/platform_path/test_endless_answers.py
+++ b/tests/platform_path/test_endless_answers.py
@@ -13,6 +13,8 @@
 
 from tests.platform_path.endless_answers import (
     FLOODS,
+    NODE_FLOODS,
+    FloodNode,
     FloodServer,
     FloodStore,
 )
@@ -31,6 +33,7 @@
 CLIENTS = 60
 HOLD_S = 2.0
 TIMEOUT_S = 10.0
+FLOOD_NODES = 6
 STORE_PORT = 18499
 FINISHED_GET = START + b"\r\n"
 
@@ -128,3 +131,32 @@
         finally:
             store.close()
         check(platform, kind)
+
+
+class TestNodeAnswers:
+    """Faulty nodes that are sent requests."""
+
+    @pytest.mark.parametrize("kind", NODE_FLOODS)
+    async def test_nodes_stay_within_their_limits(self, platform, kind):
+        """Guards against a reply that takes the memory of its receiver."""
+        floods = []
+        for number in range(FLOOD_NODES):
+            node = FloodNode(
+                f"127.57.200.{number + 1}", 7000, "browse", *NODE_FLOODS[kind]
+            )
+            host, _, port = node.record.address.rpartition(":")
+            await node.start(host, int(port))
+            await node.announce(platform.store)
+            floods.append(node)
+        try:
+            machine = await add_small_machine(platform, 0, "other")
+            await platform.wait_until_ready()
+            await play_at([machine])
+        finally:
+            for node in floods:
+                node.close()
+        server = await add_small_machine(platform, 0, "browse")
+        await platform.wait_until_ready()
+        await wait_for_answer(machine)
+        check(platform, kind)
+        del server
