Give up a list of the store that has no end

What callers saw: nothing; found by reading beside the tests of endless answers.

Cause: pages of the newest records were read while the store said that there were more.

Evidence: test_log_store.py::test_a_list_without_end_is_given_up hung before.

--- a/tests/platform_adapter/test_log_store.py
+++ b/tests/platform_adapter/test_log_store.py
@@ -10,7 +10,11 @@
     encode_keyed_record,
     parse_read_answer,
 )
-from vanillamast_platform.log_store import MAX_EARLIER_CALLS, LogStore
+from vanillamast_platform.log_store import (
+    MAX_EARLIER_CALLS,
+    MAX_PAGES,
+    LogStore,
+)
 from vanillamast_platform.store_settings import StoreSettings
 from vanillamast_sidecar.errors import (
     StoreConflictError,
@@ -228,3 +232,15 @@
         body = bytes(16) + encode_keyed_record("config", b"value")
         with pytest.raises(ValueError):
             parse_read_answer(body[:cut])
+
+    async def test_a_list_without_end_is_given_up(self, store):
+        """Guards against pages that a faulty store sends for ever."""
+        page = {
+            "items": [{"key": "k", "value": "", "offset": 0}],
+            "more": True,
+            "end_offset": 1,
+        }
+        store.client.call = AsyncMock(return_value=json.dumps(page).encode())
+        with pytest.raises(StoreUnknownOutcomeError):
+            await store.list_nodes()
+        assert store.client.call.await_count == MAX_PAGES
