--- a/packages/node/src/vanillamast_node/platform_errors.py
+++ b/packages/node/src/vanillamast_node/platform_errors.py
@@ -13,3 +13,7 @@
 
 class PlatformBusyError(PlatformError):
     """The log refused a call because of its rate limit (status 429)."""
+
+
+class PlatformResponseTooLongError(PlatformUnavailableError):
+    """The platform's response exceeds the limit."""
--- a/tests/node/proxy/test_untrusted_clients.py
+++ b/tests/node/proxy/test_untrusted_clients.py
@@ -38,11 +38,13 @@
 
     Attributes:
       ports: Ports of its listeners.
+      log_port: Port of the platform's log.
       process: Its process.
     """
 
     def __init__(self, folder):
         self.ports = {name: free_port() for name in LISTENERS}
+        self.log_port = free_port()
         path = folder / "node.yaml"
         path.write_text(
             yaml.safe_dump(
@@ -55,7 +57,7 @@
                         name: f"{HOST}:{port}"
                         for name, port in self.ports.items()
                     },
-                    "platform": {"log_url": f"http://{HOST}:{free_port()}"},
+                    "platform": {"log_url": f"http://{HOST}:{self.log_port}"},
                     "log": {"path": str(folder / "log.jsonl")},
                 }
             )
