Remind only nodes that are known

What callers saw: nothing; found when reading the change of the merged facts.

Cause: a response that says that its server leaves may arrive after its node was removed. The node was then noted as one to remind, and the maintenance task of the mesh would end with a KeyError and be started again.

Evidence: test_membership.py::test_a_response_of_a_removed_node_is_no_reminder failed before.

--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -161,7 +161,7 @@
 
     def _note_untold(self, address: str, untold: bool) -> None:
         """Notes whether a node has to be told what it does not state."""
-        if untold:
+        if untold and address in self.peers:
             self.untold.add(address)
         else:
             self.untold.discard(address)
--- a/tests/sidecar/membership/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -126,6 +126,15 @@
         assert membership.peers[ADDRESS].record.incarnation == 2
         assert membership.apply_record(late, False, 0.0) is None
 
+    def test_a_response_of_a_removed_node_is_no_reminder(self, membership):
+        """Guards against a task that ends as it reminds an unknown node."""
+        peer = membership.peers[ADDRESS]
+        membership.remove(ADDRESS)
+        membership.mark_leaving(peer, peer.record.instance)
+        assert membership.untold == set()
+        membership.apply_record(node(server(), 2, 0), True, 0.0)
+        assert not self.is_usable(membership)
+
     def test_a_node_that_has_forgotten_is_noted(self, membership):
         """Guards against a node that no one tells what it has said before."""
         membership.apply_record(node(server(leaving=True), 1, 1), True, 0.0)
