Forget facts on unknown nodes first

What callers saw: nothing; found when reading the change of the merged facts.

Cause: facts are bounded to 4,096 addresses, the oldest dropped first. Whoever connects may name that many addresses, and a known node whose record had not changed for a while lost its facts.

Change: facts on nodes that are not known go first.

Evidence: test_membership.py::test_strangers_displace_no_facts_of_known_nodes failed before.

--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -143,9 +143,15 @@
         if merged:
             self.facts[address] = merged
             if len(self.facts) > MAX_NODES:
-                del self.facts[next(iter(self.facts))]
+                self._forget_oldest()
         return merged
 
+    def _forget_oldest(self) -> None:
+        """Drops facts, first those on nodes that are not known."""
+        oldest = next(iter(self.facts))
+        unknown = (name for name in self.facts if name not in self.peers)
+        del self.facts[next(unknown, oldest)]
+
     def _add_facts(self, peer: Peer, facts: Facts) -> Peer | None:
         """Adds facts to a node's record; returns it if they were new.
 
--- a/tests/sidecar/membership/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -117,6 +117,16 @@
             membership.remove(other.address)
         assert len(membership.facts) <= MAX_NODES
 
+    def test_strangers_displace_no_facts_of_known_nodes(self, membership):
+        """Guards against many names that make a node forget a departure."""
+        membership.apply_record(node(server(leaving=True), 1, 1), True, 0.0)
+        record = node(server(leaving=True))
+        for number in range(2 * MAX_NODES):
+            other = msgspec.structs.replace(record, address=f"h{number}:1")
+            membership.apply_record(other, True, 0.0)
+            membership.remove(other.address)
+        assert ADDRESS in membership.facts
+
     def test_an_older_record_still_has_its_facts(self, membership):
         """Guards against a departure that arrives after a newer record."""
         membership.apply_record(node(server(), 2, 0), True, 0.0)
