Keep a reader fresh while a change arrives

Cause: no probe is sent while a response of the store arrives, and the contact that other nodes go by grew old meanwhile.

Change: a response that arrives refreshes the contact of a reader that was up to date.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -69,7 +69,6 @@
       connected: Whether the store answered the last call.
       up_to_date: Whether the last read reached the end of the stream. Other
         nodes do not rely on this one while it is False.
-      noticed_at: When the last read found changes, in loop time.
       reader_policy: Decides whether this node reads the store.
       read_task: Task that reads the store, None while only other nodes do.
       fetch_at: When to fetch newer state from a peer, in loop time; 0 if no
@@ -92,7 +91,6 @@
         self.loop = asyncio.get_running_loop()
         self.connected = False
         self.up_to_date = False
-        self.noticed_at = 0.0
         self.reader_policy = StoreReaderPolicy(
             mesh.membership, self.loop.time()
         )
@@ -168,8 +166,7 @@
                 self._set_connected(True, "")
                 self.fetch_at = 0.0
                 if changed:
-                    next_read_at = self.noticed_at + COALESCE_DELAY_S
-                    await asyncio.sleep(next_read_at - self.loop.time())
+                    await asyncio.sleep(COALESCE_DELAY_S)
             except StoreEraError as error:
                 # The next read is one of the whole state, unless the answer
                 # was late and of an earlier era.
@@ -204,7 +201,6 @@
             # A long poll does not tell that there is nothing to read.
             wait_s = LONG_POLL_S if self.up_to_date else 0.0
             update = await self.store.poll_operator(state.offset, wait_s)
-            self.noticed_at = self.loop.time()
             if not update.is_partial:
                 return update
             self.up_to_date = False
@@ -214,8 +210,8 @@
                 offset=state.offset,
                 end_offset=update.end_offset,
             )
-        else:
-            self.noticed_at = self.loop.time()
+            # As with the records between, the other nodes know of new moves.
+            return await self.store.read_operator_state()
         return await self._read_whole_state()
 
     async def _read_whole_state(self) -> OperatorUpdate:
@@ -247,8 +243,11 @@
         """Aborts long polls on connections that no longer work."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            if not self.connected or self.store.receiving:
+            if not self.connected:
+                continue
+            if self.store.receiving:
                 # On a slow link, a probe would wait behind the response.
+                self._set_connected(True, "")
                 continue
             try:
                 await self.store.probe()
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -267,6 +267,20 @@
         reader._set_connected(True, "")
         assert reader.mesh.store_contact_at == known_at
 
+    async def test_a_reader_counts_while_a_change_arrives(self, reader):
+        """Guards against takeovers at each change on a slow link."""
+        reader.store.receiving = True
+        begun_at = reader.mesh.store_contact_at
+        await asyncio.sleep(2 * PROBE_INTERVAL_S)
+        # It has not read anything yet.
+        assert reader.mesh.store_contact_at == begun_at
+        reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
+        await self.wait_for_read(reader)
+        read_at = reader.mesh.store_contact_at
+        async with asyncio.timeout(10.0):
+            while reader.mesh.store_contact_at == read_at:
+                await asyncio.sleep(0.01)
+
     async def test_a_response_that_arrives_is_no_lost_store(self, reader):
         """Guards against long responses that a probe behind them ends."""
         reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
