Test the memory of replies without processes

Cause: the refusal of a reply without room was shown with whole processes only.

Change: two tests of one link: the call of such a reply fails as one that may have run, a later one is answered, and the account is empty afterwards, also after a lost connection.

--- a/tests/sidecar/mesh/test_peer_memory.py
+++ b/tests/sidecar/mesh/test_peer_memory.py
@@ -16,7 +16,13 @@
 from vanillamast_sidecar.membership.load_report import LoadReport
 from vanillamast_sidecar.membership.node_record import NodeRecord
 from vanillamast_sidecar.mesh.inbound_limiter import InboundLimiter
-from vanillamast_sidecar.mesh.messages import Call, Hello, Ping, Welcome
+from vanillamast_sidecar.mesh.messages import (
+    REPLY_TAG,
+    Call,
+    Hello,
+    Ping,
+    Welcome,
+)
 from vanillamast_sidecar.mesh.peer_link import PeerLink
 from vanillamast_sidecar.mesh.peer_server import PeerServer
 
@@ -264,3 +270,35 @@
         assert 0 < answered < 100
         link.send(Ping())
         await until(lambda: not link.ping_sent_at)
+
+
+class TestReplies:
+    """Memory for replies at the node that sent the calls."""
+
+    async def test_a_reply_without_room_fails_its_call_only(self, fleet):
+        """Guards against a reply that is kept whatever memory there is."""
+        link = await fleet.connect()
+        link.account = MemoryAccount(300_000)
+        fleet.answer = bytes(1_000_000)
+        reply = await send(link, b"r")
+        assert reply.outcome is Outcome.UNKNOWN
+        assert reply.reason is Reason.TOO_LARGE
+        fleet.answer = bytes(100_000)
+        reply = await send(link, b"s")
+        assert reply.outcome is Outcome.ANSWERED
+        assert reply.body == fleet.answer
+        await until(lambda: link.account.used == 0)
+
+    async def test_a_lost_connection_frees_its_reply(self, fleet):
+        """Guards against memory that is never returned."""
+        link = await fleet.connect()
+        link.account = MemoryAccount(ROOM)
+        assert link.admit_frame(REPLY_TAG, 1, 500_000) is False
+        call = asyncio.ensure_future(send(link, b"r"))
+        await until(lambda: link.pending)
+        (number,) = link.pending
+        assert link.admit_frame(REPLY_TAG, number, 500_000)
+        assert link.account.used >= 500_000
+        link.close()
+        await call
+        assert link.account.used == 0
