Spread the writes of rate limits over a fleet

What callers saw: nothing; found when the change was read again.

Cause: each node wrote a changed rate limit to the store after 2 s. If the servers of the design target (1,200 nodes) change theirs at once, that is 1,200 writes within a moment, of 400 a second.

Change: a random delay by the number of nodes comes on top, the one that spreads records after a return of the store: up to 6 s there. Departures do not wait.

Evidence: test_facts_recorder.py::test_writes_of_a_fleet_are_spread.

--- a/packages/sidecar/src/vanillamast_sidecar/membership/facts_recorder.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/facts_recorder.py
@@ -12,8 +12,8 @@
 
 FIRST_RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 4.0
-# Changes of a rate limit within this time are written together: unlike a
-# departure, no one waits for them.
+# Changes of a rate limit within this time and the chosen delay are written
+# together: unlike a departure, no one waits for them.
 LIMIT_DELAY_S = 2.0
 
 
@@ -26,6 +26,8 @@
     Attributes:
       store: The store.
       make_record: Returns the node's record as the store has to have it.
+      choose_delay: Returns a delay that spreads the writes of a fleet, in
+        seconds.
       log: Event logger.
       recorded: Facts in the store's record.
       pending: Facts that are being written, None without any.
@@ -35,10 +37,12 @@
         self,
         store: Store,
         make_record: Callable[[], NodeRecord],
+        choose_delay: Callable[[], float],
         log: EventLogger,
     ):
         self.store = store
         self.make_record = make_record
+        self.choose_delay = choose_delay
         self.log = log
         self.recorded: Facts = ()
         self.pending: Facts | None = None
@@ -71,7 +75,7 @@
 
     async def _write(self) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LIMIT_DELAY_S):
+            async with asyncio.timeout(LIMIT_DELAY_S + self.choose_delay()):
                 await self._urgent.wait()
         delay_s = FIRST_RETRY_DELAY_S
         while self.pending is not None:
--- a/packages/sidecar/src/vanillamast_sidecar/node.py
+++ b/packages/sidecar/src/vanillamast_sidecar/node.py
@@ -150,10 +150,10 @@
         self.metrics = Metrics()
         self.registry = ServerRegistry(settings.heartbeat_s)
         self.facts_recorder = FactsRecorder(
-            store, self._make_stored_record, log
+            store, self._make_stored_record, self._choose_write_delay, log
         )
         self.restorer = RecordRestorer(
-            self._write_own_record, self._choose_restore_delay, log
+            self._write_own_record, self._choose_write_delay, log
         )
         self.registered = False
         store.on_era = self._handle_store_era
@@ -599,7 +599,7 @@
                 return
             # A record with newer facts may have been replaced by this one.
 
-    def _choose_restore_delay(self) -> float:
+    def _choose_write_delay(self) -> float:
         return choose_restore_delay(
             len(self.mesh.membership.peers),
             self.settings.store_writes_per_s,
--- a/tests/sidecar/membership/test_facts_recorder.py
+++ b/tests/sidecar/membership/test_facts_recorder.py
@@ -25,6 +25,7 @@
 
     Attributes:
       known: Those facts.
+      delay_s: Delay that spreads the writes of a fleet.
     """
 
     def __init__(self, store):
@@ -34,9 +35,11 @@
             lambda: NodeRecord(
                 "10.0.0.1:1", "a", 5, 0, False, None, facts=self.known
             ),
+            lambda: self.delay_s,
             log,
         )
         self.known = ()
+        self.delay_s = 0.0
 
     def start(self, *facts):
         """Starts to write facts in addition to the known ones."""
@@ -150,3 +153,17 @@
         assert store.records[-1].facts == (
             InstanceFacts("i-1", 7, True, 9.0, 1),
         )
+
+    async def test_writes_of_a_fleet_are_spread(
+        self, recorder, store, monkeypatch
+    ):
+        """Guards against all nodes that write a new limit at once."""
+        monkeypatch.setattr(facts_recorder, "LIMIT_DELAY_S", 0.0)
+        recorder.delay_s = 60.0
+        recorder.start(InstanceFacts("i-1", 7, False, 9.0, 1))
+        await asyncio.sleep(0.05)
+        assert store.records == []
+        # A departure is written at once all the same.
+        recorder.start(departed("i-1", 7))
+        assert await recorder.wait(5.0)
+        assert len(store.records) == 1
