Leave out odd facts and bound what a node keeps of its own servers

What callers saw: nothing; found when the change was read again.

Cause: facts in a message about the receiver's own server were taken over unchecked. A long id would have made the node's own record too long to send, a limit that is no number would have reached the admission queue. Each fact that another node named was remembered for ever; the departures of a process had no bound before either.

Change: facts are checked where a record states them, on every path, before they are merged. A process remembers 1,024 departures of its own servers. Pages that told of the older way say the present one; a name says what it holds.

Evidence: test_membership.py::test_odd_facts_are_left_out (six kinds) and test_server_registry.py::test_memory_of_departures_is_bounded; both need names that the code before does not have, so they were not run on it.

--- a/packages/sidecar/src/vanillamast_sidecar/membership/instance_facts.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/instance_facts.py
@@ -1,14 +1,20 @@
 """What is certain of incarnations of a server, whichever process knows it."""
 
+import math
 from collections.abc import Iterable
 
 import msgspec
 
+from vanillamast_sidecar.membership.heartbeat import (
+    MAX_BORN_MS,
+    MAX_SEQUENCE,
+)
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 
 # Incarnations of the servers of one machine: more than have heartbeats under
 # way that may arrive late.
 MAX_FACTS = 4
+MAX_ID = 256  # Longest id of a server in facts, in characters.
 
 
 class InstanceFacts(msgspec.Struct, array_like=True, frozen=True):
@@ -39,6 +45,17 @@
         """Returns id and start of the incarnation."""
         return self.id, self.born_ms
 
+    @property
+    def valid(self) -> bool:
+        """Returns whether a server may have said this."""
+        limit = self.rate_limit
+        return (
+            len(self.id) <= MAX_ID
+            and 0 <= self.born_ms <= MAX_BORN_MS
+            and 0 <= self.limit_revision <= MAX_SEQUENCE
+            and (limit is None or (math.isfinite(limit) and limit >= 0.0))
+        )
+
     def merge(self, other: "InstanceFacts") -> "InstanceFacts":
         """Returns what either of two processes knows of the incarnation."""
         newest = max(self, other, key=_rank_limit)
--- a/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/membership.py
@@ -34,7 +34,8 @@
       removed: Incarnation and revision of the removed nodes, by address.
       facts: What is certain of the servers beside other nodes, by address;
         also of nodes that were removed.
-      untold: Addresses of nodes whose newest record lacks some of it.
+      outdated: Addresses of nodes whose newest record lacks facts that this
+        node knows.
     """
 
     def __init__(self, own: NodeRecord):
@@ -42,7 +43,7 @@
         self.peers: dict[str, Peer] = {own.address: self.own}
         self.removed: dict[str, tuple[int, int]] = {}
         self.facts: dict[str, Facts] = {}
-        self.untold: set[str] = set()
+        self.outdated: set[str] = set()
         self._changed = True
         self._by_service: dict[str, list[Peer]] = {}
         self._by_domain: dict[str, list[Peer]] = {}
@@ -104,7 +105,7 @@
             peer.record = record
         else:
             return self._add_facts(peer, facts)
-        self._note_untold(record.address, stated != facts)
+        self._note_outdated(record.address, stated != facts)
         if record.instance is not None:
             peer.cold_until = now + record.instance.cold_s
         self._changed = True
@@ -161,21 +162,21 @@
         if record == peer.record:
             return None
         peer.record = record
-        self._note_untold(record.address, True)
+        self._note_outdated(record.address, True)
         self._changed = True
         return peer
 
-    def _note_untold(self, address: str, untold: bool) -> None:
-        """Notes whether a node has to be told what it does not state."""
-        if untold and address in self.peers:
-            self.untold.add(address)
+    def _note_outdated(self, address: str, outdated: bool) -> None:
+        """Notes whether a node's own record lacks facts."""
+        if outdated and address in self.peers:
+            self.outdated.add(address)
         else:
-            self.untold.discard(address)
+            self.outdated.discard(address)
 
     def remove(self, address: str) -> None:
         """Removes a node until it announces itself again."""
         peer = self.peers.pop(address, None)
-        self.untold.discard(address)
+        self.outdated.discard(address)
         if peer is not None:
             record = peer.record
             self.removed[address] = (record.incarnation, record.revision)
--- a/packages/sidecar/src/vanillamast_sidecar/membership/node_record.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/node_record.py
@@ -42,8 +42,10 @@
         return not self.stopping or self.serves_while_stopping
 
     def get_facts(self) -> Facts:
-        """Returns all facts that the record states."""
-        return merge_facts(self.facts, get_stated_facts(self.instance))
+        """Returns all valid facts that the record states."""
+        stated = (*self.facts, *get_stated_facts(self.instance))
+        # An invalid one must not displace another or be merged with it.
+        return merge_facts((facts for facts in stated if facts.valid), ())
 
     def with_facts(self, facts: Facts) -> "NodeRecord":
         """Returns the record with facts that its server agrees with."""
--- a/packages/sidecar/src/vanillamast_sidecar/membership/node_record_check.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/node_record_check.py
@@ -7,7 +7,6 @@
     MAX_SEQUENCE,
     MAX_SLOTS,
 )
-from vanillamast_sidecar.membership.instance_facts import InstanceFacts
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.ip_address import is_ip_address
 from vanillamast_sidecar.membership.node_record import NodeRecord
@@ -32,28 +31,17 @@
         return "revision out of range"
     if record.instance is not None and not _is_in_range(record.instance):
         return "instance out of range"
-    if not all(_is_fact_in_range(facts) for facts in record.facts):
+    if not all(facts.valid for facts in record.facts):
         return "facts out of range"
     return ""
 
 
-def _is_fact_in_range(facts: InstanceFacts) -> bool:
-    return (
-        0 <= facts.born_ms <= MAX_BORN_MS
-        and 0 <= facts.limit_revision <= MAX_SEQUENCE
-        and _is_limit(facts.rate_limit)
-    )
-
-
-def _is_limit(limit: float | None) -> bool:
-    return limit is None or (math.isfinite(limit) and limit >= 0.0)
-
-
 def _is_in_range(instance: InstanceRecord) -> bool:
+    limit = instance.rate_limit
     return (
         0 <= instance.born_ms <= MAX_BORN_MS
         and 0 <= instance.sequence <= MAX_SEQUENCE
         and 1 <= instance.slots <= MAX_SLOTS
         and math.isfinite(instance.cold_s)
-        and _is_limit(instance.rate_limit)
+        and (limit is None or (math.isfinite(limit) and limit >= 0.0))
     )
--- a/packages/sidecar/src/vanillamast_sidecar/membership/record_restorer.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/record_restorer.py
@@ -11,7 +11,7 @@
     """Writes the node's record again when the store lost what it had.
 
     A store that returns from an older copy may lack the record or have one
-    without the last departure. The record is written whether or not the copy
+    without the last facts. The record is written whether or not the copy
     has it: finding that out costs the store more than the write.
 
     Attributes:
--- a/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
+++ b/packages/sidecar/src/vanillamast_sidecar/membership/server_registry.py
@@ -15,6 +15,9 @@
 # Missing heartbeats after which the server counts as down; a single one may
 # arrive seconds late.
 MISSED_HEARTBEATS = 4.0
+# Departures that a process remembers: more than a machine has while heartbeats
+# are under way.
+MAX_LEAVING = 1024
 # A rate limit is announced again when it has changed by this share. The other
 # nodes keep it for a restart of this one; they need no exact value.
 ANNOUNCED_LIMIT_CHANGE = 0.2
@@ -45,7 +48,7 @@
       down: Whether it refused a connection or missed heartbeats since its
         last heartbeat.
       leaving: Incarnations that drain, have deregistered or say in their
-        responses that they leave.
+        responses that they leave, oldest first.
       leaving_before: Ids that have deregistered without an incarnation, by
         when, in Unix milliseconds; incarnations that started later are not
         affected.
@@ -65,7 +68,7 @@
         self.presumed_cold_until = 0.0
         self.unproven_until = 0.0
         self.down = False
-        self.leaving: set[tuple[str, int]] = set()
+        self.leaving: dict[tuple[str, int], None] = {}
         self.leaving_before: dict[str, int] = {}
         self.departed: InstanceRecord | None = None
         self.facts: Facts = ()
@@ -167,7 +170,7 @@
         self._restore_own_limit(known)
         for found in self.facts:
             if found.leaving and found.key not in self.leaving:
-                self.leaving.add(found.key)
+                self._remember_leaving(found.key)
                 self._set_departed(self._build_departed(*found.key))
         return self._update_flags() or self.facts != known
 
@@ -202,11 +205,16 @@
           Whether that is news; not if a newer incarnation is known.
         """
         known = self.facts
-        self.leaving.add((instance_id, born_ms))
+        self._remember_leaving((instance_id, born_ms))
         leaving = InstanceFacts(instance_id, born_ms, leaving=True)
         self.facts = merge_facts(known, (leaving,))
         return self.facts != known and not self._is_replaced(born_ms)
 
+    def _remember_leaving(self, key: tuple[str, int]) -> None:
+        self.leaving[key] = None
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+
     def _is_replaced(self, born_ms: int) -> bool:
         """Returns whether a newer incarnation is known."""
         return self.current is not None and born_ms < self.current.born_ms
--- a/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/mesh.py
@@ -344,18 +344,18 @@
             self._remind_nodes(now)
 
     def _remind_nodes(self, now: float) -> None:
-        """Tells nodes what their records lack of what this node knows."""
-        untold = self.membership.untold
-        for address in self.reminders.keys() - untold:
+        """Tells nodes the facts that their own records lack."""
+        outdated = self.membership.outdated
+        for address in self.reminders.keys() - outdated:
             del self.reminders[address]
-        for address in list(untold):
+        for address in list(outdated):
             due = self.reminders.get(address)
             if due is None:
                 jitter_s = 0.0 if self.is_hub else REMIND_JITTER_S
                 due = now + random.uniform(0.0, jitter_s)
                 self.reminders[address] = due
             if now >= due:
-                untold.discard(address)
+                outdated.discard(address)
                 record = self.membership.peers[address].record
                 self.log.write("peer.reminded", peer=address)
                 self.send(address, Records([record]))
@@ -372,9 +372,9 @@
         if previous is not None and previous.incarnation != record.incarnation:
             return [previous]
         address = record.address
-        if address not in self.membership.untold:
+        if address not in self.membership.outdated:
             return []
-        self.membership.untold.discard(address)
+        self.membership.outdated.discard(address)
         return [self.membership.peers[address].record]
 
     def _select_hubs(self, now: float) -> None:
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -210,7 +210,8 @@
                 offset=state.offset,
                 end_offset=update.end_offset,
             )
-            # As with the records between, the other nodes know of new moves.
+            # New moves get their states from the other nodes, as they do when
+            # their records are read one by one.
             return await self.store.read_operator_state()
         return await self._read_whole_state()
 
--- a/tests/sidecar/membership/test_membership.py
+++ b/tests/sidecar/membership/test_membership.py
@@ -1,8 +1,15 @@
 """Tests of what a node remembers of the others."""
 
+import math
+
 import msgspec
 import pytest
-from vanillamast_sidecar.membership.instance_facts import MAX_FACTS
+from vanillamast_sidecar.membership.heartbeat import MAX_BORN_MS
+from vanillamast_sidecar.membership.instance_facts import (
+    MAX_FACTS,
+    MAX_ID,
+    InstanceFacts,
+)
 from vanillamast_sidecar.membership.instance_record import InstanceRecord
 from vanillamast_sidecar.membership.membership import MAX_NODES, Membership
 from vanillamast_sidecar.membership.node_record import NodeRecord
@@ -108,6 +115,28 @@
             membership.apply_record(record, True, 0.0)
         assert len(membership.facts[ADDRESS]) == MAX_FACTS
 
+    @pytest.mark.parametrize(
+        "facts",
+        [
+            InstanceFacts("i" * (MAX_ID + 1), 5, leaving=True),
+            InstanceFacts("i-9", -1, leaving=True),
+            InstanceFacts("i-9", MAX_BORN_MS + 1, leaving=True),
+            InstanceFacts("i-9", 5, False, math.nan, 1),
+            InstanceFacts("i-9", 5, False, -1.0, 1),
+            InstanceFacts("i-9", 5, False, 1.0, -1),
+        ],
+    )
+    def test_odd_facts_are_left_out(self, facts):
+        """Guards against facts that make a node's own record too long."""
+        good = InstanceFacts("i-1", 1, leaving=True)
+        record = msgspec.structs.replace(node(server()), facts=(facts, good))
+        assert record.get_facts() == (good,)
+        # Nor do they displace others, or change those on the same server.
+        same = msgspec.structs.replace(good, id=facts.id, born_ms=facts.born_ms)
+        record = msgspec.structs.replace(record, facts=(good, facts, same))
+        expected = {good} | ({same} if same.valid else set())
+        assert set(record.get_facts()) == expected
+
     def test_memory_of_removed_nodes_is_bounded(self, membership):
         """Guards against nodes that are gone but remembered for ever."""
         record = node(server(leaving=True))
@@ -141,15 +170,15 @@
         peer = membership.peers[ADDRESS]
         membership.remove(ADDRESS)
         membership.mark_leaving(peer, peer.record.instance)
-        assert membership.untold == set()
+        assert membership.outdated == set()
         membership.apply_record(node(server(), 2, 0), True, 0.0)
         assert not self.is_usable(membership)
 
     def test_a_node_that_has_forgotten_is_noted(self, membership):
         """Guards against a node that no one tells what it has said before."""
         membership.apply_record(node(server(leaving=True), 1, 1), True, 0.0)
-        assert membership.untold == set()
+        assert membership.outdated == set()
         membership.apply_record(node(server(), 2, 0), False, 0.0)
-        assert membership.untold == {ADDRESS}
+        assert membership.outdated == {ADDRESS}
         membership.apply_record(node(server(leaving=True), 2, 1), False, 0.0)
-        assert membership.untold == set()
+        assert membership.outdated == set()
--- a/tests/sidecar/membership/test_server_registry.py
+++ b/tests/sidecar/membership/test_server_registry.py
@@ -3,8 +3,15 @@
 import dataclasses
 
 from vanillamast_sidecar.membership.heartbeat import Heartbeat
-from vanillamast_sidecar.membership.instance_facts import merge_facts
-from vanillamast_sidecar.membership.server_registry import ServerRegistry
+from vanillamast_sidecar.membership.instance_facts import (
+    MAX_FACTS,
+    InstanceFacts,
+    merge_facts,
+)
+from vanillamast_sidecar.membership.server_registry import (
+    MAX_LEAVING,
+    ServerRegistry,
+)
 from vanillamast_sidecar.operator_state.snapshot import WarmUp
 
 WARM_UP = WarmUp(10.0, 7.0)
@@ -95,6 +102,15 @@
         assert not registry.current.ready
         assert not registry.mark_unreachable()
 
+    def test_memory_of_departures_is_bounded(self):
+        """Guards against a node that keeps whatever others tell it."""
+        registry = ServerRegistry(1.5)
+        for born_ms in range(1, 3 * MAX_LEAVING):
+            told = InstanceFacts("i-1", born_ms, leaving=True)
+            assert registry.apply_facts((told,))
+        assert len(registry.leaving) == MAX_LEAVING
+        assert len(registry.facts) == MAX_FACTS
+
     def test_a_peer_restores_draining_to_a_restarted_node(self):
         """Guards against losing acknowledged draining in a restart."""
         before = ServerRegistry(1.5)
