Show that a bad version completes its roll-out

A bad version gets all requests of its service, several times its bound, and completes; the operator then stops the old servers.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -37,6 +37,8 @@
 SIGNATURE = "X-Vanillamast-Response-Signature"
 NOT_EXECUTED = "X-Vanillamast-Not-Executed"
 PAGE_ITEMS = 500
+STORE_NUMBER = 100  # The last number of the store's address.
+MAX_MACHINES = 40
 MAX_WAIT_S = 30.0
 START_S = 30.0  # Only a hang takes this long.
 PHRASES = {
@@ -441,6 +443,7 @@
       request_id: Its id.
       server: Id of the server.
       service: Service of the server.
+      version: Version of the server.
       at: When it arrived, monotonic.
       path: Its path.
     """
@@ -448,6 +451,7 @@
     request_id: str
     server: str
     service: str
+    version: str
     at: float
     path: str
 
@@ -458,6 +462,7 @@
     Attributes:
       id: Id of the server.
       service: Its service.
+      version: Version of its software.
       host: Address of its machine.
       ports: Ports of the deployment.
       work_s: How long it works on a request.
@@ -465,6 +470,8 @@
       runs: Requests that it began to run, shared by all servers.
       pinging: Whether it sends pings.
       body: Body of its answers; empty for its id.
+      fails: Returns whether a request for a path fails.
+      failure_status: Status of the answers to those that fail.
     """
 
     def __init__(
@@ -475,9 +482,11 @@
         zone: str,
         ports: dict[str, int],
         runs: list[Run],
+        version: str = "v1",
     ):
         self.id = name
         self.service = service
+        self.version = version
         self.host = host
         self.zone = zone
         self.ports = ports
@@ -487,6 +496,8 @@
         self.running = 0
         self.pinging = True
         self.body = b""
+        self.fails: Callable[[str], bool] = lambda path: False
+        self.failure_status = 500
         self.born_ms = int(time.time() * 1000)
         self.sequence = itertools.count(1)
         self.signatures = itertools.count(1)
@@ -512,7 +523,7 @@
                 "service": self.service,
                 "addr": f"{self.host}:{self.ports['app']}",
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "max_concurrency": self.slots,
                 "state": "ready",
                 "cold_left_s": 0,
@@ -573,6 +584,7 @@
                 request_id,
                 self.id,
                 self.service,
+                self.version,
                 time.monotonic(),
                 request.start[1],
             )
@@ -583,6 +595,8 @@
         finally:
             self.running -= 1
         headers[SIGNATURE] = f"{self.id}.{next(self.signatures)}"
+        if self.fails(request.start[1]):
+            return encode_response(self.failure_status, headers)
         return encode_response(
             200, headers, self.body or f"{self.id}\n".encode()
         )
@@ -687,7 +701,7 @@
         self.layout = list(layout)
         self.memory_mb = memory_mb
         self.folder = tempfile.mkdtemp(prefix="case-")
-        self.network, self.ports = _find_network(len(self.layout))
+        self.network, self.ports = _find_network(MAX_MACHINES)
         self.store = Store()
         self.machines: dict[str, Machine] = {}
         self.runs: list[Run] = []
@@ -700,31 +714,10 @@
 
     async def __aenter__(self) -> "Deployment":
         """Starts the store, the nodes and the servers."""
-        store_host = f"{self.network}.100"
+        store_host = f"{self.network}.{STORE_NUMBER}"
         await self.store.listener.start(store_host, self.ports["store"])
-        for number, (zone, service) in enumerate(self.layout, 1):
-            host = f"{self.network}.{number}"
-            name = f"m{number}"
-            server = Server(
-                f"i-{name}", service, host, f"z{zone}", self.ports, self.runs
-            )
-            machine = Machine(name, host, server, self.folder)
-            machine.settings.write_text(
-                SETTINGS.format(
-                    name=name,
-                    host=host,
-                    zone=f"z{zone}",
-                    service=service,
-                    memory_mb=self.memory_mb,
-                    **{
-                        **self.ports,
-                        "store": f"{store_host}:{self.ports['store']}",
-                    },
-                )
-            )
-            self.machines[name] = machine
-            await machine.start()
-            await server.start()
+        for zone, service in self.layout:
+            await self.add_machine(zone, service)
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -735,6 +728,53 @@
         await self.store.listener.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    async def add_machine(
+        self, zone: int, service: str, version: str = "v1"
+    ) -> "Machine":
+        """Adds a machine; starts its node and its server."""
+        number = len(self.machines) + 1
+        host = f"{self.network}.{number}"
+        name = f"m{number}"
+        server = Server(
+            f"i-{name}",
+            service,
+            host,
+            f"z{zone}",
+            self.ports,
+            self.runs,
+            version,
+        )
+        machine = Machine(name, host, server, self.folder)
+        store = f"{self.network}.{STORE_NUMBER}:{self.ports['store']}"
+        machine.settings.write_text(
+            SETTINGS.format(
+                name=name,
+                host=host,
+                zone=f"z{zone}",
+                service=service,
+                memory_mb=self.memory_mb,
+                **{**self.ports, "store": store},
+            )
+        )
+        self.machines[name] = machine
+        await machine.start()
+        await server.start()
+        return machine
+
+    async def start_move(self, service: str, to: str, over_s: float) -> float:
+        """Orders a move to a version; returns when that was acknowledged."""
+        value = {"service": service, "to": to, "over_s": over_s}
+        at = await self.store.put(
+            OPERATOR_TOPIC, f"rollout/{service}", json.dumps(value).encode()
+        )
+        self.note(f"the move of {service} to {to} is ordered")
+        return at
+
+    def move_state(self, service: str) -> str:
+        """Returns the recorded state of a move, "" without one."""
+        value = self.store.get("keyed.status", f"rollout/{service}")
+        return json.loads(value)["state"] if value else ""
+
     def note(self, text: str) -> None:
         """Adds a line to the record."""
         line = f"{time.monotonic() - self.started_at:8.3f} s  {text}"
@@ -842,11 +882,17 @@
         self.answers.append(answer)
         return answer
 
-    async def send_steadily(self, path: str, gap_s: float) -> None:
-        """Sends requests from all machines in turn until cancelled."""
+    async def send_steadily(
+        self,
+        path: str,
+        gap_s: float,
+        machines: Iterable["Machine"] | None = None,
+    ) -> None:
+        """Sends requests from machines in turn until cancelled."""
+        callers = list(machines or self.machines.values())
         tasks: set[asyncio.Task[Answer]] = set()
         try:
-            for machine in itertools.cycle(self.machines.values()):
+            for machine in itertools.cycle(callers):
                 task = asyncio.create_task(self.send(machine, path))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -878,7 +924,8 @@
     for _ in range(50):
         numbers = random.sample(range(64, 250), 2)
         network = f"127.{numbers[0]}.{numbers[1]}"
-        hosts = [f"{network}.{n}" for n in (*range(1, machines + 1), 100)]
+        numbers_of_hosts = (*range(1, machines + 1), STORE_NUMBER)
+        hosts = [f"{network}.{number}" for number in numbers_of_hosts]
         with contextlib.ExitStack() as stack:
             first = [stack.enter_context(socket.socket()) for _ in PORT_NAMES]
             for sock in first:
