--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -472,6 +472,7 @@
       body: Body of its answers; empty for its id.
       fails: Returns whether a request for a path fails.
       failure_status: Status of the answers to those that fail.
+      get_work_s: Returns how long it works on the next request.
     """
 
     def __init__(
@@ -498,6 +499,7 @@
         self.body = b""
         self.fails: Callable[[str], bool] = lambda path: False
         self.failure_status = 500
+        self.get_work_s: Callable[[], float] = lambda: self.work_s
         self.born_ms = int(time.time() * 1000)
         self.sequence = itertools.count(1)
         self.signatures = itertools.count(1)
@@ -591,7 +593,7 @@
         )
         self.running += 1
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(self.get_work_s())
         finally:
             self.running -= 1
         headers[SIGNATURE] = f"{self.id}.{next(self.signatures)}"
