End children of a harness that is killed while it starts them

Cause: a child asks the kernel for a signal at the death of its parent. If the parent is killed between the fork and this call, there is no signal.

Change: after the call, the child ends if its parent is no longer the harness.

--- a/packages/testing/src/vanillamast_testing/managed_process.py
+++ b/packages/testing/src/vanillamast_testing/managed_process.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import ctypes
+import functools
+import os
 import pathlib
 import signal
 from collections.abc import Mapping, Sequence
@@ -12,9 +14,16 @@
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
-def _kill_with_parent() -> None:
-    """Lets the kernel end the child if the harness is killed."""
+def kill_with_parent(parent: int) -> None:
+    """Lets the kernel end this process, a child, if its parent is killed.
+
+    Args:
+      parent: Process id of the parent.
+    """
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != parent:
+        # It was killed before, so the kernel sends no signal.
+        os._exit(1)
 
 
 class ManagedProcess:
@@ -55,7 +64,7 @@
                 stdout=output,
                 stderr=output,
                 env=self.environment,
-                preexec_fn=_kill_with_parent,
+                preexec_fn=functools.partial(kill_with_parent, os.getpid()),
             )
 
     def send_signal(self, number: signal.Signals) -> None:
