Decide in one place whether a request has not run

Cause: three places decided by three tests whether a request had run, and none of them looked at what a status that is passed on says to callers.

Change: classify_response says what a server's response means, at both hops; choose_final_answer says what the caller gets. 408, 421, 429 and 503 without the server's field are no proof: a request that may run once gets 502, one that may be repeated goes to another server, or gets the server's own response. A 421 without signature still comes from another server at the address. A 400 with the field is passed on at once, where it was sent to further servers and then answered 503. A success with the field counts as malformed.

--- a/packages/sidecar/src/vanillamast_sidecar/admission/call_result.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/call_result.py
@@ -4,6 +4,10 @@
 
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_classifier import (
+    FIRST_SERVER_ERROR_STATUS,
+)
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.http.http_message import HttpResponse
 
 
@@ -18,6 +22,7 @@
       response: The server's response, if there is one.
       sent_to_server: Whether the request was sent to the server.
       retry_after_s: Time until a slot is expected, in seconds; 0 if unknown.
+      kind: What the response says; None without one.
     """
 
     outcome: Outcome
@@ -25,3 +30,20 @@
     response: HttpResponse | None = None
     sent_to_server: bool = False
     retry_after_s: float = 0.0
+    kind: ResponseKind | None = None
+
+    @property
+    def is_failure(self) -> bool:
+        """Returns whether the server failed to handle the request."""
+        if self.kind is ResponseKind.REJECTION:
+            return False
+        return not self.is_success
+
+    @property
+    def is_success(self) -> bool:
+        """Returns whether the server has handled the request."""
+        return (
+            self.kind is ResponseKind.ANSWER
+            and self.response is not None
+            and self.response.status < FIRST_SERVER_ERROR_STATUS
+        )
--- a/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/reason.py
@@ -33,3 +33,4 @@
     NO_ROOM = "no_room"
     BUDGET_SPENT = "budget_spent"
     OVER_CAP = "over_cap"
+    UNCONFIRMED = "unconfirmed"
--- a/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
+++ b/packages/sidecar/src/vanillamast_sidecar/admission/server_executor.py
@@ -13,6 +13,8 @@
 from vanillamast_sidecar.admission.link_pacer import LinkPacer
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_classifier import classify_response
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.admission.server_call import ServerCall
 from vanillamast_sidecar.admission.server_notice import (
     is_leaving,
@@ -56,7 +58,6 @@
 # The server itself answers when the deadline of a request has passed; that
 # response may arrive this much later.
 RESPONSE_GRACE_S = 0.15
-MISDIRECTED_REQUEST = 421
 # A request whose deadline is nearer than this is not sent: no server answers
 # faster.
 MIN_ATTEMPT_S = 0.005
@@ -546,13 +547,14 @@
         if result is None or not result.sent_to_server:
             return
         current = self.registry.current
+        if result.kind is ResponseKind.REJECTION:
+            # That is the request's fault.
+            return
         if result.outcome is Outcome.NOT_RUN:
             # A server that sheds load within its concurrency limit is failing.
             self.failure_share.add(True, self.loop.time())
             return
-        failed = result.outcome is not Outcome.ANSWERED or (
-            result.response is not None and result.response.status >= 500
-        )
+        failed = result.is_failure
         self.failure_share.add(failed, self.loop.time())
         # Other nodes name the route; only those of the configuration are kept.
         route = call.route if call.route in self.route_names else ""
@@ -680,10 +682,10 @@
                 body,
             )
             pool.release(connection)
-            result = self._classify(call, response)
+            result = self._handle_response(call, response)
             if result.response is not None:
                 self._apply_notice(call, result.response)
-            if result.outcome is Outcome.ANSWERED:
+            if result.kind is ResponseKind.ANSWER:
                 self._clear_suspect(call, digest)
             return result
         except ResponseTimeoutError:
@@ -781,37 +783,41 @@
         )
         self._grant_slots()
 
-    def _classify(self, call: ServerCall, response: HttpResponse) -> CallResult:
-        """Returns whether a response is valid, a refusal or malformed."""
-        fields = self.settings.fields
-        if response.status == MISDIRECTED_REQUEST:
+    def _handle_response(
+        self, call: ServerCall, response: HttpResponse
+    ) -> CallResult:
+        """Returns the result of an attempt that was answered."""
+        kind = classify_response(response, self.settings.fields)
+        if kind is ResponseKind.MISDIRECTED:
             self.on_unreachable()
             return CallResult(
                 Outcome.NOT_RUN, Reason.WRONG_INSTANCE, sent_to_server=True
             )
-        if response.get_header(fields.not_executed) is not None:
-            return CallResult(
-                Outcome.NOT_RUN,
-                Reason.SHED_BY_SERVER,
-                response,
-                sent_to_server=True,
-            )
-        signed = response.get_header(fields.signature) is not None
-        encoded = response.get_header(b"content-encoding") is not None
-        if encoded or (not signed and response.status < 400):
-            self.metrics.count("server_failures", reason=Reason.MALFORMED)
-            self.log.write(
-                "server.failed",
-                request=call.request_id.decode("latin-1"),
-                reason=Reason.MALFORMED,
-                instance=call.instance_id,
-                status=response.status,
-            )
+        if kind is ResponseKind.MALFORMED:
+            self._log_response(call, response, Reason.MALFORMED)
             return CallResult(
                 Outcome.UNKNOWN, Reason.MALFORMED, sent_to_server=True
             )
+        outcome, reason = Outcome.ANSWERED, Reason.NONE
+        if kind in (ResponseKind.REFUSAL, ResponseKind.REJECTION):
+            outcome, reason = Outcome.NOT_RUN, Reason.SHED_BY_SERVER
+        elif kind is ResponseKind.UNCONFIRMED:
+            self._log_response(call, response, Reason.UNCONFIRMED)
         return CallResult(
-            Outcome.ANSWERED, response=response, sent_to_server=True
+            outcome, reason, response, sent_to_server=True, kind=kind
+        )
+
+    def _log_response(
+        self, call: ServerCall, response: HttpResponse, reason: Reason
+    ) -> None:
+        """Logs a response that is not valid as it is."""
+        self.metrics.count("server_failures", reason=reason)
+        self.log.write(
+            "server.failed",
+            request=call.request_id.decode("latin-1"),
+            reason=reason,
+            instance=call.instance_id,
+            status=response.status,
         )
 
 
--- a/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/exchange.py
@@ -5,11 +5,7 @@
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.balancing.slot_search import SlotSearch
 from vanillamast_sidecar.crashes.request_digest import digest_request
-from vanillamast_sidecar.http.http_message import (
-    Headers,
-    HttpRequest,
-    HttpResponse,
-)
+from vanillamast_sidecar.http.http_message import Headers, HttpRequest
 from vanillamast_sidecar.http.memory_costs import get_call_cost
 from vanillamast_sidecar.organisations.organisation import Organisation
 from vanillamast_sidecar.routing.route import Route
@@ -38,8 +34,8 @@
       refusals: Attempts that a node refused.
       may_have_run: Whether some attempt may have run.
       last_result: How the last attempt ended.
-      response: Last response of a server, if any; a 5xx is delivered if no
-        other server answers.
+      answer: The last attempt with a response that may be passed on, None
+        without one; a 5xx is delivered if no other server answers.
     """
 
     request: HttpRequest
@@ -59,7 +55,7 @@
     refusals: int = 0
     may_have_run: bool = False
     last_result: CallResult | None = None
-    response: HttpResponse | None = None
+    answer: CallResult | None = None
 
     @property
     def organisation_name(self) -> str:
--- a/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
+++ b/packages/sidecar/src/vanillamast_sidecar/routing/gateway.py
@@ -7,6 +7,8 @@
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_classifier import classify_response
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.admission.server_call import ServerCall
 from vanillamast_sidecar.admission.server_executor import ServerExecutor
 from vanillamast_sidecar.admission.server_notice import is_leaving
@@ -37,6 +39,10 @@
     OrganisationDirectory,
 )
 from vanillamast_sidecar.routing.exchange import Exchange
+from vanillamast_sidecar.routing.final_answer import (
+    FinalAnswer,
+    choose_final_answer,
+)
 from vanillamast_sidecar.routing.retry_budget import RetryBudget
 from vanillamast_sidecar.routing.route import Route
 from vanillamast_sidecar.routing.route_durations import RouteDurations
@@ -374,9 +380,12 @@
                     return self._finish_held(exchange, retry_after_s)
             result = await self._attempt(exchange, peer, may_wait)
             exchange.last_result = result
-            if result.outcome is Outcome.ANSWERED:
-                exchange.response = result.response
-                if not self._should_try_another_server(exchange, result):
+            if (
+                result.outcome is Outcome.ANSWERED
+                or result.kind is ResponseKind.REJECTION
+            ):
+                exchange.answer = result
+                if not (exchange.route.idempotent and result.is_failure):
                     return self._finish(exchange)
             if not self._may_retry(exchange, result, budget):
                 return self._finish(exchange)
@@ -535,7 +544,7 @@
             took_s=round(ended - now, 4),
             asked=len(exchange.search.busy) if exchange.search else 0,
         )
-        if wait_s <= 0.0 and _is_success(result) and now >= peer.cold_until:
+        if wait_s <= 0.0 and not result.is_failure and now >= peer.cold_until:
             self.durations.add(
                 route.name, exchange.service, ended - now, mean_s
             )
@@ -652,27 +661,21 @@
             route.idempotent,
             remaining_s + TIMEOUT_GRACE_S,
         )
+        response = _response_from_reply(reply)
+        kind = None
+        if response is not None:
+            kind = classify_response(response, self.settings.fields)
         return CallResult(
             reply.outcome,
             reply.reason,
-            _response_from_reply(reply),
+            response,
             reply.sent_to_server,
             reply.retry_after_s,
+            kind,
         )
 
     # The end of an attempt.
 
-    def _should_try_another_server(
-        self, exchange: Exchange, result: CallResult
-    ) -> bool:
-        """Returns whether the server failed a request that may run again."""
-        response = result.response
-        return (
-            exchange.route.idempotent
-            and response is not None
-            and response.status >= 500
-        )
-
     def _may_retry(
         self, exchange: Exchange, result: CallResult, budget: RetryBudget
     ) -> bool:
@@ -702,26 +705,31 @@
 
     def _finish(self, exchange: Exchange) -> HttpResponse:
         """Returns the server's response, or one that says why there is none."""
-        if exchange.response is not None:
-            took_s = self.loop.time() - exchange.arrived_at
-            self.metrics.count("requests", outcome="answered")
-            self.metrics.observe("request_duration", took_s)
-            return exchange.response
-        last = exchange.last_result
-        reason = (
-            last.reason
-            if last is not None
-            else self._explain_no_attempt(exchange)
+        answer, last = exchange.answer, exchange.last_result
+        final = choose_final_answer(
+            answer, last, exchange.may_have_run, exchange.route.idempotent
         )
-        if exchange.may_have_run:
-            expired = last is not None and last.outcome is Outcome.EXPIRED
-            status = GATEWAY_TIMEOUT if expired else BAD_GATEWAY
-            self.metrics.count("requests", outcome=reason)
-            self._log_failure(exchange, status, reason)
-            return self._make_response(status, exchange.request_id, reason)
-        wait_s = last.retry_after_s if last is not None else 0.0
-        self._log_failure(exchange, UNAVAILABLE, reason)
-        return self._refuse(exchange.request_id, reason, wait_s)
+        if answer is not None and answer.response is not None:
+            if final is FinalAnswer.SERVER:
+                took_s = self.loop.time() - exchange.arrived_at
+                self.metrics.count("requests", outcome="answered")
+                self.metrics.observe("request_duration", took_s)
+                return answer.response
+            reason = Reason.UNCONFIRMED
+        elif last is not None:
+            reason = last.reason
+        else:
+            reason = self._explain_no_attempt(exchange)
+        if final is FinalAnswer.NOT_RUN:
+            wait_s = last.retry_after_s if last is not None else 0.0
+            self._log_failure(exchange, UNAVAILABLE, reason)
+            return self._refuse(exchange.request_id, reason, wait_s)
+        status = (
+            GATEWAY_TIMEOUT if final is FinalAnswer.EXPIRED else BAD_GATEWAY
+        )
+        self.metrics.count("requests", outcome=reason)
+        self._log_failure(exchange, status, reason)
+        return self._make_response(status, exchange.request_id, reason)
 
     def _explain_no_attempt(self, exchange: Exchange) -> Reason:
         """Returns why a request was sent to no server."""
@@ -786,11 +794,6 @@
     return zlib.crc32(peer.record.address.encode(), digest & 0xFFFFFFFF)
 
 
-def _is_success(result: CallResult) -> bool:
-    response = result.response
-    return response is not None and response.status < 500
-
-
 def _parse_milliseconds(value: bytes) -> float | None:
     """Returns milliseconds as seconds, None if the value is not a number."""
     try:
--- a/packages/testing/src/vanillamast_testing/emulator/backend.py
+++ b/packages/testing/src/vanillamast_testing/emulator/backend.py
@@ -62,7 +62,8 @@
       work_s: Duration of a request.
       slots: Requests that it runs at once.
       heartbeat_s: Interval of heartbeats.
-      fail_every: Every n-th request gets status 500; 0 for none.
+      fail_every: Every n-th request fails; 0 for none.
+      fail_status: Status of these failures, of requests that have run.
       truncate_every: Every n-th answer is cut off in its body; 0 for none.
       rate_limit: Requests a second that its answers name as its limit, None
         for no limit. It is not enforced.
@@ -100,6 +101,7 @@
         self.slots = 4
         self.heartbeat_s = 0.3
         self.fail_every = 0
+        self.fail_status = 500
         self.truncate_every = 0
         self.rate_limit: float | None = None
         self.deadly_path = ""
@@ -262,7 +264,7 @@
             self.running -= 1
         headers[SIGNATURE_HEADER] = f"{self.id}.{number}"
         if self.fail_every and number % self.fail_every == 0:
-            return web.Response(status=500, headers=headers)
+            return web.Response(status=self.fail_status, headers=headers)
         text = f"{self.id} {request.method} {request.path_qs} {len(body)}"
         if self.truncate_every and number % self.truncate_every == 0:
             headers["Content-Length"] = str(len(text) + 10)
--- a/tests/sidecar/admission/test_server_executor.py
+++ b/tests/sidecar/admission/test_server_executor.py
@@ -10,6 +10,7 @@
 from vanillamast_sidecar.admission.link_pacer import LinkPacer
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.admission.server_call import ServerCall
 from vanillamast_sidecar.admission.server_executor import ServerExecutor
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
@@ -230,6 +231,61 @@
         assert counters["server_failures", (("reason", "malformed"),)] == 1
 
 
+class TestOwnRefusals:
+    """What the node learns of a server that refuses what it may have run."""
+
+    def fail(self, backend, status, fields=b"X-Proof: 1\r\n"):
+        """Makes the server answer with a status; returns what is counted."""
+        outcomes = []
+        backend.script = lambda number, request_id: (
+            b"HTTP/1.1 %d No\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+            % (status, request_id, fields)
+        )
+        backend.executor.moves.count_outcome = lambda *args: outcomes.append(
+            args[2]
+        )
+        return outcomes
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    async def test_it_counts_as_a_failure(self, backend, status):
+        """Guards against a bad version that completes, and attracts load."""
+        outcomes = self.fail(backend, status)
+        result = await run(backend)
+        assert result.outcome is Outcome.ANSWERED
+        assert result.kind is ResponseKind.UNCONFIRMED
+        assert outcomes == [True]
+        assert backend.executor.get_load().failure_share > 0.0
+        # Such an answer is quick, and no sign of a fast server.
+        assert not backend.executor.queue.mean_service_s_by_route
+
+    async def test_it_does_not_clear_a_suspect(self, backend):
+        """Guards against a deadly request that one server had no room for."""
+        digest = digest_request("POST", b"", "/", b"")
+        suspects = backend.executor.suspects
+        for number in range(CrashSettings().max_ends - 1):
+            suspects.record_end(
+                ServerEnd("browse", "v1", f"i-{number}", 1, [digest]),
+                asyncio.get_running_loop().time(),
+            )
+        known = dict(suspects.suspects)
+        assert known
+        self.fail(backend, 503)
+        await run(backend)
+        assert suspects.suspects == known
+        self.fail(backend, 500)
+        await run(backend, b"2")
+        assert not suspects.suspects
+
+    async def test_a_rejected_request_is_not_the_servers_fault(self, backend):
+        """Guards against faulty callers that make servers look bad."""
+        outcomes = self.fail(backend, 400, b"X-Not-Run: 1\r\n")
+        result = await run(backend)
+        assert result.outcome is Outcome.NOT_RUN
+        assert result.response.status == 400
+        assert outcomes == []
+        assert backend.executor.get_load().failure_share == 0.0
+
+
 class TestStopping:
     """A stopping node runs what can end before its exit."""
 
--- a/tests/sidecar/routing/test_gateway_memory.py
+++ b/tests/sidecar/routing/test_gateway_memory.py
@@ -9,6 +9,7 @@
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.outcome import Outcome
 from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
 from vanillamast_sidecar.field_names import FieldNames
@@ -77,6 +78,7 @@
                 Outcome.ANSWERED,
                 response=HttpResponse(200, []),
                 sent_to_server=True,
+                kind=ResponseKind.ANSWER,
             )
         peer.apply_load_report(SHORT, self.gateway.loop.time())
         return CallResult(Outcome.NOT_RUN, Reason.NO_ROOM, retry_after_s=0.25)
--- a/tests/sidecar/usage/test_gateway_usage.py
+++ b/tests/sidecar/usage/test_gateway_usage.py
@@ -8,7 +8,7 @@
 import pytest
 from vanillamast_sidecar.admission.call_result import CallResult
 from vanillamast_sidecar.admission.outcome import Outcome
-from vanillamast_sidecar.admission.reason import Reason
+from vanillamast_sidecar.admission.response_kind import ResponseKind
 from vanillamast_sidecar.crashes.crash_settings import CrashSettings
 from vanillamast_sidecar.crashes.crash_suspects import CrashSuspects
 from vanillamast_sidecar.field_names import FieldNames
@@ -108,7 +108,10 @@
         async def attempt(exchange, peer, may_wait):
             exchange.may_have_run = True
             return CallResult(
-                Outcome.ANSWERED, Reason.NONE, HttpResponse(200, []), True
+                Outcome.ANSWERED,
+                response=HttpResponse(200, []),
+                sent_to_server=True,
+                kind=ResponseKind.ANSWER,
             )
 
         gateway.selector.choose = lambda *_: object()
