Let the soak silence topics and answer as if nothing had run

Cause: the soak played outages of the whole store only, and servers that fail with 500 or break off.

Change: two actions, silent_topic and own_refusal. The check of truthful refusals now counts 408 and 421 as well.

--- a/packages/testing/src/vanillamast_testing/soak/soak_actions.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak_actions.py
@@ -16,6 +16,10 @@
 # Time in which a leaving server's last requests end before it is gone.
 LAST_REQUESTS_S = 1.0
 
+SILENT_TOPICS = ("keyed.op", "keyed.status", "keyed.vanillamast-nodes")
+# Callers take these for a promise that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 Action = Callable[["Soak"], Awaitable[None]]
 actions: Registry[Action] = Registry("soak action")
 
@@ -101,6 +105,29 @@
         store.failure_mode = ""
 
 
+@actions.register("silent_topic")
+async def silence_topic(soak: "Soak") -> None:
+    """Lets the store give no answers on one topic."""
+    topic = soak.rng.choice(SILENT_TOPICS)
+    topics = soak.platform.store.silent_topics
+    if topic in topics:
+        return
+    with soak.disturb("silent_topic"):
+        topics.add(topic)
+        await asyncio.sleep(soak.rng.uniform(0.5, 4.5))
+        topics.discard(topic)
+
+
+@actions.register("own_refusal")
+async def refuse_what_has_run(soak: "Soak") -> None:
+    """Lets a server answer some requests that it has run as if it had not."""
+    with soak.disturb_backend("own_refusal") as backend:
+        backend.fail_every = 4
+        backend.fail_status = soak.rng.choice(NOT_RUN_STATUSES)
+        await asyncio.sleep(soak.rng.uniform(0.5, 2.0))
+        backend.fail_every = 0
+
+
 @actions.register("store_return")
 async def return_store(soak: "Soak") -> None:
     """Lets the store fail and return from a copy that is seconds old."""
--- a/packages/testing/src/vanillamast_testing/soak/soak_checks.py
+++ b/packages/testing/src/vanillamast_testing/soak/soak_checks.py
@@ -10,7 +10,7 @@
 from vanillamast_testing.emulator.caller import NO_ANSWER_STATUS
 from vanillamast_testing.soak.limit_period import LimitPeriod
 from vanillamast_testing.soak.sent_request import SentRequest
-from vanillamast_testing.soak.soak_actions import DRAIN_S
+from vanillamast_testing.soak.soak_actions import DRAIN_S, NOT_RUN_STATUSES
 from vanillamast_testing.soak.soak_record import SoakRecord
 
 # The users' rule on rate limits: requests in any span of this length, and how
@@ -22,7 +22,6 @@
 STABLE_WINDOW_S = 3.0
 OK = 200
 # Statuses that say that a request has not run.
-NOT_RUN_STATUSES = frozenset({429, 503})
 # After these a node may know nothing of what servers said before.
 RESTARTS = frozenset({"planned_stop", "kill", "pause"})
 # These may end a request whose node is stopped at the same time.
