--- a/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
+++ b/packages/sidecar/src/vanillamast_sidecar/mesh/messages.py
@@ -78,8 +78,8 @@
       load: Load of the sender's backend server.
       config_version: Version of the sender's configuration.
       operator_offset: Offset up to which it has read the operator's stream.
-      store_age_s: Time since it last received a response of the store; None
-        while it does not read the stream.
+      store_age_s: Time since the store last answered its reads of that stream,
+        or more if other nodes must not rely on it; None if it is no reader.
       operator_era: Era of the store that the offset belongs to.
       usage: Counts of organisations with a usage cap that have changed since
         the sender's last heartbeat to this hub; None without any.
@@ -300,8 +300,8 @@
       address: Address of the node.
       config_version: Version of its configuration, -1 without one.
       operator_offset: Offset up to which it has read the operator's stream.
-      store_age_s: Time since it last received a response of the store; None
-        while it does not read the stream.
+      store_age_s: Time since the store last answered its reads of that stream,
+        or more if other nodes must not rely on it; None if it is no reader.
       operator_era: Era of the store that the offset belongs to.
     """
 
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_contact.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_contact.py
@@ -63,4 +63,4 @@
         """Returns the age of the last answer as other nodes are told it."""
         if self.is_in_touch(now):
             return now - self.answered_at
-        return self.timing.freshness_s + 1.0
+        return self.timing.stale_s
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_timing.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_timing.py
@@ -40,3 +40,8 @@
     def freshness_s(self) -> float:
         """Returns how old the last answer of another reader may be."""
         return self.silence_s + REPORT_DELAY_S
+
+    @property
+    def stale_s(self) -> float:
+        """Returns an age at which no node relies on a reader."""
+        return 2.0 * self.freshness_s
