Read the operator's topic less often

Cause: each read of a reader costs a call.

Change: a reader waits 0.65 of the bound on changes, not 0.55, so that it still knows within 0.9 of it that it is not answered; the random part of a wait is a tenth. The third and later nodes repeat failed reads at longer intervals.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -42,7 +42,7 @@
 READ_TIMEOUT_S = 1.2
 # A reader waits this part of its longest wait, chosen at random: readers that
 # begin together would else have their reads in flight at the same moments.
-MIN_WAIT_FRACTION = 0.8
+MIN_WAIT_FRACTION = 0.9
 # Changes within this time of each other are read together; a third of the time
 # in which a change has to be applied.
 COALESCE_DELAY_S = 0.6
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_timing.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/reader_timing.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-# Parts of the time in which a change has to be applied. The rest of it is for
-# the next read and for the way to the other nodes.
-POLL_PART = 0.55
+# Parts of the time in which a change has to be applied: within it, a reader
+# knows that the store does not answer. Each read costs a call.
+POLL_PART = 0.65
 ANSWER_PART = 0.25
 # Two heartbeats or reports are on the way from a reader to another node.
 REPORT_DELAY_S = 0.4
--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/store_reader_policy.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/store_reader_policy.py
@@ -84,7 +84,7 @@
             peer.record.address < own and peer.store_contact_at is not None
             for peer in self._find_candidates()
         )
-        return max(1.0, (trying + 1) / READERS_PER_DOMAIN)
+        return max(1.0, float(trying))
 
     def _count_readers(self, now: float) -> float:
         """Returns how many nodes read while none is in touch.
