Keep a reader that catches up in touch

Cause: an answer that did not reach the end of the stream ended the reader's contact at once. In a storm of changes nearly each answer is one, so that other nodes took over and hubs fetched from other domains for the time of one more read.

Change: such an answer ends neither the contact nor renews it. A reader that does not catch up within the time for an answer is out of touch then.

--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -183,7 +183,7 @@
                 update = await self._read_in_time()
                 failures = 0
                 changed = self.state.apply_update(update)
-                self.contact.handle_answer(self.loop.time(), up_to_date=True)
+                self.contact.handle_answer(self.loop.time())
                 self._set_connected(True, "")
                 self.fetch_at = 0.0
                 if changed:
@@ -282,7 +282,7 @@
             )
             if not update.is_partial:
                 return update
-            self.contact.handle_answer(self.loop.time(), up_to_date=False)
+            self.contact.handle_partial_answer()
             self.metrics.count("operator_skips")
             self.log.write(
                 "operator.behind",
--- a/tests/sidecar/operator_state/test_operator_state_sync.py
+++ b/tests/sidecar/operator_state/test_operator_state_sync.py
@@ -252,6 +252,19 @@
         reader.store.on_progress()
         assert not self.is_relied_on(reader)
 
+    async def test_a_reader_that_catches_up_at_once_counts(self, reader):
+        """Guards against takeovers at each step of a storm of changes."""
+        reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
+        await self.wait_for_read(reader)
+        for offset in range(9, 40, 2):
+            behind = OperatorUpdate(offset, None, [], end_offset=offset + 1)
+            reader.store.updates.put_nowait(behind)
+            await asyncio.sleep(0.01)
+            assert self.is_relied_on(reader)
+            reader.store.updates.put_nowait(OperatorUpdate(offset, None, []))
+            await asyncio.sleep(0.01)
+            assert self.is_relied_on(reader)
+
     async def test_a_standby_is_no_reader(self, reader):
         """Guards against a domain that relies on a long poll."""
         reader.store.updates.put_nowait(OperatorUpdate(8, None, []))
@@ -315,7 +328,7 @@
         """Guards against each change crossing domains for nothing."""
         waited_s = 0.0
         while not sync.mesh.sent:
-            sync.contact.handle_answer(sync.loop.now, up_to_date=True)
+            sync.contact.handle_answer(sync.loop.now)
             sync.handle_versions(self.peer(sync), 40, 8)
             sync.loop.now += 0.1
             waited_s += 0.1
@@ -324,7 +337,7 @@
 
     async def test_an_old_answer_of_the_store_is_no_reason_to_wait(self, sync):
         """Guards against a former reader that waits for a silent store."""
-        sync.contact.handle_answer(sync.loop.now, up_to_date=True)
+        sync.contact.handle_answer(sync.loop.now)
         sync.loop.now += TIMING.silence_s + 0.1
         sync.handle_versions(self.peer(sync), 40, 8)
         sync.loop.now += PEER_FETCH_DELAY_S
--- a/tests/sidecar/operator_state/test_partly_silent_store.py
+++ b/tests/sidecar/operator_state/test_partly_silent_store.py
@@ -149,7 +149,7 @@
             async with ReaderFleet(1) as fleet:
                 sync = fleet.nodes[0].sync
                 await wait_until(READY_S)
-                sync.contact.handle_answer(sync.loop.time(), True)
+                sync.contact.handle_answer(sync.loop.time())
                 now = sync.loop.time()
                 return {sync._choose_wait_s(now) for _ in range(20)}
 
