--- a/tests/platform_path/fleet_checks.py
+++ b/tests/platform_path/fleet_checks.py
@@ -2,6 +2,15 @@
 
 import asyncio
 
+from vanillamast_sidecar.operator_state.operator_state_sync import (
+    MIN_WAIT_FRACTION,
+)
+from vanillamast_sidecar.operator_state.reader_timing import ReaderTiming
+
+# A reader of the store starts polls at least this far apart while nothing
+# changes. The machines' bound on changes is 2 s.
+SHORTEST_POLL_S = MIN_WAIT_FRACTION * ReaderTiming.from_apply_s(2.0).poll_s
+
 
 async def until(check, timeout_s=20.0):
     """Waits until a check holds; fails the test on a timeout."""
--- a/tests/platform_path/test_operator_readers.py
+++ b/tests/platform_path/test_operator_readers.py
@@ -4,19 +4,17 @@
 import contextlib
 
 import pytest
-from vanillamast_sidecar.operator_state.operator_state_sync import (
-    MIN_WAIT_FRACTION,
-)
-from vanillamast_sidecar.operator_state.reader_timing import ReaderTiming
 from vanillamast_testing.emulator import EmulatedPlatform
 
-from tests.platform_path.fleet_checks import publish_route, until
+from tests.platform_path.fleet_checks import (
+    SHORTEST_POLL_S,
+    publish_route,
+    until,
+)
 
 NODES = 5
 READERS = 2
 LONG_POLL_S = 28.0  # Of a standby.
-# The machines' bound on changes is 2 s.
-SHORTEST_POLL_S = MIN_WAIT_FRACTION * ReaderTiming.from_apply_s(2.0).poll_s
 
 
 @pytest.fixture
