--- a/packages/cli/src/vanillamast_cli/reason_texts.py
+++ b/packages/cli/src/vanillamast_cli/reason_texts.py
@@ -21,6 +21,8 @@
     "peer_silent": "the node beside the server stopped answering",
     "connection_lost": "the server broke the connection off",
     "malformed": "the server's answer was damaged or not its own",
+    "unconfirmed": "the server answered as if the request had not run, without "
+    "the field that says so",
     "too_large": "the server's answer exceeded the limits, perhaps without end",
     "timeout": "the server did not answer within the time-out",
     "caller_gone": "the caller left before the answer",
