--- a/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
+++ b/packages/sidecar/src/vanillamast_sidecar/operator_state/operator_state_sync.py
@@ -67,9 +67,10 @@
 class OperatorStateSync:
     """Reads configurations and move specs from the store or from a peer.
 
-    Two nodes of each failure domain, its hubs, read the store. Their reports
-    announce their configuration version and offset; nodes that are behind
-    fetch the newer state from them.
+    Two nodes of each failure domain, its hubs, read the store: a reader, on
+    which the others rely, and its standby. Their reports announce their
+    configuration version and offset; nodes that are behind fetch the newer
+    state from them.
 
     Attributes:
       store: Coordination store.
